--- /dev/null
+++ b/packages/common/src/index.ts
@@ -0,0 +1,5 @@
+export { BriarsaddleError, describeError, errorCode, type ErrorDetails } from './errors.js'
+export { LifeCycle } from './life-cycle.js'
+export { Clock, ManualClock, MonotonicClock, delay } from './clock.js'
+export { Logger, enableLogs, formatLine, type LogFields, type LogLevel } from './logger.js'
+export { Random } from './random.js'
--- /dev/null
+++ b/packages/common/src/logger.ts
@@ -0,0 +1,43 @@
+import createDebug from 'debug'
+
+/** Fields of a log line. */
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>
+
+/** Levels are the last part of the namespace, so `DEBUG=briarsaddle:*:error` selects errors only. */
+export type LogLevel = 'debug' | 'info' | 'warning' | 'error'
+
+/** Writes structured log lines: a namespace with level, a message and `key=value` fields. */
+export class Logger {
+  readonly #writers: Readonly<Record<LogLevel, createDebug.Debugger>>
+
+  constructor (component: string) {
+    const writer = (level: LogLevel): createDebug.Debugger => createDebug(`briarsaddle:${component}:${level}`)
+    this.#writers = { debug: writer('debug'), info: writer('info'), warning: writer('warning'), error: writer('error') }
+  }
+
+  debug (message: string, fields?: LogFields): void { this.#write('debug', message, fields) }
+  info (message: string, fields?: LogFields): void { this.#write('info', message, fields) }
+  warning (message: string, fields?: LogFields): void { this.#write('warning', message, fields) }
+  error (message: string, fields?: LogFields): void { this.#write('error', message, fields) }
+
+  #write (level: LogLevel, message: string, fields: LogFields = {}): void {
+    const writer = this.#writers[level]
+    if (writer.enabled) writer('%s', formatLine(message, fields))
+  }
+}
+
+/** Formats one log line; values with spaces or quotes are written as JSON strings. */
+export function formatLine (message: string, fields: LogFields): string {
+  const parts = [`message=${JSON.stringify(message)}`]
+  for (const [key, value] of Object.entries(fields)) {
+    if (value === undefined) continue
+    const text = String(value)
+    parts.push(`${key}=${/[\s"=]/.test(text) || text === '' ? JSON.stringify(text) : text}`)
+  }
+  return parts.join(' ')
+}
+
+/** Enables log namespaces, as the `DEBUG` environment variable does. */
+export function enableLogs (namespaces: string): void {
+  createDebug.enable(namespaces)
+}
--- /dev/null
+++ b/packages/ownership/src/index.ts
@@ -0,0 +1,2 @@
+export * from './records.js'
+export * from './control-state.js'
--- /dev/null
+++ b/packages/rules/src/index.ts
@@ -0,0 +1,1 @@
+export type { KeyLocation, Rule, RuleFile, RuleFinding, RuleMatch, ServiceClass } from './rule.js'
