--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,1 +1,1 @@
-export {}
+export * from './generated/inner.js'
