Add rules, settings, the command-line tool and example files

The rule file has one line per rule; every finding is reported with its line at once, and a rule without the comment that names who asked for it is refused. Settings are TOML validated by zod, with all errors at once. The tool publishes through the log service on the version the operator started from; of two simultaneous publications one wins and the other is shown the difference.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,7 +12,9 @@
       '@typescript-eslint/consistent-type-imports': 'error',
       '@typescript-eslint/no-explicit-any': 'error',
       // A type and a value may share a name; the compiler reports real redeclarations.
-      '@typescript-eslint/no-redeclare': 'off'
+      '@typescript-eslint/no-redeclare': 'off',
+      // Marks a promise that is deliberately not awaited.
+      'no-void': ['error', { allowAsStatement: true }]
     }
   },
   {
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,5 @@
-export {}
+export { main } from './main.js'
+export { exitCodes, type ExitCode } from './exit-code.js'
+export type { CliContext, OpenLog } from './context.js'
+export { publishRules, type Publication, type PublishResult } from './publish.js'
+export { ControlLog } from './control-log.js'
--- /dev/null
+++ b/packages/rules/src/diff-rules.ts
@@ -0,0 +1,81 @@
+import { diffArrays } from 'diff'
+
+/** One difference between two rule files. Line numbers count from 1 in the file that they belong to. */
+export type RuleChange =
+  | { readonly kind: 'added', readonly newLine: number, readonly newText: string }
+  | { readonly kind: 'removed', readonly oldLine: number, readonly oldText: string }
+  | { readonly kind: 'changed', readonly oldLine: number, readonly oldText: string, readonly newLine: number, readonly newText: string }
+
+/** Differences between two rule files. */
+export interface RuleDifference {
+  readonly changes: readonly RuleChange[]
+  /** One `-` or `+` line per removed or added text, with line numbers; empty when the files are equal. */
+  readonly text: string
+}
+
+interface NumberedLine {
+  readonly line: number
+  readonly text: string
+}
+
+/** Lists the lines that were added, removed or changed. A line is changed when its method and pattern stay the same. */
+export function diffRules (oldText: string, newText: string): RuleDifference {
+  const changes: RuleChange[] = []
+  let oldLine = 1
+  let newLine = 1
+  let removed: NumberedLine[] = []
+  for (const part of diffArrays(splitLines(oldText), splitLines(newText))) {
+    if (part.removed) {
+      removed = part.value.map(text => ({ line: oldLine++, text }))
+      continue
+    }
+    const added = part.added ? part.value.map(text => ({ line: newLine++, text })) : []
+    changes.push(...pairLines(removed, added))
+    removed = []
+    if (!part.added) {
+      oldLine += part.value.length
+      newLine += part.value.length
+    }
+  }
+  changes.push(...pairLines(removed, []))
+  return { changes, text: changes.map(formatChange).join('\n') }
+}
+
+function splitLines (text: string): string[] {
+  const lines = text.split(/\r?\n/)
+  if (lines.at(-1) === '') lines.pop()
+  return lines
+}
+
+/** Method and pattern of a line with a rule, or undefined for blank lines and comments. */
+function ruleHead (text: string): string | undefined {
+  return /^\s*([^\s#]+\s+\S+)/.exec(text)?.[1]?.replace(/\s+/, ' ')
+}
+
+function groupByHead (lines: readonly NumberedLine[]): Map<string, NumberedLine[]> {
+  const groups = new Map<string, NumberedLine[]>()
+  for (const line of lines) {
+    const head = ruleHead(line.text)
+    if (head !== undefined) groups.set(head, [...groups.get(head) ?? [], line])
+  }
+  return groups
+}
+
+function pairLines (removed: readonly NumberedLine[], added: readonly NumberedLine[]): RuleChange[] {
+  const unpaired = new Set(removed)
+  const byHead = groupByHead(removed)
+  const changes = added.map(({ line, text }): RuleChange => {
+    const former = byHead.get(ruleHead(text) ?? '')?.shift()
+    if (former === undefined) return { kind: 'added', newLine: line, newText: text }
+    unpaired.delete(former)
+    return { kind: 'changed', oldLine: former.line, oldText: former.text, newLine: line, newText: text }
+  })
+  return [...[...unpaired].map(({ line, text }): RuleChange => ({ kind: 'removed', oldLine: line, oldText: text })), ...changes]
+}
+
+function formatChange (change: RuleChange): string {
+  const lines: string[] = []
+  if (change.kind !== 'added') lines.push(`-${change.oldLine}: ${change.oldText}`)
+  if (change.kind !== 'removed') lines.push(`+${change.newLine}: ${change.newText}`)
+  return lines.join('\n')
+}
--- a/packages/rules/src/index.ts
+++ b/packages/rules/src/index.ts
@@ -1,1 +1,6 @@
 export type { KeyLocation, Rule, RuleFile, RuleFinding, RuleMatch, ServiceClass } from './rule.js'
+export { defaultMaximumRuleFileBytes, parseRules } from './parse-rules.js'
+export { RuleFileError, formatFinding } from './rule-file-error.js'
+export { RuleMatcher, type MatchResult, type MatchedRequest } from './matcher.js'
+export { diffRules, type RuleChange, type RuleDifference } from './diff-rules.js'
+export { maximumDeadlineMilliseconds } from './duration.js'
--- /dev/null
+++ b/packages/rules/src/parse-rules.ts
@@ -0,0 +1,71 @@
+import { parsePattern, type PatternSegment } from './pattern.js'
+import { PatternTree, type SearchedSegment } from './pattern-tree.js'
+import { parseRuleLine, splitComment } from './parse-line.js'
+import { RuleFileError } from './rule-file-error.js'
+import type { Rule, RuleFile, RuleFinding } from './rule.js'
+
+/** Longest rule file in bytes when the caller gives no limit. */
+export const defaultMaximumRuleFileBytes = 262_144
+
+/**
+ * Parses a rule file. Each line has the form
+ * `METHOD /path/:name pool=NAME [key=path:name|header:name|query:name] idempotent|at-most-once
+ * class=prompt|normal|long deadline=20s  # who asked for it`.
+ * Throws `RuleFileError` with every finding.
+ */
+export function parseRules (text: string, fileName: string, maximumBytes: number = defaultMaximumRuleFileBytes): RuleFile {
+  const bytes = Buffer.byteLength(text)
+  if (bytes > maximumBytes) {
+    throw new RuleFileError(fileName, [{ line: 1, code: 'file_too_long', message: `the file has ${bytes} bytes; at most ${maximumBytes} are allowed` }])
+  }
+  const findings: RuleFinding[] = []
+  const rules: Rule[] = []
+  for (const [index, line] of text.replace(/^\uFEFF/, '').split(/\r?\n/).entries()) {
+    const { content, comment } = splitComment(line)
+    if (content === '') continue
+    const rule = parseRuleLine(index + 1, content, comment, findings)
+    if (rule !== undefined) rules.push(rule)
+  }
+  findings.push(...findMixedPools(rules))
+  if (findings.length > 0) throw new RuleFileError(fileName, findings.sort((left, right) => left.line - right.line))
+  return { rules, warnings: rules.length === 0 ? [{ line: 1, code: 'no_rules', message: 'the file has no rules; every request would be refused' }] : findUnreachable(rules) }
+}
+
+/** A pool is either partitioned by key, so that every request must have one, or not at all. */
+function findMixedPools (rules: readonly Rule[]): RuleFinding[] {
+  const first = new Map<string, Rule>()
+  const findings: RuleFinding[] = []
+  for (const rule of rules) {
+    const earlier = first.get(rule.pool)
+    if (earlier === undefined) first.set(rule.pool, rule)
+    else if ((earlier.key === undefined) !== (rule.key === undefined)) {
+      const [here, there] = rule.key === undefined ? ['without', 'with'] : ['with', 'without']
+      findings.push({ line: rule.line, code: 'mixed_pool', message: `pool "${rule.pool}" is used ${here} a key here and ${there} one on line ${earlier.line}` })
+    }
+  }
+  return findings
+}
+
+/** Reports rules that one earlier rule shadows completely. Shadowing by several rules together is not detected. */
+function findUnreachable (rules: readonly Rule[]): RuleFinding[] {
+  const tree = new PatternTree<Rule>()
+  const findings: RuleFinding[] = []
+  for (const rule of rules) {
+    const pattern = patternOf(rule)
+    const earlier = tree.find(rule.method, pattern.map(searched))
+    if (earlier !== undefined) findings.push({ line: rule.line, code: 'unreachable', message: `the rule is never used: line ${earlier.line} (${earlier.method} ${earlier.pattern}) matches all of its requests` })
+    tree.add(rule.method, pattern, rule)
+  }
+  return findings
+}
+
+function searched (segment: PatternSegment): SearchedSegment {
+  return segment.type === 'literal' ? segment.text : segment
+}
+
+/** Returns the segments of a rule that was parsed before. */
+export function patternOf (rule: Rule): readonly PatternSegment[] {
+  const pattern = parsePattern(rule.pattern)
+  if (typeof pattern === 'string') throw new RuleFileError('rule', [{ line: rule.line, code: 'bad_pattern', message: pattern }])
+  return pattern
+}
--- /dev/null
+++ b/packages/rules/src/pattern-tree.ts
@@ -0,0 +1,88 @@
+import type { PatternSegment } from './pattern.js'
+
+/** What is searched for: decoded request segments, or the pattern of a later rule. */
+export type SearchedSegment = string | Exclude<PatternSegment, { readonly type: 'literal' }>
+
+interface Entry<Value> {
+  readonly order: number
+  readonly value: Value
+}
+
+class Node<Value> {
+  /** Lowest order in this subtree. Entries are added in ascending order, so the first one sets it. */
+  readonly lowestOrder: number
+  readonly literals = new Map<string, Node<Value>>()
+  parameter: Node<Value> | undefined
+  /** Entries whose pattern ends here, by method; only the first of each method can ever match. */
+  readonly ends = new Map<string, Entry<Value>>()
+  /** Entries whose pattern continues with the trailing `*`, by method. */
+  readonly rests = new Map<string, Entry<Value>>()
+
+  constructor (lowestOrder: number) {
+    this.lowestOrder = lowestOrder
+  }
+}
+
+/** Method of a rule that applies to every method. */
+export const anyMethod = '*'
+
+/**
+ * Finds the first of many patterns, in the order in which they were added, that matches a path. The search visits
+ * each node at most once and skips subtrees whose entries all come after the best one found.
+ */
+export class PatternTree<Value> {
+  readonly #root = new Node<Value>(0)
+  #size = 0
+
+  /** Adds a pattern after all patterns added before. */
+  add (method: string, pattern: readonly PatternSegment[], value: Value): void {
+    const entry = { order: this.#size++, value }
+    let node = this.#root
+    for (const segment of pattern) {
+      if (segment.type === 'rest') {
+        if (!node.rests.has(method)) node.rests.set(method, entry)
+        return
+      }
+      node = segment.type === 'literal' ? literalChild(node, segment.text, entry.order) : (node.parameter ??= new Node(entry.order))
+    }
+    if (!node.ends.has(method)) node.ends.set(method, entry)
+  }
+
+  /**
+   * Returns the value of the first pattern that matches every path described by `segments`, for every method that
+   * `method` stands for.
+   */
+  find (method: string, segments: readonly SearchedSegment[]): Value | undefined {
+    return search(this.#root, method, segments, 0, undefined)?.value
+  }
+}
+
+function literalChild<Value> (node: Node<Value>, text: string, order: number): Node<Value> {
+  let child = node.literals.get(text)
+  if (child === undefined) {
+    child = new Node(order)
+    node.literals.set(text, child)
+  }
+  return child
+}
+
+function search<Value> (node: Node<Value>, method: string, segments: readonly SearchedSegment[], index: number, best: Entry<Value> | undefined): Entry<Value> | undefined {
+  if (best !== undefined && best.order < node.lowestOrder) return best
+  const segment = segments[index]
+  if (segment === undefined) return firstOfMethod(node.ends, method, best)
+  best = firstOfMethod(node.rests, method, best)
+  if (typeof segment === 'string') {
+    const literal = node.literals.get(segment)
+    if (literal !== undefined) best = search(literal, method, segments, index + 1, best)
+  }
+  const parameterMatches = typeof segment === 'string' ? segment !== '' : segment.type === 'parameter'
+  if (parameterMatches && node.parameter !== undefined) best = search(node.parameter, method, segments, index + 1, best)
+  return best
+}
+
+function firstOfMethod<Value> (entries: ReadonlyMap<string, Entry<Value>>, method: string, best: Entry<Value> | undefined): Entry<Value> | undefined {
+  for (const entry of [entries.get(method), entries.get(anyMethod)]) {
+    if (entry !== undefined && (best === undefined || entry.order < best.order)) best = entry
+  }
+  return best
+}
--- /dev/null
+++ b/packages/settings/src/parse-settings.ts
@@ -0,0 +1,57 @@
+import { readFile } from 'node:fs/promises'
+import { describeError } from '@briarsaddle/common'
+import { parse, TomlError } from 'smol-toml'
+import type { z } from 'zod'
+import { minimumTokenLength, settingsSchema, type Settings } from './schema.js'
+import { SettingsError, type SettingsFinding } from './settings-error.js'
+
+type Issue = z.core.$ZodIssue
+
+function keyPath (parts: readonly PropertyKey[]): string {
+  return parts.map(String).join('.')
+}
+
+function findingsOf (issue: Issue): SettingsFinding[] {
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map(key => ({ path: keyPath([...issue.path, key]), code: 'unknown_key', reason: 'unknown key' }))
+  }
+  return [{ path: keyPath(issue.path), code: issue.code, reason: issue.message }]
+}
+
+function parseToml (text: string, fileName: string): unknown {
+  try {
+    return parse(text)
+  } catch (error) {
+    if (!(error instanceof TomlError)) throw error
+    // The message of smol-toml continues with an excerpt of the file over several lines.
+    const reason = `line ${error.line}, column ${error.column}: ${error.message.split('\n')[0] ?? ''}`
+    throw new SettingsError(fileName, [{ path: '', code: 'bad_toml', reason }])
+  }
+}
+
+/** Parses the text of a settings file. Throws `SettingsError` with every finding. */
+export function parseSettings (text: string, fileName: string): Settings {
+  const result = settingsSchema.safeParse(parseToml(text, fileName))
+  if (result.success) return result.data
+  throw new SettingsError(fileName, result.error.issues.flatMap(findingsOf))
+}
+
+/** Reads and parses a settings file. Throws `SettingsError`, also when the file cannot be read. */
+export async function loadSettings (path: string): Promise<Settings> {
+  let text: string
+  try {
+    text = await readFile(path, 'utf8')
+  } catch (error) {
+    throw new SettingsError(path, [{ path: '', code: 'unreadable', reason: describeError(error) }], 'settings_unreadable')
+  }
+  return parseSettings(text, path)
+}
+
+/** Returns the administration token from the settings or from the environment variable that they name. */
+export function administrationToken (settings: Settings, environment: Readonly<Record<string, string | undefined>> = process.env): string {
+  const { token, tokenEnvironment = '' } = settings.administration
+  const value = token ?? environment[tokenEnvironment] ?? ''
+  if (value.length >= minimumTokenLength) return value
+  const reason = `environment variable ${tokenEnvironment} must hold at least ${minimumTokenLength} characters`
+  throw new SettingsError('settings', [{ path: 'administration.tokenEnvironment', code: 'bad_token', reason }])
+}
--- /dev/null
+++ b/packages/settings/src/schema.ts
@@ -0,0 +1,113 @@
+import { z } from 'zod'
+import { addressSchema, formatAddress, ipSchema, isLoopback, type Address } from './address.js'
+import { timingSchema } from './timing.js'
+
+/** Shortest administration token in characters. */
+export const minimumTokenLength = 16
+
+// Names appear in headers, log lines and records.
+const name = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/, { error: 'must be 1 to 64 letters, digits, ".", "_" or "-"' })
+
+function isServiceAddress (text: string): boolean {
+  if (!URL.canParse(text)) return false
+  const { protocol, origin, href } = new URL(text)
+  return /^https?:$/.test(protocol) && href === `${origin}/`
+}
+
+// The paths below these addresses are fixed by the protocol of each service.
+const serviceUrl = z.string().refine(isServiceAddress, { error: 'must be http:// or https:// with host and port and nothing after them' })
+
+const count = z.int().min(1)
+
+const vmSchema = z.strictObject({ id: name, dataCentre: name }).readonly()
+
+const listenSchema = z.strictObject({
+  callers: addressSchema.prefault('127.0.0.1:8080'),
+  inner: addressSchema.prefault('127.0.0.1:9080'),
+  administration: addressSchema.prefault('127.0.0.1:7080')
+}).superRefine((listen, context) => {
+  const users = new Map<string, string>()
+  for (const [key, address] of Object.entries(listen)) {
+    const text = formatAddress(address)
+    const earlier = users.get(text)
+    if (address.port !== 0 && earlier !== undefined) context.addIssue({ code: 'custom', path: [key], message: `${text} is already used by listen.${earlier}` })
+    users.set(text, key)
+  }
+}).readonly()
+
+const administrationSchema = z.strictObject({
+  token: z.string().min(minimumTokenLength).optional(),
+  /** Environment variable that holds the token. */
+  tokenEnvironment: z.string().regex(/^[A-Za-z_][A-Za-z0-9_]*$/, { error: 'must be the name of an environment variable' }).optional(),
+  /** Allows the administration to listen on an address that other machines can reach. */
+  allowRemote: z.boolean().default(false)
+}).refine(administration => (administration.token === undefined) !== (administration.tokenEnvironment === undefined), {
+  error: 'exactly one of token and tokenEnvironment must be set'
+}).readonly()
+
+const platformSchema = z.strictObject({
+  logUrl: serviceUrl,
+  stream: name.default('control'),
+  vmListUrl: serviceUrl,
+  /** Most records that this VM appends per second; the log takes several hundred from all VMs together. */
+  appendsPerSecond: z.number().positive().max(1000).default(50)
+}).readonly()
+
+const limitsSchema = z.strictObject({
+  maximumHeaderBytes: count.default(16_384),
+  maximumBodyBytes: count.default(1_048_576),
+  maximumAnswerBytes: count.default(4_194_304),
+  maximumCallerConnections: count.default(10_000),
+  maximumQueuedPerEndpoint: count.default(64),
+  /** An endpoint accepts about 100; the rest is left for hello and renew calls and for a successor. */
+  endpointConnections: count.default(90),
+  maximumRuleFileBytes: count.default(262_144)
+}).readonly()
+
+const metricsSchema = z.strictObject({
+  host: ipSchema.default('127.0.0.1'),
+  port: z.int().min(1).max(65_535).default(8125),
+  prefix: z.string().default('briarsaddle.')
+}).readonly()
+
+const logsSchema = z.strictObject({
+  namespaces: z.string().default('briarsaddle:*:info,briarsaddle:*:warning,briarsaddle:*:error')
+}).readonly()
+
+/** Baselines for measurements only: values other than the defaults switch off parts of the product. */
+const experimentsSchema = z.strictObject({
+  scheduling: z.enum(['classes', 'fifo']).default('classes'),
+  endpointChoice: z.enum(['two-choices', 'random']).default('two-choices'),
+  admission: z.boolean().default(true)
+}).readonly()
+
+interface RemoteCheck {
+  readonly listen?: { readonly administration?: Address }
+  readonly administration?: { readonly allowRemote?: boolean }
+}
+
+function administrationIsAllowed (settings: RemoteCheck): boolean {
+  const host = settings.listen?.administration?.host
+  return host === undefined || isLoopback(host) || settings.administration?.allowRemote === true
+}
+
+/** The whole settings file. Unknown sections and keys are refused. */
+export const settingsSchema = z.strictObject({
+  vm: vmSchema,
+  listen: listenSchema.prefault({}),
+  administration: administrationSchema,
+  platform: platformSchema,
+  limits: limitsSchema.prefault({}),
+  timing: timingSchema.prefault({}),
+  metrics: metricsSchema.prefault({}),
+  logs: logsSchema.prefault({}),
+  experiments: experimentsSchema.prefault({})
+}).refine(administrationIsAllowed, {
+  path: ['listen', 'administration'],
+  error: 'an address that is not loopback needs administration.allowRemote = true',
+  // Without this, zod would skip the check when another key is invalid, and the errors would come one after the other.
+  when: () => true
+}).readonly()
+
+/** Validated settings of the daemon. All of it is read-only. */
+export type Settings = z.infer<typeof settingsSchema>
