Add platform clients and stand-ins

Clients of the log service and the VM list over HTTP, and small stand-ins for the log, the VM list and endpoints, with a fault-injecting TCP proxy.

A lost answer to an append is settled by looking for the record's id.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,2 +1,7 @@
 export { LogClient, type LogPage, type LogRecord, type ReadOptions } from './log-client.js'
-export { VmListClient, type ListedVm } from './vm-list-client.js'
+export { LogForgottenError } from './log-forgotten-error.js'
+export { HttpLogClient, type HttpLogClientOptions } from './http-log-client.js'
+export { AppendRateLimit, defaultAppendRateLimit, type AppendRateLimitOptions } from './append-rate-limit.js'
+export { appendSettled, type SettledAppend } from './append-settled.js'
+export { VmListClient, listedVmSchema, type ListedVm } from './vm-list-client.js'
+export { HttpVmListClient, type HttpVmListClientOptions } from './http-vm-list-client.js'
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,9 @@
-export {}
+export { HttpStandIn, StandIn, type ListeningAddress } from './http-stand-in.js'
+export { booleanFlag, numberFlag, runStandIn } from './run-stand-in.js'
+export { LogService, logServiceDefaults, type LogServiceOptions } from './log-service.js'
+export { VmListService, type VmListServiceOptions } from './vm-list-service.js'
+export { Endpoint, endpointDefaults, type EndpointOptions } from './endpoint.js'
+export type { NotRunReason } from './endpoint-protocol.js'
+export type { RecordedTime } from './endpoint-clock.js'
+export type { HeldInterval, RecordedRequest, RequestResult } from './endpoint-record.js'
+export { FaultProxy, type FaultMode, type FaultProxyAddress, type FaultProxyOptions } from './fault-proxy.js'
