--- /dev/null
+++ b/packages/daemon/src/administration/index.ts
@@ -0,0 +1,2 @@
+export { AdministrationServer, type AdministrationServerOptions } from './administration-server.js'
+export { AdministrationOperations, StateDump, type OperationResult } from './operations.js'
--- /dev/null
+++ b/packages/daemon/src/administration/operations.ts
@@ -0,0 +1,18 @@
+/** Produces the state dump of this process. */
+export abstract class StateDump {
+  /** Returns plain data that can be written as JSON. */
+  abstract dump (): Promise<unknown>
+}
+
+/** Offset of the record that an operation appended. */
+export interface OperationResult {
+  readonly offset: number
+}
+
+/** Operations that append records on behalf of an operator. */
+export abstract class AdministrationOperations {
+  /** Marks an endpoint as leaving. Throws `unknown_endpoint`, `conflict`, `log_unavailable` or `log_unknown`. */
+  abstract drain (endpoint: string, author: string): Promise<OperationResult>
+  /** Removes VMs that are lost for good from the witness list. Throws `unknown_witness`, `conflict`, `log_unavailable` or `log_unknown`. */
+  abstract releaseWitnesses (lost: readonly string[], author: string): Promise<OperationResult>
+}
--- /dev/null
+++ b/packages/daemon/src/control-plane.ts
@@ -0,0 +1,241 @@
+import type { LifeCycle } from '@briarsaddle/common'
+import { delay, describeError, Logger, MonotonicClock, Random } from '@briarsaddle/common'
+import { KeyHasher, type ControlState, type EndpointState, type ReadRecord, type RightOptions } from '@briarsaddle/ownership'
+import { AppendRateLimit, HttpLogClient, HttpVmListClient } from '@briarsaddle/platform'
+import { InnerServer, PeerPool } from '@briarsaddle/protocol'
+import { ClassPolicy, FifoPolicy, type QueuePolicy } from '@briarsaddle/scheduling'
+import type { Settings } from '@briarsaddle/settings'
+import { Assignments } from './control/assignments.js'
+import { Coordination, ProvisionalCoordination } from './control/coordination.js'
+import { InnerControl, InnerFrames, PoolJournals, PoolJournalSource, PoolStates } from './control/inner-adapters.js'
+import { FollowerObserver, LogFollower } from './control/log-follower.js'
+import { Membership } from './control/membership.js'
+import { RecordWriter } from './control/record-writer.js'
+import { RightKeeper } from './control/right-keeper.js'
+import { TakeAwayWait } from './control/take-away.js'
+import { Upkeep } from './control/upkeep.js'
+import { Witness } from './control/witness.js'
+import { WitnessPoll } from './control/witness-poll.js'
+import { Coordinator, FormerRights } from './coordinator/coordinator.js'
+import { SessionObserver, type EndpointSession } from './coordinator/endpoint-session.js'
+import type { SessionState } from './coordinator/session-state.js'
+
+const logger = new Logger('daemon')
+const reviewMilliseconds = 50
+const upkeepMilliseconds = 250
+const handOverMilliseconds = 5000
+const idlePollMilliseconds = 20
+
+/** The parts of one VM that decide who coordinates and owns what. Entry and administration use it from outside. */
+export class ControlPlane {
+  readonly settings: Settings
+  readonly clock: MonotonicClock
+  readonly random: Random
+  readonly hasher: KeyHasher
+  readonly follower: LogFollower
+  readonly membership: Membership
+  readonly coordinator: Coordinator
+  readonly peers: PeerPool
+  readonly writer: RecordWriter
+  readonly rights: RightKeeper
+  readonly #assignments: Assignments
+  readonly #coordination: Coordination
+  readonly #upkeep: Upkeep
+  readonly #innerServer: InnerServer
+  readonly #loops: LifeCycle
+  #innerPort = 0
+
+  private constructor (settings: Settings, hasher: KeyHasher, lifeCycle: LifeCycle) {
+    const self = settings.vm.id
+    const { timing, platform } = settings
+    const rightOptions: RightOptions = { rightDuration: timing.rightMilliseconds, margin: timing.clockMarginPercent / 100 }
+    const clock = new MonotonicClock()
+    const log = new HttpLogClient({ origin: platform.logUrl, stream: platform.stream, appendRateLimit: new AppendRateLimit(clock, { recordsPerSecond: platform.appendsPerSecond, burst: 2 * platform.appendsPerSecond }) })
+    const list = new HttpVmListClient({ origin: platform.vmListUrl })
+    this.settings = settings
+    this.clock = clock
+    this.hasher = hasher
+    this.random = new Random(Math.floor(Math.random() * 2 ** 31))
+    this.peers = new PeerPool(lifeCycle)
+    this.#loops = lifeCycle.child('control loops')
+    this.follower = new LogFollower({ log, clock, maximumRuleFileBytes: settings.limits.maximumRuleFileBytes })
+    this.writer = new RecordWriter(log, this.follower)
+    this.membership = new Membership({ self: settings.vm, list, peers: this.peers, hasher, clock, timing, position: () => this.follower.state.position })
+    const witness = new Witness(this.follower, clock)
+    const poll = new WitnessPoll({ self, witness, peers: this.peers })
+    const takeAway = new TakeAwayWait({ follower: this.follower, poll, clock, rightOptions })
+    this.rights = new RightKeeper({
+      self,
+      follower: this.follower,
+      poll,
+      clock,
+      rightOptions,
+      endpoints: () => this.coordinator.sessions.map(({ description }) => description.id),
+      provisional: endpoint => this.coordinator.isProvisional(endpoint)
+    })
+    this.coordinator = new Coordinator({
+      settings,
+      view: this.follower,
+      clock,
+      random: this.random,
+      rights: this.rights,
+      journalSink: new PoolJournals(this.peers),
+      journalSource: new PoolJournalSource(this.peers),
+      formerRights: new WitnessedFormerRights(takeAway, this.#loops),
+      observer: new SessionEvents(this),
+      createPolicy: () => createPolicy(settings),
+      lifeCycle: this.#loops
+    })
+    this.#assignments = new Assignments({ follower: this.follower, membership: this.membership, coordinator: this.coordinator, writer: this.writer, takeAway, clock, lifeCycle: this.#loops })
+    this.#coordination = new Coordination({
+      self,
+      follower: this.follower,
+      membership: this.membership,
+      writer: this.writer,
+      clock,
+      watcherStepMilliseconds: timing.watcherStepMilliseconds,
+      rightMilliseconds: timing.rightMilliseconds,
+      provisional: new CoordinatorProvisions(this.coordinator),
+      startPosition: () => this.coordinator.startPosition
+    })
+    this.#upkeep = new Upkeep({ self, follower: this.follower, membership: this.membership, writer: this.writer, poll, clock, lifeCycle: this.#loops })
+    this.#innerServer = new InnerServer(settings.listen.inner, new InnerFrames(this.coordinator), new InnerControl({ membership: this.membership, witness, follower: this.follower, coordinator: this.coordinator }))
+    this.follower.observe(new StateEvents(this.coordinator, this.rights))
+  }
+
+  /** Creates the control plane and listens for other VMs. Throws `listen_failed`. */
+  static async start (settings: Settings, lifeCycle: LifeCycle): Promise<ControlPlane> {
+    const control = new ControlPlane(settings, await KeyHasher.create(), lifeCycle)
+    const port = await control.#innerServer.listen()
+    control.#innerPort = port
+    lifeCycle.own('inner server', async () => await control.#innerServer.stop(settings.timing.shutdownMilliseconds))
+    logger.info('listening for VMs', { host: settings.listen.inner.host, port })
+    await control.#startLoops()
+    return control
+  }
+
+  /** Port of the inner protocol. */
+  get innerPort (): number { return this.#innerPort }
+
+  /** Buckets that an endpoint gave up. */
+  revoked (session: EndpointSession, buckets: readonly number[]): void {
+    this.#assignments.revoked(session, buckets)
+  }
+
+  /** Looks at coordinators and assignments once; called by a timer and whenever something changed. */
+  review (): void {
+    this.#coordination.review()
+    this.#assignments.review()
+  }
+
+  /** Names successors for the endpoints of this VM and waits until its own requests have ended. */
+  async handOver (): Promise<void> {
+    this.membership.leave()
+    const signal = AbortSignal.timeout(handOverMilliseconds)
+    await this.#coordination.handOver(signal)
+    const deadline = this.clock.now() + this.settings.timing.shutdownMilliseconds
+    while (this.coordinator.inFlight > 0 && this.clock.now() < deadline) await delay(idlePollMilliseconds)
+  }
+
+  /** State for the dump. */
+  snapshot (): Readonly<Record<string, unknown>> {
+    const { state } = this.follower
+    return {
+      vm: this.settings.vm,
+      log: { position: state.position, caughtUp: this.follower.caughtUp, silentMilliseconds: this.follower.silentMilliseconds, retained: this.follower.retained, lastCheckpoint: this.follower.lastCheckpoint },
+      rights: { logRightMilliseconds: this.rights.logRightUntil - this.clock.now() },
+      rules: { version: state.rules.version, author: state.rules.author, rules: this.follower.rules.rules.length },
+      unassigned: this.#assignments.unassignedPools(),
+      witnesses: state.witnesses,
+      membership: this.membership.snapshot(),
+      sessions: this.coordinator.sessions.map(session => session.snapshot()),
+      endpoints: [...state.endpoints.values()].map(endpoint => ({ ...endpoint, buckets: ownedBuckets(state, endpoint) }))
+    }
+  }
+
+  async #startLoops (): Promise<void> {
+    const report = (task: string) => (error: unknown): void => logger.error('task failed', { task, reason: describeError(error) })
+    await this.membership.start(this.#loops)
+    this.rights.start(this.#loops)
+    void this.follower.run(this.#loops, new PoolStates(this.peers)).catch(report('log follower'))
+    this.#loops.every('review', reviewMilliseconds, () => this.review(), report('review'))
+    this.#loops.every('upkeep', upkeepMilliseconds, async () => await this.#upkeep.review(), report('upkeep'))
+  }
+}
+
+class StateEvents extends FollowerObserver {
+  readonly #coordinator: Coordinator
+  readonly #rights: RightKeeper
+
+  constructor (coordinator: Coordinator, rights: RightKeeper) {
+    super()
+    this.#coordinator = coordinator
+    this.#rights = rights
+  }
+
+  override stateChanged (state: ControlState, read: readonly ReadRecord[]): void {
+    this.#coordinator.stateChanged(state, read)
+  }
+
+  override readToEnd (startedAt: number): void {
+    this.#coordinator.caughtUp()
+    this.#rights.readToEnd(startedAt)
+  }
+}
+
+class SessionEvents extends SessionObserver {
+  readonly #control: ControlPlane
+
+  constructor (control: ControlPlane) {
+    super()
+    this.#control = control
+  }
+
+  override stateChanged (_session: EndpointSession, state: SessionState): void {
+    if (state === 'lost') this.#control.review()
+  }
+
+  override bucketsRevoked (session: EndpointSession, buckets: readonly number[]): void {
+    this.#control.revoked(session, buckets)
+  }
+}
+
+class WitnessedFormerRights extends FormerRights {
+  readonly #takeAway: TakeAwayWait
+  readonly #lifeCycle: LifeCycle
+
+  constructor (takeAway: TakeAwayWait, lifeCycle: LifeCycle) {
+    super()
+    this.#takeAway = takeAway
+    this.#lifeCycle = lifeCycle
+  }
+
+  override async expiry (endpoint: string, token: number): Promise<number | undefined> {
+    return await this.#takeAway.expiry(endpoint, token, false, this.#lifeCycle.signal)
+  }
+}
+
+class CoordinatorProvisions extends ProvisionalCoordination {
+  readonly #coordinator: Coordinator
+
+  constructor (coordinator: Coordinator) {
+    super()
+    this.#coordinator = coordinator
+  }
+
+  override isProvisional (endpoint: string): boolean {
+    return this.#coordinator.isProvisional(endpoint)
+  }
+
+  override begin (endpoint: EndpointState): void {
+    this.#coordinator.beginProvisional(endpoint)
+  }
+}
+
+function createPolicy (settings: Settings): QueuePolicy {
+  return settings.experiments.scheduling === 'fifo' ? new FifoPolicy() : new ClassPolicy()
+}
+
+function ownedBuckets (state: ControlState, endpoint: EndpointState): number {
+  return state.pools.get(endpoint.description.pool)?.buckets.filter(bucket => bucket?.owner === endpoint.description.id).length ?? 0
+}
--- /dev/null
+++ b/packages/daemon/src/control/assignments.ts
@@ -0,0 +1,191 @@
+import { Logger, type Clock, type LifeCycle } from '@briarsaddle/common'
+import { bucketsLeaving, noVersion, planAssignment, type ControlState, type Moves } from '@briarsaddle/ownership'
+import type { RuleFile } from '@briarsaddle/rules'
+import type { Coordinator } from '../coordinator/coordinator.js'
+import type { EndpointSession } from '../coordinator/endpoint-session.js'
+import type { LogFollower } from './log-follower.js'
+import type { Membership } from './membership.js'
+import type { RecordWriter } from './record-writer.js'
+import type { TakeAwayWait } from './take-away.js'
+
+const logger = new Logger('assignments')
+/** A pool is first assigned when no endpoint has joined for this time, so that buckets do not move right away. */
+const firstAssignmentQuietMilliseconds = 1000
+const balanceIntervalMilliseconds = 500
+const removalMilliseconds = 10_000
+
+/** Plans which endpoint owns which bucket, for the endpoints that this VM coordinates, and releases buckets. */
+export class Assignments {
+  readonly #follower: LogFollower
+  readonly #membership: Membership
+  readonly #coordinator: Coordinator
+  readonly #writer: RecordWriter
+  readonly #takeAway: TakeAwayWait
+  readonly #clock: Clock
+  readonly #lifeCycle: LifeCycle
+  readonly #lastBalance = new Map<string, number>()
+  readonly #lastJoin = new Map<string, { readonly members: string, readonly at: number }>()
+  readonly #releasing = new Set<string>()
+
+  constructor (options: {
+    readonly follower: LogFollower
+    readonly membership: Membership
+    readonly coordinator: Coordinator
+    readonly writer: RecordWriter
+    readonly takeAway: TakeAwayWait
+    readonly clock: Clock
+    readonly lifeCycle: LifeCycle
+  }) {
+    this.#follower = options.follower
+    this.#membership = options.membership
+    this.#coordinator = options.coordinator
+    this.#writer = options.writer
+    this.#takeAway = options.takeAway
+    this.#clock = options.clock
+    this.#lifeCycle = options.lifeCycle
+  }
+
+  /** Looks at every endpoint of this VM once. */
+  review (): void {
+    if (!this.#follower.caughtUp) return
+    const keyed = keyedPools(this.#follower.rules)
+    for (const session of this.#coordinator.sessions) {
+      if (session.grants.state === 'closed') continue
+      if (keyed.has(session.description.pool)) this.#reviewEndpoint(session)
+      if (session.grants.state === 'lost') void this.#releaseLost(session)
+      this.#removeGone(session)
+    }
+  }
+
+  /** Pools partitioned by key in which some bucket has no owner that may be granted it. */
+  unassignedPools (): readonly string[] {
+    const { state, rules } = this.#follower
+    return [...keyedPools(rules)].filter(pool => {
+      const buckets = state.pools.get(pool)?.buckets
+      return buckets === undefined || buckets.some(bucket => bucket === undefined || bucket.pendingFrom !== undefined)
+    })
+  }
+
+  /** The endpoint acknowledged that it holds these buckets no longer. */
+  revoked (session: EndpointSession, buckets: readonly number[]): void {
+    const leaving = new Set(bucketsLeaving(this.#follower.state, session.description.id).map(({ bucket }) => bucket))
+    void this.#release(session.description.id, buckets.filter(bucket => leaving.has(bucket)))
+  }
+
+  #reviewEndpoint (session: EndpointSession): void {
+    const { id, pool } = session.description
+    const { state } = this.#follower
+    if (this.#mustGive(session)) {
+      if (owns(state, pool, id)) void this.#assign(pool, this.#others(pool, id), `endpoint ${id} ${session.grants.state === 'lost' ? 'lost' : 'leaving'}`)
+      return
+    }
+    if (session.grants.state !== 'active' || !session.grants.ready) return
+    if (!state.pools.has(pool)) return this.#assignFirst(pool, id)
+    if (!this.#balanceIsDue(pool)) return
+    void this.#assign(pool, [...this.#others(pool, id), id], 'balance', id)
+  }
+
+  /** True when the endpoint should own no bucket. */
+  #mustGive (session: EndpointSession): boolean {
+    const { id } = session.description
+    const listed = this.#membership.endpoints.find(endpoint => endpoint.id === id)
+    const leaving = this.#follower.state.endpoints.get(id)?.leaving === true || listed?.state === 'leaving'
+    return leaving || session.grants.state === 'lost' || session.grants.draining
+  }
+
+  /** Endpoints that are known to work: those that own buckets, or all when none does. */
+  #others (pool: string, without: string): readonly string[] {
+    const { state } = this.#follower
+    const members = [...state.endpoints.values()].filter(({ description, leaving }) => description.pool === pool && !leaving && description.id !== without).map(({ description }) => description.id)
+    const usable = members.filter(id => this.#coordinator.session(id)?.grants.state !== 'lost' && this.#membership.endpoints.every(listed => listed.id !== id || listed.state === 'live'))
+    const owners = usable.filter(id => owns(state, pool, id))
+    return owners.length > 0 ? owners : usable
+  }
+
+  #assignFirst (pool: string, id: string): void {
+    const members = [...this.#follower.state.endpoints.values()].filter(({ description, leaving }) => description.pool === pool && !leaving).map(({ description }) => description.id).sort()
+    const key = members.join(' ')
+    const last = this.#lastJoin.get(pool)
+    if (last?.members !== key) this.#lastJoin.set(pool, { members: key, at: this.#clock.now() })
+    else if (members[0] === id && this.#clock.now() - last.at >= firstAssignmentQuietMilliseconds) void this.#assign(pool, members, 'first assignment')
+  }
+
+  #balanceIsDue (pool: string): boolean {
+    const now = this.#clock.now()
+    if (now - (this.#lastBalance.get(pool) ?? -Infinity) < balanceIntervalMilliseconds) return false
+    this.#lastBalance.set(pool, now)
+    return true
+  }
+
+  async #assign (pool: string, endpoints: readonly string[], reason: string, receiver?: string): Promise<void> {
+    const { state } = this.#follower
+    const planned = planAssignment({ state, pool, endpoints })
+    // Each coordinator plans gains only for its own endpoint, since it alone knows that the endpoint is ready.
+    const moves: Moves = receiver === undefined ? planned : planned.filter(({ to }) => to === receiver)
+    if (moves.length === 0) return
+    const base = state.pools.get(pool)?.version ?? noVersion
+    const offset = await this.#writer.propose(`assignment ${pool}`, { kind: 'assignment', base, pool, moves }, this.#lifeCycle.signal)
+    if (offset !== undefined) logger.info('assignment proposed', { pool, moves: moves.length, offset, reason })
+  }
+
+  /** Releases the buckets of an endpoint that does not answer, once no grant for them can be valid any more. */
+  async #releaseLost (session: EndpointSession): Promise<void> {
+    const { id, checks } = session.description
+    if (this.#releasing.has(id)) return
+    const leaving = bucketsLeaving(this.#follower.state, id)
+    const coordinator = this.#follower.state.endpoints.get(id)?.coordinator
+    if (leaving.length === 0 || coordinator === undefined) return
+    this.#releasing.add(id)
+    try {
+      const offset = Math.max(coordinator.token, ...leaving.map(({ token }) => token))
+      const othersUntil = await this.#takeAway.expiry(id, offset, !this.#coordinator.isProvisional(id), this.#lifeCycle.signal)
+      if (othersUntil === undefined) return
+      const formerUntil = await this.#coordinator.formerRightsEnd(id)
+      if (formerUntil === undefined) return
+      const ownUntil = Math.max(...leaving.map(({ bucket }) => session.grants.lastGrantEnd(bucket)))
+      // An endpoint that does not check runs its work to the end; the longest deadline of the pool bounds it.
+      const extra = checks ? 0 : this.#longestDeadline(session.description.pool)
+      const wait = Math.max(othersUntil, formerUntil, ownUntil) + extra - this.#clock.now()
+      if (wait > 0) await new Promise(resolve => setTimeout(resolve, wait))
+      // The endpoint may have come back meanwhile; its acknowledgement then decides.
+      if (session.grants.state === 'lost') await this.#release(id, leaving.map(({ bucket }) => bucket))
+    } finally {
+      this.#releasing.delete(id)
+    }
+  }
+
+  #longestDeadline (pool: string): number {
+    return Math.max(0, ...this.#follower.rules.rules.filter(rule => rule.pool === pool).map(rule => rule.deadlineMilliseconds))
+  }
+
+  async #release (endpoint: string, buckets: readonly number[]): Promise<void> {
+    const byAssignment = new Map<number, number[]>()
+    const wanted = new Set(buckets)
+    for (const { bucket, token } of bucketsLeaving(this.#follower.state, endpoint)) {
+      if (wanted.has(bucket)) byAssignment.set(token, [...byAssignment.get(token) ?? [], bucket])
+    }
+    const pool = this.#follower.state.endpoints.get(endpoint)?.description.pool
+    if (pool === undefined) return
+    await Promise.all([...byAssignment].map(async ([assignment, released]) => {
+      const offset = await this.#writer.propose(`release ${endpoint} ${assignment}`, { kind: 'released', pool, assignment, buckets: released }, this.#lifeCycle.signal)
+      if (offset !== undefined) logger.info('buckets released', { endpoint, assignment, buckets: released.length, offset })
+    }))
+  }
+
+  #removeGone (session: EndpointSession): void {
+    const { id, pool } = session.description
+    if (this.#membership.missingFor(id) < removalMilliseconds) return
+    const { state } = this.#follower
+    const endpoint = state.endpoints.get(id)
+    if (endpoint === undefined || owns(state, pool, id) || bucketsLeaving(state, id).length > 0) return
+    void this.#writer.propose(`remove ${id}`, { kind: 'endpointRemoved', base: endpoint.version, endpoint: id }, this.#lifeCycle.signal)
+  }
+}
+
+function keyedPools (rules: RuleFile): ReadonlySet<string> {
+  return new Set(rules.rules.filter(rule => rule.key !== undefined).map(rule => rule.pool))
+}
+
+function owns (state: ControlState, pool: string, endpoint: string): boolean {
+  return state.pools.get(pool)?.buckets.some(bucket => bucket?.owner === endpoint) === true
+}
--- /dev/null
+++ b/packages/daemon/src/control/coordination.ts
@@ -0,0 +1,165 @@
+import { Logger, type Clock } from '@briarsaddle/common'
+import { noVersion, type EndpointDescription, type EndpointState } from '@briarsaddle/ownership'
+import type { ListedVm } from '@briarsaddle/platform'
+import type { LogFollower } from './log-follower.js'
+import type { Membership } from './membership.js'
+import type { RecordWriter } from './record-writer.js'
+
+const logger = new Logger('coordination')
+/** How long a coordinator must be missing from the VM list before another VM than its watchers replaces it. */
+const missingMilliseconds = 3000
+/** How long an endpoint may stay without the coordinator that the ring prefers before any other VM steps in. */
+const unclaimedMilliseconds = 2000
+
+/** Starts and stops coordination without a record in the log. */
+export abstract class ProvisionalCoordination {
+  abstract isProvisional (endpoint: string): boolean
+  abstract begin (endpoint: EndpointState): void
+}
+
+/** Decides which VM coordinates which endpoint, and proposes the records for it. */
+export class Coordination {
+  readonly #self: string
+  readonly #follower: LogFollower
+  readonly #membership: Membership
+  readonly #writer: RecordWriter
+  readonly #clock: Clock
+  readonly #watcherStepMilliseconds: number
+  readonly #rightMilliseconds: number
+  readonly #provisional: ProvisionalCoordination
+  readonly #unclaimedSince = new Map<string, number>()
+  readonly #startPosition: () => number | undefined
+
+  constructor (options: {
+    readonly self: string
+    readonly follower: LogFollower
+    readonly membership: Membership
+    readonly writer: RecordWriter
+    readonly clock: Clock
+    readonly watcherStepMilliseconds: number
+    readonly rightMilliseconds: number
+    readonly provisional: ProvisionalCoordination
+    /** Position at which this process had first read the log to its end; undefined before. */
+    readonly startPosition: () => number | undefined
+  }) {
+    this.#self = options.self
+    this.#follower = options.follower
+    this.#membership = options.membership
+    this.#writer = options.writer
+    this.#clock = options.clock
+    this.#watcherStepMilliseconds = options.watcherStepMilliseconds
+    this.#rightMilliseconds = options.rightMilliseconds
+    this.#provisional = options.provisional
+    this.#startPosition = options.startPosition
+  }
+
+  /** Looks at every endpoint once. */
+  review (): void {
+    if (!this.#membership.known || !this.#follower.started) return
+    if (this.#logIsDown()) return this.#replaceProvisionally()
+    if (!this.#follower.caughtUp) return
+    for (const listed of this.#membership.endpoints) this.#claimNew(listed)
+    for (const endpoint of this.#follower.state.endpoints.values()) this.#reviewKnown(endpoint)
+  }
+
+  /** Names another VM for every endpoint that this VM coordinates; resolves when the records were read back. */
+  async handOver (signal: AbortSignal): Promise<void> {
+    const own = [...this.#follower.state.endpoints.values()].filter(({ coordinator }) => coordinator.vm === this.#self)
+    const counts = this.#counts()
+    await Promise.all(own.map(async endpoint => {
+      const { description, coordinator } = endpoint
+      const standby = coordinator.standby
+      // The standby has the journal, so it is the best successor.
+      const usable = standby !== undefined && this.#membership.vms.some(vm => vm.id === standby) && !this.#membership.suspected.has(standby)
+      const vm = usable ? standby : this.#membership.ring.preferredCoordinator(description, counts)?.id
+      if (vm === undefined || vm === this.#self) return
+      counts.set(vm, (counts.get(vm) ?? 0) + 1)
+      await this.#propose(endpoint.description, coordinator.token, vm, 'hand over', signal)
+    }))
+  }
+
+  /** While the log is down, reads are late by more than a right lasts. */
+  #logIsDown (): boolean {
+    return this.#follower.silentMilliseconds > this.#rightMilliseconds
+  }
+
+  #claimNew (listed: ListedVm): void {
+    if (listed.state !== 'live' || this.#follower.state.endpoints.has(listed.id)) return
+    const since = this.#unclaimedSince.get(listed.id) ?? this.#clock.now()
+    this.#unclaimedSince.set(listed.id, since)
+    const description = describe(listed)
+    if (description === undefined) return
+    const preferred = this.#membership.ring.preferredCoordinator(description, this.#counts())?.id === this.#self
+    if (preferred || this.#clock.now() - since > unclaimedMilliseconds) void this.#propose(description, noVersion, this.#self, 'new endpoint')
+  }
+
+  #reviewKnown (endpoint: EndpointState): void {
+    const { description, coordinator } = endpoint
+    this.#unclaimedSince.delete(description.id)
+    if (coordinator.vm !== this.#self) {
+      if (this.#mayReplace(coordinator.vm, description)) void this.#propose(description, coordinator.token, this.#self, `coordinator ${coordinator.vm} lost`)
+      return
+    }
+    const start = this.#startPosition()
+    // A record from before this process started was for an earlier process with the same id.
+    if (start !== undefined && coordinator.token <= start) {
+      void this.#propose(description, coordinator.token, this.#self, 'process restarted')
+      return
+    }
+    if (this.#standbyIsLost(coordinator.standby)) {
+      void this.#propose(description, coordinator.token, this.#self, 'standby lost')
+      return
+    }
+    const listed = this.#membership.endpoints.find(({ id }) => id === description.id)
+    const current = listed === undefined ? undefined : describe(listed)
+    if (current !== undefined && JSON.stringify(current) !== JSON.stringify(description) && current.pool === description.pool) {
+      void this.#propose(current, coordinator.token, this.#self, 'address changed')
+    }
+  }
+
+  #mayReplace (vm: string, endpoint: EndpointDescription): boolean {
+    const suspectedFor = this.#membership.suspectedFor(vm)
+    if (suspectedFor !== undefined) return suspectedFor >= this.#rank(vm) * this.#watcherStepMilliseconds
+    if (this.#membership.missingFor(vm) < missingMilliseconds) return false
+    const preferred = this.#membership.ring.preferredCoordinator(endpoint, this.#counts())?.id === this.#self
+    return preferred || this.#membership.missingFor(vm) > missingMilliseconds + unclaimedMilliseconds
+  }
+
+  #rank (vm: string): number {
+    const rank = this.#membership.ring.watchersOf(vm).findIndex(({ id }) => id === this.#self)
+    return rank < 0 ? this.#membership.ring.watchersOf(vm).length : rank
+  }
+
+  #standbyIsLost (standby: string | undefined): boolean {
+    if (standby === undefined) return this.#membership.vms.length > 1
+    return this.#membership.suspected.has(standby) || !this.#membership.vms.some(vm => vm.id === standby)
+  }
+
+  /** Only the standby replaces a coordinator provisionally: entries look for it there, and it has the journal. */
+  #replaceProvisionally (): void {
+    for (const endpoint of this.#follower.state.endpoints.values()) {
+      const { description, coordinator } = endpoint
+      if (coordinator.standby !== this.#self || !description.checks || this.#provisional.isProvisional(description.id)) continue
+      if (this.#membership.suspectedFor(coordinator.vm) === undefined) continue
+      logger.warning('log is down and the coordinator is lost: coordinating provisionally', { endpoint: description.id, lost: coordinator.vm })
+      this.#provisional.begin(endpoint)
+    }
+  }
+
+  async #propose (endpoint: EndpointDescription, base: number, vm: string, reason: string, signal?: AbortSignal): Promise<void> {
+    const standby = this.#membership.ring.preferredStandby(vm)?.id
+    const offset = await this.#writer.propose(`coordinator ${endpoint.id}`, { kind: 'coordinator', base, endpoint, vm, ...(standby === undefined ? {} : { standby }) }, signal)
+    if (offset !== undefined) logger.info('coordinator proposed', { endpoint: endpoint.id, vm, standby, offset, reason })
+  }
+
+  #counts (): Map<string, number> {
+    const counts = new Map<string, number>()
+    for (const { coordinator } of this.#follower.state.endpoints.values()) counts.set(coordinator.vm, (counts.get(coordinator.vm) ?? 0) + 1)
+    return counts
+  }
+}
+
+function describe (listed: ListedVm): EndpointDescription | undefined {
+  const { id, pool, dataCentre, host, port, checks } = listed
+  return pool === undefined ? undefined : { id, pool, dataCentre, host, port, checks: checks ?? false }
+}
--- /dev/null
+++ b/packages/daemon/src/control/inner-adapters.ts
@@ -0,0 +1,132 @@
+import { describeError, Logger } from '@briarsaddle/common'
+import {
+  ControlHandler, FrameHandler, type PeerPool,
+  type Answer, type ConfirmRequest, type ConfirmResponse, type FetchJournalRequest, type FetchJournalResponse, type FetchStateResponse,
+  type Forward, type HeartbeatRequest, type HeartbeatResponse, type Journal, type JournalAcknowledgement
+} from '@briarsaddle/protocol'
+import { PeerForwarder } from '../contracts.js'
+import { JournalSource, type Coordinator } from '../coordinator/coordinator.js'
+import { JournalSink } from '../coordinator/journal.js'
+import { PeerStateSource, type LogFollower } from './log-follower.js'
+import type { Membership } from './membership.js'
+import type { Witness } from './witness.js'
+
+const logger = new Logger('peers')
+const peerCallMilliseconds = 300
+
+/** Forwards requests and journal changes to other VMs. */
+export class PoolForwarder extends PeerForwarder {
+  readonly #peers: PeerPool
+
+  constructor (peers: PeerPool) {
+    super()
+    this.#peers = peers
+  }
+
+  override async forward (vm: string, forward: Forward, signal: AbortSignal): Promise<Answer> {
+    return await this.#peers.forward(vm, forward, signal)
+  }
+}
+
+/** Sends journal changes to standbys. */
+export class PoolJournals extends JournalSink {
+  readonly #peers: PeerPool
+
+  constructor (peers: PeerPool) {
+    super()
+    this.#peers = peers
+  }
+
+  override async send (vm: string, journal: Omit<Journal, 'id'>, timeoutMilliseconds: number): Promise<JournalAcknowledgement | undefined> {
+    try {
+      return await this.#peers.get(vm)?.journal({ ...journal, id: 0 }, timeoutMilliseconds)
+    } catch (error) {
+      logger.debug('standby did not acknowledge a journal change', { standby: vm, endpoint: journal.endpoint, reason: describeError(error) })
+      return undefined
+    }
+  }
+}
+
+/** Fetches journal copies. */
+export class PoolJournalSource extends JournalSource {
+  readonly #peers: PeerPool
+
+  constructor (peers: PeerPool) {
+    super()
+    this.#peers = peers
+  }
+
+  override async fetch (vm: string, request: FetchJournalRequest): Promise<FetchJournalResponse | undefined> {
+    return await this.#peers.get(vm)?.fetchJournal(request, peerCallMilliseconds)
+  }
+}
+
+/** Asks all known peers and takes the newest state. */
+export class PoolStates extends PeerStateSource {
+  readonly #peers: PeerPool
+
+  constructor (peers: PeerPool) {
+    super()
+    this.#peers = peers
+  }
+
+  override async fetch (): Promise<string | undefined> {
+    const answers = await Promise.allSettled(this.#peers.vms.map(async vm => await this.#peers.get(vm)?.fetchState(peerCallMilliseconds)))
+    let newest: FetchStateResponse | undefined
+    for (const answer of answers) {
+      if (answer.status === 'fulfilled' && answer.value !== undefined && (newest === undefined || answer.value.position > newest.position)) newest = answer.value
+    }
+    return newest?.state
+  }
+}
+
+/** Hands the frames of other VMs to the coordinator. */
+export class InnerFrames extends FrameHandler {
+  readonly #coordinator: Coordinator
+
+  constructor (coordinator: Coordinator) {
+    super()
+    this.#coordinator = coordinator
+  }
+
+  override async forward (forward: Forward, signal: AbortSignal): Promise<Answer> {
+    return await this.#coordinator.handle(forward, signal)
+  }
+
+  override async journal (journal: Journal): Promise<JournalAcknowledgement> {
+    return this.#coordinator.receiveJournal(journal)
+  }
+}
+
+/** Answers the control calls of other VMs. */
+export class InnerControl extends ControlHandler {
+  readonly #membership: Membership
+  readonly #witness: Witness
+  readonly #follower: LogFollower
+  readonly #coordinator: Coordinator
+
+  constructor (options: { readonly membership: Membership, readonly witness: Witness, readonly follower: LogFollower, readonly coordinator: Coordinator }) {
+    super()
+    this.#membership = options.membership
+    this.#witness = options.witness
+    this.#follower = options.follower
+    this.#coordinator = options.coordinator
+  }
+
+  override async heartbeat (request: HeartbeatRequest): Promise<HeartbeatResponse> {
+    return this.#membership.answer(request)
+  }
+
+  override async confirm (request: ConfirmRequest): Promise<ConfirmResponse> {
+    return this.#witness.answer(request)
+  }
+
+  override async fetchState (): Promise<FetchStateResponse> {
+    if (!this.#follower.started) throw new Error('no state was read yet')
+    return { position: Math.max(0, this.#follower.state.position), state: this.#follower.encode() }
+  }
+
+  override async fetchJournal (request: FetchJournalRequest): Promise<FetchJournalResponse> {
+    return this.#coordinator.fetchJournal(request)
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/control/membership.ts
@@ -0,0 +1,217 @@
+import { randomUUID } from 'node:crypto'
+import { describeError, Logger, type Clock, type LifeCycle } from '@briarsaddle/common'
+import { MembershipRing, type KeyHasher, type RingVm } from '@briarsaddle/ownership'
+import type { ListedVm, VmListClient } from '@briarsaddle/platform'
+import type { HeartbeatRequest, HeartbeatResponse, PeerPool } from '@briarsaddle/protocol'
+
+const logger = new Logger('membership')
+const heartbeatTimeoutMilliseconds = 200
+const freshHeartbeatTimeoutMilliseconds = 150
+/** A timer that fires this much later than planned shows that this process was paused. */
+const pauseMilliseconds = 150
+
+/** Times of the heartbeats, in milliseconds. */
+export interface MembershipTiming {
+  readonly heartbeatMilliseconds: number
+  readonly suspectMilliseconds: number
+  readonly vmListMilliseconds: number
+}
+
+interface Watched {
+  lastHeard: number
+  asking: boolean
+  checking: boolean
+}
+
+/** Knows the VMs and endpoints of the list and suspects VMs that do not answer. */
+export class Membership {
+  readonly #self: RingVm
+  readonly #list: VmListClient
+  readonly #peers: PeerPool
+  readonly #hasher: KeyHasher
+  readonly #clock: Clock
+  readonly #timing: MembershipTiming
+  readonly #position: () => number
+  readonly #instance = randomUUID()
+  readonly #watched = new Map<string, Watched>()
+  readonly #suspectedSince = new Map<string, number>()
+  readonly #leaving = new Set<string>()
+  readonly #lastListed = new Map<string, number>()
+  #listed: readonly ListedVm[] = []
+  #ring: MembershipRing
+  #lastBeat: number
+  #listAge = Infinity
+  #selfLeaving = false
+
+  constructor (options: {
+    readonly self: RingVm
+    readonly list: VmListClient
+    readonly peers: PeerPool
+    readonly hasher: KeyHasher
+    readonly clock: Clock
+    readonly timing: MembershipTiming
+    readonly position: () => number
+  }) {
+    this.#self = options.self
+    this.#list = options.list
+    this.#peers = options.peers
+    this.#hasher = options.hasher
+    this.#clock = options.clock
+    this.#timing = options.timing
+    this.#position = options.position
+    this.#lastBeat = options.clock.now()
+    this.#ring = new MembershipRing(options.hasher, [options.self])
+  }
+
+  /** Listed VMs of briarsaddle that are live and not leaving, this VM included unless it is leaving. */
+  get vms (): readonly RingVm[] {
+    const listed = this.#listed.filter(vm => vm.role === 'entry' && vm.state === 'live' && vm.id !== this.#self.id && !this.#leaving.has(vm.id))
+    const others = listed.map(({ id, dataCentre }) => ({ id, dataCentre }))
+    return this.#selfLeaving ? others : [...others, this.#self]
+  }
+
+  /** Listed endpoints, live or leaving. */
+  get endpoints (): readonly ListedVm[] {
+    return this.#listed.filter(vm => vm.role === 'endpoint')
+  }
+
+  /** False until the VM list was read. */
+  get known (): boolean { return this.#listed.length > 0 }
+  get ring (): MembershipRing { return this.#ring }
+  get suspected (): ReadonlySet<string> { return new Set(this.#suspectedSince.keys()) }
+
+  /** How long this VM has suspected the other one; undefined when it does not. */
+  suspectedFor (vm: string): number | undefined {
+    const since = this.#suspectedSince.get(vm)
+    return since === undefined ? undefined : this.#clock.now() - since
+  }
+
+  /** How long a VM or endpoint has been missing from the list; 0 while it is listed. */
+  missingFor (id: string): number {
+    if (id === this.#self.id || this.#listed.some(vm => vm.id === id)) return 0
+    const last = this.#lastListed.get(id)
+    if (last === undefined) this.#lastListed.set(id, this.#clock.now())
+    return this.#clock.now() - (last ?? this.#clock.now())
+  }
+
+  /** Announces that this VM stops. */
+  leave (): void {
+    this.#selfLeaving = true
+    this.#rebuild()
+  }
+
+  /** Starts polling the list and sending heartbeats. */
+  async start (lifeCycle: LifeCycle): Promise<void> {
+    await this.#refresh()
+    lifeCycle.every('VM list', this.#timing.vmListMilliseconds, async () => await this.#refresh(), error => this.#report('VM list', error))
+    lifeCycle.every('heartbeats', this.#timing.heartbeatMilliseconds, () => this.#beat(), error => this.#report('heartbeats', error))
+  }
+
+  /** Answers a heartbeat of another VM, which also shows that the sender lives. */
+  answer (request: HeartbeatRequest): HeartbeatResponse {
+    this.#heard(request.vm)
+    return { vm: this.#self.id, instance: this.#instance, position: Math.max(0, this.#position()), leaving: this.#selfLeaving }
+  }
+
+  /** State for the dump. */
+  snapshot (): Readonly<Record<string, unknown>> {
+    return {
+      vms: this.vms.map(({ id }) => id),
+      watched: [...this.#watched.keys()],
+      suspected: [...this.#suspectedSince.keys()],
+      listAgeMilliseconds: this.#clock.now() - this.#listAge,
+      endpoints: this.endpoints.map(({ id, state }) => ({ id, state }))
+    }
+  }
+
+  async #refresh (): Promise<void> {
+    try {
+      this.#listed = await this.#list.fetch()
+    } catch (error) {
+      return this.#report('VM list', error)
+    }
+    this.#listAge = this.#clock.now()
+    for (const { id } of this.#listed) this.#lastListed.set(id, this.#clock.now())
+    for (const id of this.#suspectedSince.keys()) if (!this.#listed.some(vm => vm.id === id)) this.#suspectedSince.delete(id)
+    this.#peers.update(this.#listed
+      .filter(vm => vm.role === 'entry' && vm.id !== this.#self.id)
+      .map(({ id, host, port }) => ({ vm: id, host, port })))
+    this.#rebuild()
+  }
+
+  #rebuild (): void {
+    this.#ring = new MembershipRing(this.#hasher, this.vms, this.suspected)
+    const now = this.#clock.now()
+    // A suspected VM stays watched, so that its return is noticed.
+    const wanted = new Set([...this.#ring.watchedFrom(this.#self.id).map(({ id }) => id), ...this.#suspectedSince.keys()])
+    for (const id of this.#watched.keys()) if (!wanted.has(id)) this.#watched.delete(id)
+    for (const id of wanted) if (!this.#watched.has(id)) this.#watched.set(id, { lastHeard: now, asking: false, checking: false })
+  }
+
+  #beat (): void {
+    const now = this.#clock.now()
+    // After a pause of this process the silence of the others means nothing.
+    if (now - this.#lastBeat > this.#timing.heartbeatMilliseconds + pauseMilliseconds) {
+      for (const watched of this.#watched.values()) watched.lastHeard = now
+    }
+    this.#lastBeat = now
+    for (const [vm, watched] of this.#watched) {
+      if (!watched.asking) void this.#ask(vm, watched)
+      const silent = now - watched.lastHeard
+      if (silent > this.#timing.suspectMilliseconds && !watched.checking && !this.#suspectedSince.has(vm)) void this.#check(vm, watched)
+    }
+  }
+
+  async #ask (vm: string, watched: Watched): Promise<void> {
+    watched.asking = true
+    try {
+      const response = await this.#peers.get(vm)?.heartbeat(this.#request(), heartbeatTimeoutMilliseconds)
+      if (response === undefined) return
+      this.#noteLeaving(vm, response.leaving)
+      this.#heard(vm)
+    } catch {
+      // Silence is judged by the time since the last answer.
+    } finally {
+      watched.asking = false
+    }
+  }
+
+  /** A connection may have gone silent while new ones work, so a fresh one decides. */
+  async #check (vm: string, watched: Watched): Promise<void> {
+    watched.checking = true
+    try {
+      await this.#peers.get(vm)?.freshHeartbeat(this.#request(), freshHeartbeatTimeoutMilliseconds)
+      this.#heard(vm)
+    } catch (error) {
+      if (this.#clock.now() - watched.lastHeard <= this.#timing.suspectMilliseconds) return
+      this.#suspectedSince.set(vm, this.#clock.now())
+      logger.warning('VM suspected', { vm, reason: describeError(error) })
+      this.#rebuild()
+    } finally {
+      watched.checking = false
+    }
+  }
+
+  #heard (vm: string): void {
+    const watched = this.#watched.get(vm)
+    if (watched !== undefined) watched.lastHeard = this.#clock.now()
+    if (!this.#suspectedSince.delete(vm)) return
+    logger.info('VM answers again', { vm })
+    this.#rebuild()
+  }
+
+  #noteLeaving (vm: string, leaving: boolean): void {
+    if (leaving === this.#leaving.has(vm)) return
+    if (leaving) this.#leaving.add(vm)
+    else this.#leaving.delete(vm)
+    this.#rebuild()
+  }
+
+  #request (): HeartbeatRequest {
+    return { vm: this.#self.id, instance: this.#instance, position: Math.max(0, this.#position()) }
+  }
+
+  #report (task: string, error: unknown): void {
+    logger.warning('task failed', { task, reason: describeError(error) })
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/control/right-keeper.ts
@@ -0,0 +1,100 @@
+import type { Clock, LifeCycle } from '@briarsaddle/common'
+import { Logger, describeError } from '@briarsaddle/common'
+import { noVersion, Right, WitnessRound, type RightOptions } from '@briarsaddle/ownership'
+import { RightSource } from '../coordinator/right-source.js'
+import type { LogFollower } from './log-follower.js'
+import type { WitnessPoll } from './witness-poll.js'
+
+const logger = new Logger('rights')
+const confirmIntervalMilliseconds = 100
+
+/** The witness form of the right for one endpoint. */
+interface WitnessRight {
+  /** Version of the endpoint that the witnesses confirmed. */
+  readonly version: number
+  readonly right: Right
+}
+
+/** Keeps the rights of this VM: by reading the log, and by asking the witnesses while the log cannot be read. */
+export class RightKeeper extends RightSource {
+  readonly #self: string
+  readonly #follower: LogFollower
+  readonly #poll: WitnessPoll
+  readonly #clock: Clock
+  readonly #rightOptions: RightOptions
+  readonly #endpoints: () => readonly string[]
+  readonly #provisional: (endpoint: string) => boolean
+  readonly #witnessRights = new Map<string, WitnessRight>()
+  readonly #logRight: Right
+
+  constructor (options: {
+    readonly self: string
+    readonly follower: LogFollower
+    readonly poll: WitnessPoll
+    readonly clock: Clock
+    readonly rightOptions: RightOptions
+    /** Endpoints for which this VM wants rights. */
+    readonly endpoints: () => readonly string[]
+    /** True for an endpoint that this VM coordinates without a record in the log. */
+    readonly provisional: (endpoint: string) => boolean
+  }) {
+    super()
+    this.#self = options.self
+    this.#follower = options.follower
+    this.#poll = options.poll
+    this.#clock = options.clock
+    this.#rightOptions = options.rightOptions
+    this.#logRight = new Right(options.rightOptions)
+    this.#endpoints = options.endpoints
+    this.#provisional = options.provisional
+  }
+
+  override rightUntil (endpoint: string): number {
+    const state = this.#follower.state.endpoints.get(endpoint)
+    if (state === undefined) return -Infinity
+    const provisional = this.#provisional(endpoint)
+    if (state.coordinator.vm !== this.#self && !provisional) return -Infinity
+    const witness = this.#witnessRights.get(endpoint)
+    const witnessUntil = witness?.version === state.version ? witness.right.validUntil : -Infinity
+    // The log shows no record of a provisional coordinator, so a read of it proves nothing for one.
+    return provisional ? witnessUntil : Math.max(this.#logRight.validUntil, witnessUntil)
+  }
+
+  /** End of the right that log reads give; for the state dump. */
+  get logRightUntil (): number { return this.#logRight.validUntil }
+
+  /** Called after a read that began at `startedAt` showed the log to its end and the state includes it. */
+  readToEnd (startedAt: number): void {
+    this.#logRight.extendFromLogRead(startedAt)
+  }
+
+  /** Starts asking the witnesses whenever log reads do not renew the rights in time. */
+  start (lifeCycle: LifeCycle): void {
+    lifeCycle.every('witness questions', confirmIntervalMilliseconds, async () => await this.#confirm(), error => {
+      logger.warning('asking the witnesses failed', { reason: describeError(error) })
+    })
+  }
+
+  async #confirm (): Promise<void> {
+    const startedAt = this.#clock.now()
+    const logRightEnds = this.#logRight.validUntil - startedAt < this.#rightOptions.rightDuration / 2
+    const endpoints = this.#endpoints().filter(endpoint => logRightEnds || this.#provisional(endpoint))
+    const { state } = this.#follower
+    if (endpoints.length === 0 || state.witnesses.version === noVersion) return
+    const round = new WitnessRound(state.witnesses, startedAt)
+    await this.#poll.ask(state, round.vms, endpoints, false, ({ vm, answer }) => {
+      round.answer(vm, answer)
+      for (const endpoint of endpoints) {
+        if (round.outcome(endpoint) === 'majority') this.#extend(endpoint, state.endpoints.get(endpoint)?.version ?? noVersion, startedAt)
+      }
+      return endpoints.every(endpoint => round.outcome(endpoint) !== 'open')
+    })
+  }
+
+  #extend (endpoint: string, version: number, startedAt: number): void {
+    const known = this.#witnessRights.get(endpoint)
+    const right = known?.version === version ? known.right : new Right(this.#rightOptions)
+    right.extendFromWitnesses(startedAt)
+    this.#witnessRights.set(endpoint, { version, right })
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/coordinator/coordinator.ts
@@ -0,0 +1,305 @@
+import { randomUUID } from 'node:crypto'
+import type { LifeCycle, Clock, Random } from '@briarsaddle/common'
+import { describeError, Logger } from '@briarsaddle/common'
+import { bucketsHeldFor, bucketsLeaving, noVersion, type BucketState, type ControlState, type EndpointState, type ReadRecord } from '@briarsaddle/ownership'
+import type { Answer, FetchJournalRequest, FetchJournalResponse, Forward, Journal, JournalAcknowledgement } from '@briarsaddle/protocol'
+import type { QueuePolicy } from '@briarsaddle/scheduling'
+import type { Settings } from '@briarsaddle/settings'
+import { ForwardHandler, type ControlView } from '../contracts.js'
+import { notRun } from './answers.js'
+import type { BucketGrant } from './endpoint-client.js'
+import type { SessionObserver } from './endpoint-session.js'
+import { EndpointSession, EndpointView } from './endpoint-session.js'
+import { JournalCopies, type JournalSink } from './journal.js'
+import type { RightSource } from './right-source.js'
+
+const logger = new Logger('coordinator')
+
+/** Fetches journal copies from other VMs. */
+export abstract class JournalSource {
+  /** Returns undefined when the VM does not answer. */
+  abstract fetch (vm: string, request: FetchJournalRequest): Promise<FetchJournalResponse | undefined>
+}
+
+/** Waits until rights of former coordinators have expired. */
+export abstract class FormerRights {
+  /** Local time from which no right of a coordinator before the record at `token` is valid; undefined when not known. */
+  abstract expiry (endpoint: string, token: number): Promise<number | undefined>
+}
+
+interface FormerCoordinator {
+  readonly vm: string
+  readonly standby: string | undefined
+  readonly token: number
+  /** Token of the coordinator before; undefined when the record was not read. */
+  readonly base?: number
+}
+
+interface Coordinated {
+  readonly session: EndpointSession
+  readonly lifeCycle: LifeCycle
+  token: number
+  /** Version of the endpoint's control state that was last acted on. */
+  version: number
+  provisional: boolean
+  /** Resolves once the journal of the former coordinator was loaded or given up. */
+  journalLoaded: Promise<void>
+  formerRightsEnd: Promise<number | undefined>
+  takeoverEffective: boolean
+}
+
+/** What the coordinator needs from the daemon. */
+export interface CoordinatorOptions {
+  readonly settings: Settings
+  readonly view: ControlView
+  readonly clock: Clock
+  readonly random: Random
+  readonly rights: RightSource
+  readonly journalSink: JournalSink
+  readonly journalSource: JournalSource
+  readonly formerRights: FormerRights
+  readonly observer: SessionObserver
+  readonly createPolicy: () => QueuePolicy
+  readonly lifeCycle: LifeCycle
+}
+
+/** Coordinates the endpoints that the control state gives to this VM. */
+export class Coordinator extends ForwardHandler {
+  readonly #options: CoordinatorOptions
+  readonly #self: string
+  /** Unique for each start of the process, so that an endpoint takes no late message of a former process for a current one. */
+  readonly #name: string
+  readonly #copies: JournalCopies
+  readonly #coordinated = new Map<string, Coordinated>()
+  /** Coordinators by endpoint and token, to find the journal of the one before. */
+  readonly #history = new Map<string, Map<number, FormerCoordinator>>()
+  #startPosition: number | undefined
+
+  constructor (options: CoordinatorOptions) {
+    super()
+    this.#options = options
+    this.#self = options.settings.vm.id
+    this.#name = `${this.#self}/${randomUUID().slice(0, 8)}`
+    this.#copies = new JournalCopies(options.clock)
+  }
+
+  /** Sessions of all endpoints that this VM coordinates. */
+  get sessions (): readonly EndpointSession[] {
+    return [...this.#coordinated.values()].map(({ session }) => session)
+  }
+
+  /** Position of the state when this process had first read the log to its end. */
+  get startPosition (): number | undefined { return this.#startPosition }
+
+  /** The session of one endpoint. */
+  session (endpoint: string): EndpointSession | undefined {
+    return this.#coordinated.get(endpoint)?.session
+  }
+
+  /** True when this VM coordinates the endpoint without a record in the log. */
+  isProvisional (endpoint: string): boolean {
+    return this.#coordinated.get(endpoint)?.provisional === true
+  }
+
+  /** Local time from which no right of a former coordinator of the endpoint is valid. */
+  async formerRightsEnd (endpoint: string): Promise<number | undefined> {
+    return await this.#coordinated.get(endpoint)?.formerRightsEnd
+  }
+
+  /** Requests at endpoints now. */
+  get inFlight (): number {
+    return this.sessions.reduce((sum, session) => sum + session.inFlight, 0)
+  }
+
+  override async handle (forward: Forward, signal: AbortSignal): Promise<Answer> {
+    const coordinated = this.#coordinated.get(forward.endpoint)
+    const position = Math.max(0, this.#options.view.state.position)
+    if (coordinated === undefined || coordinated.session.grants.state === 'fenced') return { ...notRun('not_coordinator', 50), position }
+    if (forward.idempotencyKey !== '' && !forward.idempotent) await coordinated.journalLoaded
+    return { ...await coordinated.session.handle(forward, signal), position }
+  }
+
+  /** Applies a new control state. */
+  stateChanged (state: ControlState, read: readonly ReadRecord[]): void {
+    for (const { offset, record, voidReason } of read) {
+      if (record.kind !== 'coordinator' || voidReason !== undefined) continue
+      this.#remember(record.endpoint.id, { vm: record.vm, standby: record.standby, token: offset, base: record.base })
+    }
+    for (const endpoint of state.endpoints.values()) {
+      this.#remember(endpoint.description.id, endpoint.coordinator)
+      this.#follow(endpoint)
+    }
+    for (const id of this.#coordinated.keys()) if (!state.endpoints.has(id)) this.#end(id)
+    this.#copies.keepOnly(new Set([...state.endpoints.values()].filter(({ coordinator }) => coordinator.standby === this.#self || coordinator.vm === this.#self).map(({ description }) => description.id)))
+  }
+
+  /** Called when the log was first read to its end. */
+  caughtUp (): void {
+    this.#startPosition ??= this.#options.view.state.position
+  }
+
+  /** Coordinates an endpoint while the log is down and its coordinator is lost. */
+  beginProvisional (endpoint: EndpointState): void {
+    if (this.#coordinated.has(endpoint.description.id)) return
+    this.#begin(endpoint, true, endpoint.coordinator)
+  }
+
+  /** Stores a journal change of another coordinator. */
+  receiveJournal (journal: Journal): JournalAcknowledgement {
+    return this.#copies.receive(journal)
+  }
+
+  /** Hands out a journal copy. */
+  fetchJournal (request: FetchJournalRequest): FetchJournalResponse {
+    return this.#copies.fetch(request.endpoint, request.token)
+  }
+
+  #remember (endpoint: string, coordinator: FormerCoordinator): void {
+    const byToken = this.#history.get(endpoint) ?? new Map<number, FormerCoordinator>()
+    if (!byToken.has(coordinator.token)) byToken.set(coordinator.token, coordinator)
+    // Only the last few are ever asked for.
+    if (byToken.size > 8) byToken.delete(Math.min(...byToken.keys()))
+    this.#history.set(endpoint, byToken)
+  }
+
+  #follow (endpoint: EndpointState): void {
+    const { id } = endpoint.description
+    const { vm, token, standby } = endpoint.coordinator
+    const coordinated = this.#coordinated.get(id)
+    if (vm !== this.#self) {
+      if (coordinated !== undefined && !(coordinated.provisional && coordinated.token === token)) this.#end(id)
+      return
+    }
+    // A record from before this process started was for an earlier process with the same id.
+    if (this.#startPosition === undefined || token <= this.#startPosition) return
+    if (coordinated === undefined) return this.#begin(endpoint, false, this.#former(id, token))
+    if (coordinated.token === token && !coordinated.provisional) {
+      // Buckets may have come or gone.
+      if (coordinated.version !== endpoint.version) coordinated.session.grants.wake()
+      coordinated.version = endpoint.version
+      return
+    }
+    coordinated.version = endpoint.version
+    coordinated.token = token
+    coordinated.provisional = false
+    coordinated.session.renewToken({ offset: token, provisional: 0 }, standby)
+  }
+
+  #former (endpoint: string, token: number): FormerCoordinator | undefined {
+    const base = this.#history.get(endpoint)?.get(token)?.base
+    return base === undefined ? undefined : this.#history.get(endpoint)?.get(base)
+  }
+
+  #begin (endpoint: EndpointState, provisional: boolean, former: FormerCoordinator | undefined): void {
+    const { description, coordinator: { token, standby } } = endpoint
+    const { settings, clock, lifeCycle: parent } = this.#options
+    const lifeCycle = parent.child(`session ${description.id}`)
+    const first = this.#history.get(description.id)?.get(token)?.base === noVersion && !provisional
+    const session = new EndpointSession({
+      ...this.#options,
+      coordinatorName: this.#name,
+      description,
+      token: { offset: token, provisional: provisional ? 1 : 0 },
+      standby: provisional ? undefined : standby,
+      timing: { ...settings.timing, suspectMilliseconds: settings.timing.endpointSuspectMilliseconds },
+      view: new StateEndpointView(this.#options.view, description.id, description.pool, () => this.#coordinated.get(description.id)?.takeoverEffective === true),
+      policy: this.#options.createPolicy(),
+      admission: settings.experiments.admission,
+      maximumQueued: settings.limits.maximumQueuedPerEndpoint,
+      maximumConnections: settings.limits.endpointConnections,
+      maximumAnswerBytes: settings.limits.maximumAnswerBytes
+    }, lifeCycle)
+    const formerRightsEnd = first ? Promise.resolve(-Infinity) : this.#options.formerRights.expiry(description.id, token)
+    const coordinated: Coordinated = {
+      session,
+      lifeCycle,
+      token,
+      version: endpoint.version,
+      provisional,
+      journalLoaded: this.#loadJournal(session, description.id, first ? undefined : former, first),
+      formerRightsEnd,
+      // An endpoint that checks arbitrates itself; for another one the former rights must have expired.
+      takeoverEffective: description.checks || first
+    }
+    this.#coordinated.set(description.id, coordinated)
+    if (!coordinated.takeoverEffective) void formerRightsEnd.then(end => this.#takeEffect(coordinated, end, clock))
+    logger.info('session begins', { endpoint: description.id, token, provisional, former: former?.vm })
+    session.start()
+  }
+
+  #takeEffect (coordinated: Coordinated, end: number | undefined, clock: Clock): void {
+    if (end === undefined) return
+    const { pool } = coordinated.session.description
+    const longest = Math.max(0, ...this.#options.view.rules.rules.filter(rule => rule.pool === pool).map(rule => rule.deadlineMilliseconds))
+    const timer = setTimeout(() => { coordinated.takeoverEffective = true }, Math.max(0, end + longest - clock.now()))
+    if (coordinated.lifeCycle.closed) clearTimeout(timer)
+    else coordinated.lifeCycle.own('takeover wait', () => clearTimeout(timer))
+  }
+
+  async #loadJournal (session: EndpointSession, endpoint: string, former: FormerCoordinator | undefined, first: boolean): Promise<void> {
+    const copy = first ? { complete: true, entries: [] } : await this.#fetchFormerJournal(endpoint, former)
+    session.journal.load(copy.entries, copy.complete)
+    await session.journal.copyAll()
+  }
+
+  async #fetchFormerJournal (endpoint: string, former: FormerCoordinator | undefined): Promise<FetchJournalResponse> {
+    if (former === undefined) return { complete: false, entries: [] }
+    const request = { endpoint, token: former.token }
+    const own = this.#copies.fetch(endpoint, former.token)
+    if (own.complete || former.standby === undefined || former.standby === this.#self) return own
+    try {
+      return await this.#options.journalSource.fetch(former.standby, request) ?? own
+    } catch (error) {
+      logger.warning('journal of the former coordinator cannot be fetched', { endpoint, standby: former.standby, reason: describeError(error) })
+      return own
+    }
+  }
+
+  /** Stops coordinating: queued requests are answered, running ones are finished before the connections close. */
+  #end (id: string): void {
+    const coordinated = this.#coordinated.get(id)
+    if (coordinated === undefined) return
+    this.#coordinated.delete(id)
+    logger.info('session ends', { endpoint: id, inFlight: coordinated.session.inFlight })
+    coordinated.session.stopNewWork('not_coordinator')
+    void this.#closeWhenIdle(coordinated)
+  }
+
+  async #closeWhenIdle ({ session, lifeCycle }: Coordinated): Promise<void> {
+    session.grants.stop()
+    while (session.inFlight > 0 && !lifeCycle.closed) await new Promise(resolve => setTimeout(resolve, 50))
+    await lifeCycle.close()
+  }
+}
+
+/** Reads the control state for one endpoint. */
+class StateEndpointView extends EndpointView {
+  readonly #view: ControlView
+  readonly #endpoint: string
+  readonly #pool: string
+  readonly #takeoverEffective: () => boolean
+
+  constructor (view: ControlView, endpoint: string, pool: string, takeoverEffective: () => boolean) {
+    super()
+    this.#view = view
+    this.#endpoint = endpoint
+    this.#pool = pool
+    this.#takeoverEffective = takeoverEffective
+  }
+
+  override owned (): readonly BucketGrant[] {
+    return bucketsHeldFor(this.#view.state, this.#endpoint)
+  }
+
+  override leaving (): readonly number[] {
+    return bucketsLeaving(this.#view.state, this.#endpoint).map(({ bucket }) => bucket)
+  }
+
+  override bucket (bucket: number): BucketState | undefined {
+    return this.#view.state.pools.get(this.#pool)?.buckets[bucket]
+  }
+
+  override takeoverEffective (): boolean {
+    return this.#takeoverEffective()
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/coordinator/endpoint-client.ts
@@ -0,0 +1,206 @@
+import { BriarsaddleError, describeError, errorCode } from '@briarsaddle/common'
+import type { EndpointDescription } from '@briarsaddle/ownership'
+import { Pool } from 'undici'
+import { z } from 'zod'
+
+/** A coordinator's fencing token at an endpoint, ordered by offset and then by provisional number. */
+export interface CoordinatorToken {
+  /** Offset of the coordinator record. */
+  readonly offset: number
+  /** 0 for a coordinator named by the log; higher for one that took over while the log was down. */
+  readonly provisional: number
+}
+
+const helloAnswerSchema = z.object({
+  instance: z.string(),
+  clock: z.number(),
+  slots: z.number().int().positive(),
+  checks: z.boolean(),
+  draining: z.boolean(),
+  ready: z.boolean().default(true),
+  running: z.number().int().nonnegative(),
+  granted: z.array(z.object({ bucket: z.number().int(), token: z.number().int() })).default([])
+})
+
+const renewAnswerSchema = z.object({
+  instance: z.string(),
+  clock: z.number(),
+  load: z.unknown(),
+  draining: z.boolean(),
+  ready: z.boolean().default(true),
+  stillHeld: z.array(z.number().int()).default([]),
+  /** False when `validUntil` did not advance: the renewal then only took grants away. */
+  extended: z.boolean().default(true)
+})
+
+/** Answer to an offer of a coordinator token. */
+export type HelloAnswer = z.infer<typeof helloAnswerSchema>
+/** Answer to a renewal of grants. */
+export type RenewAnswer = z.infer<typeof renewAnswerSchema>
+
+/** A grant of one bucket. */
+export interface BucketGrant {
+  readonly bucket: number
+  /** Offset of the assignment record. */
+  readonly token: number
+}
+
+/** A renewal of all grants of an endpoint. */
+export interface RenewRequest {
+  readonly instance: string
+  readonly coordinator: string
+  readonly token: CoordinatorToken
+  readonly buckets: readonly BucketGrant[]
+  /** In the endpoint's clock, milliseconds. */
+  readonly validUntil: number
+}
+
+/** A request to be run by an endpoint. */
+export interface EndpointRequest {
+  readonly method: string
+  readonly target: string
+  readonly headers: ReadonlyArray<readonly [string, string]>
+  readonly body: Uint8Array
+  readonly timeoutMilliseconds: number
+  readonly signal: AbortSignal
+}
+
+/** What an endpoint answered. */
+export interface EndpointAnswer {
+  readonly status: number
+  readonly headers: ReadonlyArray<readonly [string, string]>
+  readonly body: Uint8Array
+}
+
+/** Limits of the connections to one endpoint. */
+export interface EndpointClientOptions {
+  /** Name of this process, sent with every control call. */
+  readonly coordinatorName: string
+  readonly maximumConnections: number
+  readonly maximumAnswerBytes: number
+}
+
+const connectTimeoutMilliseconds = 1000
+const keepAliveMilliseconds = 30_000
+const errorCodesBeforeWrite: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
+
+/** True when the error shows that no byte of the request was written. */
+export function failedBeforeWrite (error: unknown): boolean {
+  return errorCodesBeforeWrite.has(errorCode(error)) || (error instanceof Error && errorCodesBeforeWrite.has(errorCode(error.cause)))
+}
+
+/** HTTP client of one endpoint. Control calls and requests use separate connections, so that a long job delays no renewal. */
+export class EndpointClient {
+  readonly #description: EndpointDescription
+  readonly #options: EndpointClientOptions
+  #control: Pool
+  #requests: Pool
+
+  constructor (description: EndpointDescription, options: EndpointClientOptions) {
+    this.#description = description
+    this.#options = options
+    this.#control = this.#createPool(2)
+    this.#requests = this.#createPool(options.maximumConnections)
+  }
+
+  /** Offers a token. Throws `token_refused` when the endpoint knows a higher one, else `endpoint_unreachable`. */
+  async hello (token: CoordinatorToken, timeoutMilliseconds: number): Promise<HelloAnswer> {
+    return helloAnswerSchema.parse(await this.#call('hello', { coordinator: this.#options.coordinatorName, token }, timeoutMilliseconds))
+  }
+
+  /** Replaces the list of grants. Throws `token_refused` or `endpoint_unreachable`. */
+  async renew (request: RenewRequest, timeoutMilliseconds: number): Promise<RenewAnswer> {
+    return renewAnswerSchema.parse(await this.#call('renew', request, timeoutMilliseconds))
+  }
+
+  /** Runs a request. Errors are those of undici; see `failedBeforeWrite`. */
+  async send (request: EndpointRequest): Promise<EndpointAnswer> {
+    const response = await this.#requests.request({
+      method: request.method as 'GET',
+      path: request.target,
+      headers: request.headers.flat(),
+      body: request.body.length === 0 ? null : request.body,
+      headersTimeout: request.timeoutMilliseconds,
+      bodyTimeout: request.timeoutMilliseconds,
+      signal: request.signal,
+      responseHeaders: 'raw'
+    })
+    const body = await this.#readBody(response.body)
+    return { status: response.statusCode, headers: pairs(response.headers as unknown as readonly string[]), body }
+  }
+
+  /**
+   * Replaces the connections. A request on an old connection is not cut off.
+   * Used when a connection has gone silent, since others opened at the same time may have too.
+   */
+  async reconnect (): Promise<void> {
+    const former = [this.#control, this.#requests]
+    this.#control = this.#createPool(2)
+    this.#requests = this.#createPool(this.#options.maximumConnections)
+    await former[0]?.destroy()
+    former[1]?.close().catch(() => {})
+  }
+
+  /** Replaces the connections for control calls only. */
+  async reconnectControl (): Promise<void> {
+    const former = this.#control
+    this.#control = this.#createPool(2)
+    await former.destroy()
+  }
+
+  /** Closes all connections at once. */
+  async destroy (): Promise<void> {
+    await Promise.all([this.#control.destroy(), this.#requests.destroy()])
+  }
+
+  #createPool (connections: number): Pool {
+    return new Pool(`http://${this.#description.host}:${this.#description.port}`, {
+      connections,
+      pipelining: 1,
+      connect: { timeout: connectTimeoutMilliseconds },
+      keepAliveTimeout: keepAliveMilliseconds
+    })
+  }
+
+  async #call (step: 'hello' | 'renew', body: unknown, timeoutMilliseconds: number): Promise<unknown> {
+    const peer = this.#description.id
+    try {
+      const response = await this.#control.request({
+        method: 'POST',
+        path: `/.grants/${step}`,
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify(body),
+        signal: AbortSignal.timeout(timeoutMilliseconds)
+      })
+      const text = await response.body.text()
+      if (response.statusCode === 200) return JSON.parse(text)
+      // An endpoint that has just started takes no offer yet: rights from before its start may still run.
+      if (response.statusCode === 503) throw new BriarsaddleError(`endpoint ${peer} is not ready for ${step}`, { code: 'endpoint_unreachable', step, peer })
+      throw new BriarsaddleError(`endpoint ${peer} refused ${step}: ${text.slice(0, 200)}`, { code: 'token_refused', step, peer })
+    } catch (error) {
+      if (error instanceof BriarsaddleError) throw error
+      throw new BriarsaddleError(`endpoint ${peer} did not answer ${step}: ${describeError(error)}`, { code: 'endpoint_unreachable', step, peer })
+    }
+  }
+
+  async #readBody (stream: AsyncIterable<Uint8Array>): Promise<Uint8Array> {
+    const chunks: Uint8Array[] = []
+    let length = 0
+    for await (const chunk of stream) {
+      length += chunk.length
+      if (length > this.#options.maximumAnswerBytes) {
+        throw new BriarsaddleError(`the answer of endpoint ${this.#description.id} exceeds ${this.#options.maximumAnswerBytes} bytes`, { code: 'answer_too_large', step: 'read answer', peer: this.#description.id })
+      }
+      chunks.push(chunk)
+    }
+    return chunks.length === 1 ? chunks[0] as Uint8Array : Buffer.concat(chunks, length)
+  }
+}
+
+function pairs (raw: readonly (string | Uint8Array)[]): ReadonlyArray<readonly [string, string]> {
+  const result: Array<readonly [string, string]> = []
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    result.push([String(raw[index]).toLowerCase(), String(raw[index + 1])])
+  }
+  return result
+}
--- /dev/null
+++ b/packages/daemon/src/coordinator/endpoint-session.ts
@@ -0,0 +1,276 @@
+import { Logger, type Clock, type LifeCycle, type Random } from '@briarsaddle/common'
+import type { BucketState, EndpointDescription } from '@briarsaddle/ownership'
+import { JournalStage, Outcome, type Answer, type Forward } from '@briarsaddle/protocol'
+import { EndpointQueue, type QueuePolicy } from '@briarsaddle/scheduling'
+import { answerForRejection, notRun, notRunError, unknown, type Reason } from './answers.js'
+import { EndpointClient, type BucketGrant, type CoordinatorToken, type RenewAnswer } from './endpoint-client.js'
+import { GrantKeeper, GrantOwner, type GrantTiming } from './grant-keeper.js'
+import { IdempotencyJournal, requestFingerprint, type JournalSink } from './journal.js'
+import { RequestSender } from './request-sender.js'
+import type { RightSource } from './right-source.js'
+import { serviceClassOf } from './service-class.js'
+import { SessionLoad } from './session-load.js'
+import type { SessionState } from './session-state.js'
+
+const logger = new Logger('session')
+
+/** Control state of one endpoint, as its coordinator needs it. */
+export abstract class EndpointView {
+  /** Buckets that the endpoint owns and that no former owner may still hold. */
+  abstract owned (): readonly BucketGrant[]
+  /** Buckets that were taken from the endpoint and have not been released. */
+  abstract leaving (): readonly number[]
+  /** The bucket of the endpoint's pool. */
+  abstract bucket (bucket: number): BucketState | undefined
+  /** False while a former coordinator of an endpoint that does not check may still act. */
+  abstract takeoverEffective (): boolean
+}
+
+/** What a session reports to the control loops. */
+export abstract class SessionObserver {
+  abstract stateChanged (session: EndpointSession, state: SessionState): void
+  /** The endpoint acknowledged that it no longer holds these buckets. */
+  abstract bucketsRevoked (session: EndpointSession, buckets: readonly number[]): void
+}
+
+/** What a session needs from the daemon. */
+export interface SessionOptions {
+  /** Name under which the endpoint knows this process. */
+  readonly coordinatorName: string
+  readonly description: EndpointDescription
+  readonly token: CoordinatorToken
+  readonly standby: string | undefined
+  readonly clock: Clock
+  readonly random: Random
+  readonly rights: RightSource
+  readonly timing: GrantTiming
+  readonly view: EndpointView
+  readonly observer: SessionObserver
+  readonly journalSink: JournalSink
+  readonly policy: QueuePolicy
+  readonly admission: boolean
+  readonly maximumQueued: number
+  readonly maximumConnections: number
+  readonly maximumAnswerBytes: number
+}
+
+/** Everything that the coordinator keeps for one endpoint: grants, queue, journal and connections. */
+export class EndpointSession extends GrantOwner {
+  readonly description: EndpointDescription
+  readonly grants: GrantKeeper
+  readonly journal: IdempotencyJournal
+  readonly queue: EndpointQueue
+  readonly load: SessionLoad
+  readonly #options: SessionOptions
+  readonly #client: EndpointClient
+  readonly #sender: RequestSender
+  readonly #running = new Map<number, number>()
+  readonly #lifeCycle: LifeCycle
+  #provisionalGrants: ReadonlySet<number> | undefined
+  #activeWaiters: Array<() => void> = []
+
+  constructor (options: SessionOptions, lifeCycle: LifeCycle) {
+    super()
+    this.#options = options
+    this.#lifeCycle = lifeCycle
+    this.load = new SessionLoad(options.clock)
+    this.description = options.description
+    this.#client = new EndpointClient(options.description, { coordinatorName: options.coordinatorName, maximumConnections: options.maximumConnections, maximumAnswerBytes: options.maximumAnswerBytes })
+    this.journal = new IdempotencyJournal({ endpoint: options.description.id, token: options.token.offset, standby: options.standby, clock: options.clock, sink: options.journalSink })
+    this.queue = new EndpointQueue({ slots: 1, maximumQueued: options.maximumQueued, clock: options.clock, random: options.random, policy: options.policy, admission: options.admission })
+    this.grants = new GrantKeeper({ ...options, client: this.#client, owner: this })
+    this.#sender = new RequestSender({ client: this.#client, grants: this.grants, clock: options.clock, coordinatorName: options.coordinatorName })
+    lifeCycle.own('connections', async () => await this.#client.destroy())
+  }
+
+  /** Starts offering the token. */
+  start (): void {
+    void this.grants.run(this.#lifeCycle)
+  }
+
+  /** Requests that are at the endpoint now. */
+  get inFlight (): number {
+    let sum = 0
+    for (const count of this.#running.values()) sum += count
+    return sum
+  }
+
+  /** Adopts a newer coordinator record that names this VM again. */
+  renewToken (token: CoordinatorToken, standby: string | undefined): void {
+    this.#provisionalGrants = undefined
+    this.grants.replaceToken(token)
+    this.journal.replaceStandby(token.offset, standby)
+    void this.journal.copyAll()
+  }
+
+  /** Samples the queue for the load averages. */
+  sampleLoad (): void {
+    this.load.sample(this.queue.queued, this.queue.slots)
+  }
+
+  /** Stops new work: queued requests surely did not run and are answered at once, running ones go on. */
+  stopNewWork (reason: Reason): void {
+    this.queue.remove(() => notRunError(notRun(reason, 50)))
+  }
+
+  /** Runs a request. Always resolves. */
+  async handle (forward: Forward, signal: AbortSignal): Promise<Answer> {
+    const deadlineAt = this.#options.clock.now() + forward.deadlineMilliseconds
+    if (!await this.#waitUntilActive(deadlineAt, signal)) return this.#complete(notRun('endpoint_unavailable'))
+    const bucketToken = this.#bucketToken(forward.bucket)
+    if (bucketToken === undefined) return this.#complete(notRun('not_owner', 50))
+    if (forward.idempotent || forward.idempotencyKey === '') {
+      return this.#complete(await this.#enqueue(forward, bucketToken, deadlineAt, signal, async () => true))
+    }
+    return this.#complete(await this.#handleOnce(forward, bucketToken, deadlineAt, signal))
+  }
+
+  override takeoverEffective (): boolean {
+    return this.#options.view.takeoverEffective()
+  }
+
+  override bucketsToGrant (formerly: readonly BucketGrant[]): readonly BucketGrant[] {
+    if (this.grants.acceptedToken.provisional > 0) return this.#provisionalBuckets(formerly)
+    // A bucket that is leaving stays granted, under its former token, until its running requests have ended.
+    const stillRunning: BucketGrant[] = []
+    for (const bucket of this.#options.view.leaving()) {
+      const token = this.grants.grantedToken(bucket)
+      if (token !== undefined && (this.#running.get(bucket) ?? 0) > 0) stillRunning.push({ bucket, token })
+    }
+    return [...this.#options.view.owned(), ...stillRunning]
+  }
+
+  override stateChanged (state: SessionState): void {
+    if (state === 'active') {
+      for (const wake of this.#activeWaiters.splice(0)) wake()
+    }
+    if (state === 'lost') this.stopNewWork('endpoint_lost')
+    this.#options.observer.stateChanged(this, state)
+  }
+
+  override renewed (granted: readonly BucketGrant[], answer: RenewAnswer): void {
+    if (this.queue.slots !== this.grants.slots) this.queue.setSlots(this.grants.slots)
+    const held = new Set([...granted.map(({ bucket }) => bucket), ...answer.stillHeld])
+    const revoked = this.#options.view.leaving().filter(bucket => !held.has(bucket))
+    if (revoked.length > 0) this.#options.observer.bucketsRevoked(this, revoked)
+  }
+
+  /** State for the dump. */
+  snapshot (): Readonly<Record<string, unknown>> {
+    return {
+      endpoint: this.description.id,
+      pool: this.description.pool,
+      state: this.grants.state,
+      token: this.grants.acceptedToken,
+      ready: this.grants.ready,
+      draining: this.grants.draining,
+      inFlight: this.inFlight,
+      queue: this.queue.snapshot(),
+      journal: { size: this.journal.size, complete: this.journal.complete }
+    }
+  }
+
+  /** Only grants that had not expired at the endpoint when it accepted the provisional token are renewed. */
+  #provisionalBuckets (formerly: readonly BucketGrant[]): readonly BucketGrant[] {
+    this.#provisionalGrants ??= new Set(formerly.map(({ bucket }) => bucket))
+    const renewable = this.#provisionalGrants
+    return this.#options.view.owned().filter(({ bucket }) => renewable.has(bucket))
+  }
+
+  #bucketToken (bucket: number): number | undefined {
+    if (bucket < 0) return -1
+    const state = this.#options.view.bucket(bucket)
+    if (state === undefined || state.owner !== this.description.id || state.pendingFrom !== undefined) return undefined
+    return state.token
+  }
+
+  async #handleOnce (forward: Forward, bucketToken: number, deadlineAt: number, signal: AbortSignal): Promise<Answer> {
+    const key = forward.idempotencyKey
+    const fingerprint = requestFingerprint(forward)
+    const finding = this.journal.find(key, fingerprint)
+    switch (finding.kind) {
+      case 'answered': return finding.answer
+      case 'different_request': return notRun('idempotency_key_reused')
+      case 'running': return unknown('repeat_in_progress')
+      case 'unknown': return unknown('repeat_unknown')
+      case 'incomplete': return unknown('journal_incomplete')
+    }
+    this.journal.begin(key, fingerprint)
+    const answer = await this.#enqueue(forward, bucketToken, deadlineAt, signal, async () => await this.journal.replicate(key))
+    this.journal.finish(key, stageOf(answer), answer)
+    return answer
+  }
+
+  /** Queues the request; `prepare` runs while it waits and must succeed before it is sent. */
+  async #enqueue (forward: Forward, bucketToken: number, deadlineAt: number, signal: AbortSignal, prepare: () => Promise<boolean>): Promise<Answer> {
+    let rejected = false
+    const prepared = Promise.resolve().then(async () => rejected || await prepare())
+    const submitted = this.queue.submit<Answer>({
+      serviceClass: serviceClassOf(forward.serviceClass),
+      rule: forward.rule,
+      deadlineAt,
+      signal,
+      measured: answer => answer.outcome === Outcome.OUTCOME_ANSWERED,
+      run: async runSignal => {
+        if (!await prepared) throw notRunError(notRun('journal_unavailable'))
+        return await this.#run(forward, bucketToken, deadlineAt, runSignal)
+      }
+    })
+    try {
+      return await submitted
+    } catch (error) {
+      rejected = true
+      const answer = answerForRejection(error)
+      if (answer !== undefined) return answer
+      logger.error('unexpected failure of a request', { request: forward.requestId, reason: String(error) })
+      return unknown('connection_broken')
+    }
+  }
+
+  async #run (forward: Forward, bucketToken: number, deadlineAt: number, signal: AbortSignal): Promise<Answer> {
+    // The bucket may have been taken away while the request was queued.
+    if (this.#bucketToken(forward.bucket) !== bucketToken) return notRun('not_owner', 50)
+    const bucket = forward.bucket
+    this.#running.set(bucket, (this.#running.get(bucket) ?? 0) + 1)
+    const startedAt = this.#options.clock.now()
+    try {
+      return await this.#sender.send(forward, bucketToken, deadlineAt, signal)
+    } finally {
+      const left = (this.#running.get(bucket) ?? 1) - 1
+      if (left === 0) this.#running.delete(bucket)
+      else this.#running.set(bucket, left)
+      this.load.workDone(bucket, this.#options.clock.now() - startedAt)
+    }
+  }
+
+  async #waitUntilActive (deadlineAt: number, signal: AbortSignal): Promise<boolean> {
+    const { state } = this.grants
+    if (state === 'active') return true
+    if (state !== 'offering' || this.#activeWaiters.length >= this.#options.maximumQueued) return false
+    await new Promise<void>(resolve => {
+      const finish = (): void => {
+        clearTimeout(timer)
+        signal.removeEventListener('abort', finish)
+        resolve()
+      }
+      const timer = setTimeout(finish, Math.min(maximumActivationWaitMilliseconds, deadlineAt - this.#options.clock.now()))
+      signal.addEventListener('abort', finish)
+      this.#activeWaiters.push(finish)
+    })
+    return this.grants.state === 'active' && !signal.aborted
+  }
+
+  #complete (answer: Answer): Answer {
+    return { ...answer, outstanding: this.queue.outstanding }
+  }
+}
+
+const maximumActivationWaitMilliseconds = 1000
+
+function stageOf (answer: Answer): JournalStage {
+  switch (answer.outcome) {
+    case Outcome.OUTCOME_ANSWERED: return JournalStage.JOURNAL_STAGE_ANSWERED
+    case Outcome.OUTCOME_NOT_RUN: return JournalStage.JOURNAL_STAGE_REMOVED
+    default: return JournalStage.JOURNAL_STAGE_UNKNOWN
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/coordinator/request-sender.ts
@@ -0,0 +1,103 @@
+import { delay, errorCode, Logger, type Clock } from '@briarsaddle/common'
+import type { Answer, Forward } from '@briarsaddle/protocol'
+import { answered, notRun, unknown } from './answers.js'
+import { failedBeforeWrite, type EndpointAnswer, type EndpointClient } from './endpoint-client.js'
+import type { GrantKeeper } from './grant-keeper.js'
+
+const logger = new Logger('requests')
+const refusalRetryMilliseconds = 15
+const maximumRefusals = 4
+/** Refusals that may be over within a few milliseconds: slots of a former coordinator, a token or list in transit. */
+const passingRefusals: ReadonlySet<string> = new Set(['shed', 'stale', 'not-granted'])
+
+/** Sends one request to the endpoint and classifies what came of it. */
+export class RequestSender {
+  readonly #client: EndpointClient
+  readonly #grants: GrantKeeper
+  readonly #clock: Clock
+  readonly #coordinatorName: string
+
+  constructor (options: { readonly client: EndpointClient, readonly grants: GrantKeeper, readonly clock: Clock, readonly coordinatorName: string }) {
+    this.#client = options.client
+    this.#grants = options.grants
+    this.#clock = options.clock
+    this.#coordinatorName = options.coordinatorName
+  }
+
+  /** `bucketToken` is the token of the bucket's assignment, or -1 without a bucket. Always resolves. */
+  async send (forward: Forward, bucketToken: number, deadlineAt: number, signal: AbortSignal): Promise<Answer> {
+    for (let attempt = 1; ; attempt++) {
+      // A process that was paused looks at the clock before it writes: the right may have expired meanwhile.
+      if (!this.#grants.holds(forward.bucket, bucketToken)) return notRun('right_expired', refusalRetryMilliseconds)
+      const remaining = deadlineAt - this.#clock.now()
+      if (remaining <= 0) return notRun('expired_in_queue')
+      const answer = await this.#attempt(forward, bucketToken, deadlineAt, remaining, signal)
+      const refused = answer.reason === 'endpoint_shed' || answer.reason === 'endpoint_refused'
+      if (!refused || attempt >= maximumRefusals || signal.aborted) return answer
+      await delay(Math.min(refusalRetryMilliseconds * attempt, remaining), signal)
+    }
+  }
+
+  async #attempt (forward: Forward, bucketToken: number, deadlineAt: number, remaining: number, signal: AbortSignal): Promise<Answer> {
+    const startedAt = this.#clock.now()
+    const timeout = new AbortController()
+    const timer = setTimeout(() => timeout.abort(), remaining)
+    try {
+      const answer = await this.#client.send({
+        method: forward.method,
+        target: forward.target,
+        headers: this.#headers(forward, bucketToken, deadlineAt),
+        body: forward.body,
+        timeoutMilliseconds: Math.ceil(remaining),
+        signal: AbortSignal.any([signal, timeout.signal])
+      })
+      return this.#classify(answer, this.#clock.now() - startedAt)
+    } catch (error) {
+      return this.#classifyError(error, forward, signal, timeout.signal)
+    } finally {
+      clearTimeout(timer)
+    }
+  }
+
+  #headers (forward: Forward, bucketToken: number, deadlineAt: number): ReadonlyArray<readonly [string, string]> {
+    const { offset, provisional } = this.#grants.acceptedToken
+    const headers: Array<readonly [string, string]> = forward.headers.map(({ name, value }) => [name, value] as const)
+    headers.push(
+      ['briarsaddle-instance', this.#grants.instance],
+      ['briarsaddle-coordinator', this.#coordinatorName],
+      ['briarsaddle-token', `${offset}.${provisional}`],
+      ['briarsaddle-deadline', String(this.#grants.toEndpointClock(deadlineAt))],
+      ['briarsaddle-request', forward.requestId]
+    )
+    if (forward.bucket >= 0) {
+      headers.push(
+        ['briarsaddle-bucket', String(forward.bucket)],
+        ['briarsaddle-bucket-token', String(bucketToken)],
+        ['briarsaddle-key', encodeURIComponent(forward.key)]
+      )
+    }
+    if (forward.idempotencyKey !== '') headers.push(['idempotency-key', forward.idempotencyKey])
+    return headers
+  }
+
+  #classify (answer: EndpointAnswer, serviceMilliseconds: number): Answer {
+    const refusal = answer.headers.find(([name]) => name === 'briarsaddle-not-run')?.[1]
+    if (refusal === undefined) {
+      const headers = answer.headers.map(([name, value]) => ({ name, value }))
+      return answered({ status: answer.status, headers, body: Buffer.from(answer.body), serviceMilliseconds })
+    }
+    if (refusal === 'effect-refused') return notRun('effect_refused')
+    if (refusal === 'shed') return notRun('endpoint_shed')
+    if (!passingRefusals.has(refusal)) logger.debug('endpoint refused a request', { refusal, instance: this.#grants.instance })
+    return notRun('endpoint_refused')
+  }
+
+  #classifyError (error: unknown, forward: Forward, signal: AbortSignal, timeout: AbortSignal): Answer {
+    if (failedBeforeWrite(error)) return notRun('endpoint_unavailable')
+    logger.debug('request ended without an answer', { request: forward.requestId, endpoint: forward.endpoint, code: errorCode(error) })
+    if (errorCode(error) === 'answer_too_large') return unknown('answer_too_large')
+    if (timeout.aborted) return unknown('deadline_passed')
+    if (signal.aborted) return unknown('cancelled')
+    return unknown('connection_broken')
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,146 @@
+import { BriarsaddleError, LifeCycle } from '@briarsaddle/common'
+import { RandomChoice, TwoChoices } from '@briarsaddle/scheduling'
+import { administrationToken, type Address, type Settings } from '@briarsaddle/settings'
+import { AdministrationOperations, AdministrationServer, StateDump, type OperationResult } from './administration/index.js'
+import { ControlPlane } from './control-plane.js'
+import { PoolForwarder } from './control/inner-adapters.js'
+import { EntryServer, RequestRouter } from './entry/index.js'
+import { MeasureReporter } from './measure-reporter.js'
+import { Metrics } from './metrics.js'
+
+/** Addresses on which a daemon listens. */
+export interface DaemonAddresses {
+  readonly callers: Address
+  readonly inner: Address
+  readonly administration: Address
+}
+
+/** One VM of briarsaddle: entry, coordinator, control loops and administration. */
+export class Daemon {
+  readonly #settings: Settings
+  readonly #lifeCycle = new LifeCycle('daemon')
+  #control: ControlPlane | undefined
+  #entry: EntryServer | undefined
+  #stopping: Promise<void> | undefined
+
+  constructor (settings: Settings) {
+    this.#settings = settings
+  }
+
+  /** Starts all parts. Throws `listen_failed`. */
+  async start (): Promise<DaemonAddresses> {
+    const { listen, limits, vm, metrics: metricsSettings } = this.#settings
+    const metrics = new Metrics({ ...metricsSettings, vm: vm.id })
+    this.#lifeCycle.own('metrics', async () => await metrics.close())
+    const control = await ControlPlane.start(this.#settings, this.#lifeCycle)
+    this.#control = control
+    const router = this.#createRouter(control, metrics)
+    const entry = new EntryServer({ ...listen.callers, ...limits, clock: control.clock, random: control.random }, router)
+    this.#entry = entry
+    const callersPort = await entry.listen()
+    this.#lifeCycle.own('entry', async () => await entry.stop(0))
+    new MeasureReporter(control, metrics).start(this.#lifeCycle)
+    const administrationPort = await this.#startAdministration(control, router, entry)
+    return {
+      callers: { host: listen.callers.host, port: callersPort },
+      inner: { host: listen.inner.host, port: control.innerPort },
+      administration: { host: listen.administration.host, port: administrationPort }
+    }
+  }
+
+  /** Hands the endpoints of this VM over, finishes what is in flight and stops. */
+  async stop (): Promise<void> {
+    this.#stopping ??= this.#stop()
+    return await this.#stopping
+  }
+
+  async #stop (): Promise<void> {
+    const { shutdownMilliseconds } = this.#settings.timing
+    // Both at the same time: requests of callers go on while the endpoints move to other coordinators.
+    await Promise.all([this.#control?.handOver(), this.#entry?.stop(shutdownMilliseconds)])
+    await this.#lifeCycle.close()
+  }
+
+  #createRouter (control: ControlPlane, metrics: Metrics): RequestRouter {
+    const { clock, random, hasher } = control
+    const Chooser = this.#settings.experiments.endpointChoice === 'random' ? RandomChoice : TwoChoices
+    return new RequestRouter({
+      vm: this.#settings.vm.id,
+      control: control.follower,
+      local: control.coordinator,
+      peers: new PoolForwarder(control.peers),
+      hasher,
+      createChooser: () => new Chooser({ clock, random }),
+      metrics,
+      clock,
+      random
+    })
+  }
+
+  async #startAdministration (control: ControlPlane, router: RequestRouter, entry: EntryServer): Promise<number> {
+    const administration = new AdministrationServer({
+      ...this.#settings.listen.administration,
+      token: administrationToken(this.#settings),
+      control: control.follower,
+      hasher: control.hasher,
+      dump: new DaemonDump(control, router, entry),
+      operations: new LogOperations(control),
+      isServing: () => entry.serving && control.follower.started
+    })
+    const port = await administration.listen()
+    this.#lifeCycle.own('administration', async () => await administration.close())
+    return port
+  }
+}
+
+class DaemonDump extends StateDump {
+  readonly #control: ControlPlane
+  readonly #router: RequestRouter
+  readonly #entry: EntryServer
+
+  constructor (control: ControlPlane, router: RequestRouter, entry: EntryServer) {
+    super()
+    this.#control = control
+    this.#router = router
+    this.#entry = entry
+  }
+
+  override async dump (): Promise<unknown> {
+    const { rss, heapUsed } = process.memoryUsage()
+    const { user, system } = process.cpuUsage()
+    return {
+      process: { uptimeSeconds: process.uptime(), residentBytes: rss, heapBytes: heapUsed, processorMilliseconds: (user + system) / 1000 },
+      entry: { serving: this.#entry.serving, inFlight: this.#entry.inFlight, router: this.#router.snapshot() },
+      control: this.#control.snapshot()
+    }
+  }
+}
+
+class LogOperations extends AdministrationOperations {
+  readonly #control: ControlPlane
+
+  constructor (control: ControlPlane) {
+    super()
+    this.#control = control
+  }
+
+  override async drain (endpoint: string, author: string): Promise<OperationResult> {
+    const known = this.#control.follower.state.endpoints.get(endpoint)
+    if (known === undefined) throw new BriarsaddleError(`endpoint ${endpoint} is not known`, { code: 'unknown_endpoint', step: 'drain endpoint' })
+    const offset = await this.#control.writer.append({ kind: 'drain', base: known.version, endpoint, author })
+    const leaving = this.#control.follower.state.endpoints.get(endpoint)?.leaving ?? true
+    if (!leaving) throw new BriarsaddleError(`endpoint ${endpoint} changed at the same time; try again`, { code: 'conflict', step: 'drain endpoint' })
+    return { offset }
+  }
+
+  override async releaseWitnesses (lost: readonly string[], author: string): Promise<OperationResult> {
+    const { witnesses } = this.#control.follower.state
+    const missing = lost.find(vm => !witnesses.vms.includes(vm))
+    if (missing !== undefined) throw new BriarsaddleError(`${missing} is not a witness`, { code: 'unknown_witness', step: 'release witnesses' })
+    const offset = await this.#control.writer.append({ kind: 'witnessesReleased', base: witnesses.version, lost, author })
+    if (this.#control.follower.state.witnesses.vms.some(vm => lost.includes(vm))) {
+      throw new BriarsaddleError('the witness list changed at the same time; try again', { code: 'conflict', step: 'release witnesses' })
+    }
+    return { offset }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/body.ts
@@ -0,0 +1,47 @@
+import type { IncomingMessage } from 'node:http'
+
+/** Result of reading a request body. */
+export type BodyResult =
+  | { readonly kind: 'body', readonly body: Buffer }
+  | { readonly kind: 'too_large' }
+  | { readonly kind: 'aborted' }
+
+const emptyBody = Buffer.alloc(0)
+
+/** Returns the announced length of the body in bytes, or 0 when none is announced. */
+export function announcedLength (request: IncomingMessage): number {
+  return Number(request.headers['content-length'] ?? 0)
+}
+
+/** Returns true when a body follows the headers. */
+export function hasBody (request: IncomingMessage): boolean {
+  return announcedLength(request) > 0 || request.headers['transfer-encoding'] !== undefined
+}
+
+/** Reads a whole body of at most `maximumBytes`. Stops reading at the first byte beyond the limit. */
+export async function readBody (request: IncomingMessage, maximumBytes: number): Promise<BodyResult> {
+  if (!hasBody(request)) return { kind: 'body', body: emptyBody }
+  if (announcedLength(request) > maximumBytes) return { kind: 'too_large' }
+  return await new Promise(resolve => {
+    const chunks: Buffer[] = []
+    let bytes = 0
+    const end = (result: BodyResult): void => {
+      request.off('data', onData).off('end', onEnd).off('close', onClose)
+      resolve(result)
+    }
+    const onData = (chunk: Buffer): void => {
+      bytes += chunk.length
+      if (bytes <= maximumBytes) {
+        chunks.push(chunk)
+        return
+      }
+      request.pause()
+      end({ kind: 'too_large' })
+    }
+    const onEnd = (): void => end({ kind: 'body', body: chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks, bytes) })
+    const onClose = (): void => end({ kind: 'aborted' })
+    request.on('data', onData).on('end', onEnd).on('close', onClose)
+    // Errors are followed by `close`.
+    request.on('error', () => {})
+  })
+}
--- /dev/null
+++ b/packages/daemon/src/entry/entry-server.ts
@@ -0,0 +1,234 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+import polka from 'polka'
+import { BriarsaddleError, Logger, describeError, errorCode, type Clock, type Random } from '@briarsaddle/common'
+import { hasBody, readBody } from './body.js'
+import { refusal, unknownOutcome, type CallerAnswer } from './caller-answer.js'
+import { originForm, type AcceptedRequest, type CallerRequest } from './caller-request.js'
+import type { RequestRouter } from './request-router.js'
+
+const logger = new Logger('entry')
+
+/** Settings of the server for callers. */
+export interface EntryServerOptions {
+  readonly host: string
+  /** 0 lets the system choose a port. */
+  readonly port: number
+  readonly maximumHeaderBytes: number
+  readonly maximumBodyBytes: number
+  readonly maximumCallerConnections: number
+  /** Most bytes of request bodies in memory. Default 256 MiB. */
+  readonly maximumBufferedBytes?: number
+  /** Longest time to receive the headers of a request. Default 10 s. */
+  readonly headersMilliseconds?: number
+  /** Longest time to receive a whole request. Default 30 s. */
+  readonly requestMilliseconds?: number
+  /** Time that an idle connection stays open. Default 65 s, more than usual balancers keep theirs. */
+  readonly keepAliveMilliseconds?: number
+  readonly clock: Clock
+  readonly random: Random
+}
+
+const defaultMaximumBufferedBytes = 256 * 1024 * 1024
+const defaultHeadersMilliseconds = 10_000
+const defaultRequestMilliseconds = 30_000
+const defaultKeepAliveMilliseconds = 65_000
+const connectionCheckMilliseconds = 1_000
+// After a refusal before the end of the body, the connection is read for this long, because closing it at once
+// could reset it before the caller has seen the answer.
+const lingerMilliseconds = 1_000
+// Time to write the last answers after the limit of a stop.
+const lastAnswersMilliseconds = 200
+
+/** One request whose answer is not yet finished. */
+interface Exchange {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  readonly controller: AbortController
+  readonly arrivedAt: number
+  reading: boolean
+}
+
+/** Accepts the requests of callers over HTTP/1.1 and answers them by a router. */
+export class EntryServer {
+  readonly #options: EntryServerOptions
+  readonly #router: RequestRouter
+  readonly #server: Server
+  readonly #exchanges = new Set<Exchange>()
+  #bufferedBytes = 0
+  #stopping: Promise<void> | undefined
+  #onIdle: (() => void) | undefined
+
+  constructor (options: EntryServerOptions, router: RequestRouter) {
+    this.#options = options
+    this.#router = router
+    this.#server = createServer({
+      maxHeaderSize: options.maximumHeaderBytes,
+      headersTimeout: options.headersMilliseconds ?? defaultHeadersMilliseconds,
+      requestTimeout: options.requestMilliseconds ?? defaultRequestMilliseconds,
+      keepAliveTimeout: options.keepAliveMilliseconds ?? defaultKeepAliveMilliseconds,
+      connectionsCheckingInterval: connectionCheckMilliseconds,
+      noDelay: true
+    })
+    this.#server.maxConnections = options.maximumCallerConnections
+    this.#server.on('clientError', (error, socket) => this.#clientFailed(error, socket as Socket))
+    const application = polka({ server: this.#server, onNoMatch: (request, response) => this.#handle(request, response) })
+    // polka completes the request object itself and creates `next` when it is missing.
+    const handler = application.handler as unknown as (request: IncomingMessage, response: ServerResponse) => void
+    // Without a listener, node sends `100 Continue` before the request has been matched.
+    this.#server.on('checkContinue', handler)
+    this.#server.on('request', handler)
+  }
+
+  /** Requests that have no final answer yet. */
+  get inFlight (): number {
+    return this.#exchanges.size
+  }
+
+  /** True until the stop begins. */
+  get serving (): boolean {
+    return this.#server.listening && this.#stopping === undefined
+  }
+
+  /** Starts to listen and resolves to the port. Throws `listen_failed`. */
+  async listen (): Promise<number> {
+    const { host, port } = this.#options
+    return await new Promise((resolve, reject) => {
+      this.#server.once('error', error => reject(new BriarsaddleError(`cannot listen for callers on ${host}:${port}: ${error.message}`, {
+        code: 'listen_failed', step: 'listen for callers', cause: error
+      })))
+      this.#server.listen(port, host, () => resolve((this.#server.address() as AddressInfo).port))
+    })
+  }
+
+  /**
+   * Stops accepting connections and finishes requests in flight for up to `graceMilliseconds`.
+   * What is left then gets a truthful final answer.
+   */
+  async stop (graceMilliseconds: number): Promise<void> {
+    this.#stopping ??= this.#stop(graceMilliseconds)
+    return await this.#stopping
+  }
+
+  async #stop (graceMilliseconds: number): Promise<void> {
+    const closed = new Promise<void>(resolve => this.#server.close(() => resolve()))
+    this.#server.closeIdleConnections()
+    await this.#idleWithin(graceMilliseconds)
+    for (const exchange of this.#exchanges) exchange.controller.abort()
+    await this.#idleWithin(lastAnswersMilliseconds)
+    this.#server.closeAllConnections()
+    await closed
+  }
+
+  async #idleWithin (milliseconds: number): Promise<void> {
+    if (this.#exchanges.size === 0) return
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, milliseconds)
+      this.#onIdle = () => {
+        clearTimeout(timer)
+        resolve()
+      }
+    })
+  }
+
+  async #handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const exchange: Exchange = { request, response, controller: new AbortController(), arrivedAt: this.#options.clock.now(), reading: false }
+    this.#exchanges.add(exchange)
+    response.on('close', () => {
+      if (!response.writableFinished) exchange.controller.abort()
+      this.#exchanges.delete(exchange)
+      if (this.#exchanges.size === 0) this.#onIdle?.()
+    })
+    response.on('error', () => {})
+    try {
+      const answer = await this.#answer(exchange)
+      if (answer !== undefined) this.#write(exchange, answer)
+    } catch (error) {
+      logger.error('request failed unexpectedly', { step: 'answer request', error: describeError(error) })
+      if (response.headersSent) response.destroy()
+      else this.#write(exchange, unknownOutcome('internal_error', this.#options.random))
+    }
+  }
+
+  /** Returns the final answer, or undefined when the caller is gone. */
+  async #answer (exchange: Exchange): Promise<CallerAnswer | undefined> {
+    const { request, response, controller } = exchange
+    const accepted = this.#router.accept(this.#describe(exchange))
+    if ('outcome' in accepted) return accepted
+    if (!hasBody(request)) return await this.#route(exchange, accepted, Buffer.alloc(0))
+    const { maximumBodyBytes, maximumBufferedBytes = defaultMaximumBufferedBytes, random } = this.#options
+    // A body of unknown length counts as the longest one.
+    const reserved = Math.min(maximumBodyBytes, Number(request.headers['content-length'] ?? maximumBodyBytes))
+    if (this.#bufferedBytes + reserved > maximumBufferedBytes) return refusal('memory_limit', random)
+    this.#bufferedBytes += reserved
+    try {
+      if (request.headers.expect !== undefined && Number(request.headers['content-length'] ?? 0) <= maximumBodyBytes) response.writeContinue()
+      exchange.reading = true
+      const result = await readBody(request, maximumBodyBytes)
+      exchange.reading = false
+      if (result.kind !== 'body') return result.kind === 'too_large' ? refusal('body_too_large', random) : undefined
+      if (controller.signal.aborted) return refusal('stopping', random)
+      return await this.#route(exchange, accepted, result.body)
+    } finally {
+      this.#bufferedBytes -= reserved
+    }
+  }
+
+  async #route (exchange: Exchange, accepted: AcceptedRequest, body: Buffer): Promise<CallerAnswer | undefined> {
+    const answer = await this.#router.route(accepted, body, exchange.controller.signal)
+    return exchange.response.closed ? undefined : answer
+  }
+
+  #describe ({ request, arrivedAt }: Exchange): CallerRequest {
+    return {
+      method: request.method ?? '',
+      target: originForm(request.url ?? '/'),
+      headers: request.headersDistinct as CallerRequest['headers'],
+      rawHeaders: request.rawHeaders,
+      remoteAddress: request.socket.remoteAddress ?? 'unknown',
+      arrivedAt
+    }
+  }
+
+  #write ({ request, response }: Exchange, answer: CallerAnswer): void {
+    const headers = answer.headers.flatMap(({ name, value }) => [name, value])
+    const unread = hasBody(request) && !request.complete
+    if (unread || this.#stopping !== undefined) headers.push('Connection', 'close')
+    response.writeHead(answer.status, headers)
+    if (unread) {
+      response.write(answer.body)
+      this.#linger(request, response)
+    } else {
+      response.end(answer.body)
+    }
+  }
+
+  /** Ends the answer after the rest of the body was dropped or the time for that is over. */
+  #linger (request: IncomingMessage, response: ServerResponse): void {
+    const timer = setTimeout(() => response.end(), lingerMilliseconds)
+    request.once('close', () => {
+      clearTimeout(timer)
+      response.end()
+    })
+    request.resume()
+  }
+
+  /** Answers what is not valid HTTP or did not arrive in time. */
+  #clientFailed (error: Error, socket: Socket): void {
+    const open = [...this.#exchanges].filter(exchange => exchange.request.socket === socket)
+    // An answer written here would be taken for that of a request before it on the same connection.
+    const answerable = open.length === 0 || (open.length === 1 && open[0]?.reading === true && !open[0].response.headersSent)
+    if (!socket.writable || !answerable || errorCode(error) === 'ECONNRESET') {
+      socket.destroy()
+      return
+    }
+    const answer = refusal(clientErrorReasons.get(errorCode(error)) ?? 'bad_request', this.#options.random)
+    const head = answer.headers.map(({ name, value }) => `${name}: ${value}\r\n`).join('')
+    socket.end(`HTTP/1.1 ${answer.status} Refused\r\n${head}Connection: close\r\n\r\n${answer.body.toString()}`)
+  }
+}
+
+const clientErrorReasons: ReadonlyMap<string, string> = new Map([
+  ['HPE_HEADER_OVERFLOW', 'header_too_large'],
+  ['ERR_HTTP_REQUEST_TIMEOUT', 'request_timeout']
+])
--- /dev/null
+++ b/packages/daemon/src/entry/request-router.ts
@@ -0,0 +1,408 @@
+import { randomUUID } from 'node:crypto'
+import type { Clock, Random } from '@briarsaddle/common'
+import { bucketsPerPool, type KeyHasher } from '@briarsaddle/ownership'
+import { Outcome, ServiceClass, notRunAnswer, peerReasons, unknownAnswer, type Answer, type Forward } from '@briarsaddle/protocol'
+import { RuleMatcher, type MatchResult, type RuleFile } from '@briarsaddle/rules'
+import { RetryBudget, type EndpointChooser } from '@briarsaddle/scheduling'
+import type { ControlView, ForwardHandler, PeerForwarder } from '../contracts.js'
+import type { Metrics } from '../metrics.js'
+import { callerAnswer, refusal, type CallerAnswer } from './caller-answer.js'
+import { idempotencyKeyOf, requestedDeadline, type AcceptedRequest, type CallerRequest } from './caller-request.js'
+import { endpointHeaders } from './headers.js'
+import { PoolMembers, placeOfBucket, placeOfEndpoint, type NoPlace, type Place } from './place.js'
+import { judge, showsFailure, type Verdict } from './resend-policy.js'
+
+/** What the router needs from the VM. */
+export interface RequestRouterOptions {
+  /** Id of this VM. */
+  readonly vm: string
+  readonly control: ControlView
+  /** Coordinates the endpoints of this VM. */
+  readonly local: ForwardHandler
+  readonly peers: PeerForwarder
+  readonly hasher: KeyHasher
+  /** Creates the chooser of one pool that is not partitioned by key. */
+  readonly createChooser: (pool: string) => EndpointChooser
+  readonly metrics: Metrics
+  readonly clock: Clock
+  readonly random: Random
+  /** Most requests that wait for the control state to change. Default 2,000. */
+  readonly maximumWaiting?: number
+}
+
+const defaultMaximumWaiting = 2_000
+// The coordinator's own refusal at the deadline arrives before the router gives up.
+const deadlineReserveMilliseconds = 2
+// A handler that ignores an abort must not hold up the final answer for longer.
+const abortGraceMilliseconds = 50
+const firstBackoffMilliseconds = 25
+const longestBackoffMilliseconds = 400
+// Replacing a lost endpoint and its coordinator takes about 1.2 s. A place that has not changed by then is not
+// about to change, and the caller gets its final answer.
+const longestRelocationMilliseconds = 2_000
+const timerToleranceMilliseconds = 2
+// Far more than the endpoints and pools in use at one time.
+const maximumBudgets = 4_096
+const noBucket = -1
+
+const serviceClasses: Readonly<Record<AcceptedRequest['rule']['serviceClass'], ServiceClass>> = {
+  prompt: ServiceClass.SERVICE_CLASS_PROMPT,
+  normal: ServiceClass.SERVICE_CLASS_NORMAL,
+  long: ServiceClass.SERVICE_CLASS_LONG
+}
+
+/** Progress of one request. */
+interface Attempt {
+  readonly accepted: AcceptedRequest
+  readonly body: Buffer
+  readonly signal: AbortSignal
+  readonly requestId: string
+  readonly headers: Forward['headers']
+  readonly bucket: number
+  /** Endpoints that refused the request since the last wait. */
+  readonly excluded: Set<string>
+  backoffMilliseconds: number
+  /** Time until which the request waits for a place that refused it. */
+  relocationEndsAt: number | undefined
+  /** True once the outcome of an earlier sending is unknown: the request can no longer end as not run. */
+  mayHaveRun: boolean
+}
+
+interface Sent {
+  readonly answer: Answer
+  readonly verdict: Verdict
+}
+
+/** Routes the requests of callers to the coordinators of their endpoints. */
+export class RequestRouter {
+  readonly #options: RequestRouterOptions
+  readonly #clock: Clock
+  readonly #members = new PoolMembers()
+  readonly #choosers = new Map<string, EndpointChooser>()
+  readonly #budgets = new Map<string, RetryBudget>()
+  /** VMs that coordinate an endpoint provisionally, by the version of the place. */
+  readonly #provisional = new Map<string, string>()
+  #rules: RuleFile | undefined
+  #matcher = new RuleMatcher({ rules: [] })
+  #waiting = 0
+
+  constructor (options: RequestRouterOptions) {
+    this.#options = options
+    this.#clock = options.clock
+  }
+
+  /** Requests that wait for the control state to change. */
+  get waiting (): number {
+    return this.#waiting
+  }
+
+  /** Returns the state of the router as plain data for the state dump. */
+  snapshot (): Readonly<Record<string, unknown>> {
+    return {
+      waiting: this.#waiting,
+      choosers: Object.fromEntries([...this.#choosers].map(([pool, chooser]) => [pool, chooser.snapshot()])),
+      retryTokens: Object.fromEntries([...this.#budgets].map(([name, budget]) => [name, budget.tokens])),
+      provisional: Object.fromEntries(this.#provisional)
+    }
+  }
+
+  /** Matches a request before its body is read. Returns the final answer when it is refused. */
+  accept (request: CallerRequest): AcceptedRequest | CallerAnswer {
+    const match = this.#match(request)
+    if (match.outcome !== 'matched') return this.#refuse(matchReason(match))
+    const requested = requestedDeadline(request.headers)
+    if (requested === 'invalid') return this.#refuse('invalid_deadline')
+    const idempotencyKey = idempotencyKeyOf(request.headers)
+    if (idempotencyKey === undefined) return this.#refuse('invalid_idempotency_key')
+    const milliseconds = Math.min(match.rule.deadlineMilliseconds, requested ?? Infinity)
+    return { request, rule: match.rule, key: match.key, idempotencyKey, deadlineAt: request.arrivedAt + milliseconds }
+  }
+
+  /** Routes an accepted request. Always resolves to the final answer; an abort ends it truthfully at once. */
+  async route (accepted: AcceptedRequest, body: Buffer, signal: AbortSignal): Promise<CallerAnswer> {
+    const { request, rule, key } = accepted
+    const answer = await this.#run({
+      accepted,
+      body,
+      signal,
+      requestId: randomUUID(),
+      headers: endpointHeaders(request.rawHeaders, request.remoteAddress),
+      bucket: key === undefined ? noBucket : this.#options.hasher.bucketOf(key, bucketsPerPool),
+      excluded: new Set(),
+      backoffMilliseconds: firstBackoffMilliseconds,
+      relocationEndsAt: undefined,
+      mayHaveRun: false
+    })
+    const final = callerAnswer(answer, request.method, this.#options.random)
+    this.#options.metrics.request({
+      pool: rule.pool,
+      serviceClass: rule.serviceClass,
+      outcome: final.outcome,
+      reason: final.reason,
+      milliseconds: this.#clock.now() - request.arrivedAt
+    })
+    return final
+  }
+
+  #match (request: CallerRequest): MatchResult {
+    const rules = this.#options.control.rules
+    if (rules !== this.#rules) {
+      this.#rules = rules
+      this.#matcher = new RuleMatcher(rules)
+    }
+    const queryAt = request.target.indexOf('?')
+    const path = queryAt < 0 ? request.target : request.target.slice(0, queryAt)
+    return this.#matcher.match({ method: request.method, path, query: queryAt < 0 ? undefined : request.target.slice(queryAt), headers: request.headers })
+  }
+
+  async #run (attempt: Attempt): Promise<Answer> {
+    const answer = await this.#sendUntilFinal(attempt)
+    if (attempt.mayHaveRun && answer.outcome === Outcome.OUTCOME_NOT_RUN) return { ...answer, outcome: Outcome.OUTCOME_UNKNOWN }
+    return answer
+  }
+
+  async #sendUntilFinal (attempt: Attempt): Promise<Answer> {
+    for (;;) {
+      const place = await this.#findPlace(attempt)
+      if ('outcome' in place) return place
+      if (this.#remaining(attempt) <= deadlineReserveMilliseconds) return notRunAnswer(peerReasons.deadlineExceeded)
+      const { answer, verdict } = await this.#sendToPlace(attempt, place)
+      if (verdict === 'broken') attempt.mayHaveRun = true
+      if (verdict === 'final' || attempt.signal.aborted) return answer
+      if (!await this.#maySendAgain(attempt, place, answer, verdict)) return answer
+      this.#options.metrics.resent(answer.reason)
+    }
+  }
+
+  /** Waits for a place within the deadline. */
+  async #findPlace (attempt: Attempt): Promise<Place | Answer> {
+    for (;;) {
+      const place = this.#locate(attempt)
+      if (typeof place !== 'string') return place
+      const position = this.#options.control.state.position + 1
+      if (!await this.#wait(attempt, position, this.#remaining(attempt))) return notRunAnswer(attempt.signal.aborted ? peerReasons.cancelled : place)
+      attempt.excluded.clear()
+    }
+  }
+
+  #locate ({ accepted: { rule }, bucket, excluded }: Attempt): Place | NoPlace {
+    const { state } = this.#options.control
+    if (bucket !== noBucket) return placeOfBucket(state, rule.pool, bucket)
+    const chosen = this.#chooser(rule.pool).choose(this.#members.of(state, rule.pool), excluded)
+    const endpoint = chosen === undefined ? undefined : state.endpoints.get(chosen)
+    return endpoint === undefined ? 'no_endpoint' : placeOfEndpoint(endpoint)
+  }
+
+  /** Sends to the coordinator and, when that is gone or denies, to the VM that may stand in for it. */
+  async #sendToPlace (attempt: Attempt, place: Place): Promise<Sent> {
+    const provisional = this.#provisional.get(place.version)
+    const first = await this.#send(attempt, place, provisional ?? place.coordinator)
+    if (!this.#mayBeCoordinatedElsewhere(first) || attempt.signal.aborted) return first
+    const other = provisional === undefined ? place.standby : place.coordinator
+    this.#provisional.delete(place.version)
+    if (other === undefined || other === provisional || this.#remaining(attempt) <= 0) return first
+    const second = await this.#send(attempt, place, other)
+    if (this.#mayBeCoordinatedElsewhere(second)) return first
+    if (other === place.standby) this.#rememberProvisional(place.version, other)
+    return second
+  }
+
+  #mayBeCoordinatedElsewhere ({ answer, verdict }: Sent): boolean {
+    return verdict === 'unreachable' || (verdict === 'moved' && answer.reason === 'not_coordinator' && answer.position <= this.#options.control.state.position)
+  }
+
+  #rememberProvisional (version: string, vm: string): void {
+    // Entries of former states are never looked up again; a full map is dropped as a whole.
+    if (this.#provisional.size >= bucketsPerPool) this.#provisional.clear()
+    this.#provisional.set(version, vm)
+  }
+
+  async #send (attempt: Attempt, place: Place, vm: string): Promise<Sent> {
+    const { accepted: { rule }, bucket } = attempt
+    const keyed = bucket !== noBucket
+    const chooser = keyed ? undefined : this.#chooser(rule.pool)
+    const startedAt = this.#clock.now()
+    chooser?.started(place.endpoint)
+    const answer = await this.#forward(vm, this.#createForward(attempt, place), attempt.signal)
+    const reported = answer.outcome === Outcome.OUTCOME_ANSWERED ? answer.outstanding : undefined
+    chooser?.finished(place.endpoint, { outstanding: reported, milliseconds: this.#clock.now() - startedAt, failed: showsFailure(answer) })
+    const verdict = judge(answer, rule.idempotent, keyed)
+    const budget = this.#budget(attempt, place)
+    if (answer.outcome === Outcome.OUTCOME_ANSWERED) budget.succeeded()
+    else if (verdict === 'refused' || verdict === 'broken') budget.failed()
+    return { answer, verdict }
+  }
+
+  #createForward (attempt: Attempt, place: Place): Forward {
+    const { accepted: { request, rule, key, idempotencyKey }, requestId, headers, body, bucket } = attempt
+    return {
+      id: 0,
+      requestId,
+      endpoint: place.endpoint,
+      pool: rule.pool,
+      bucket,
+      key: key ?? '',
+      serviceClass: serviceClasses[rule.serviceClass],
+      idempotent: rule.idempotent,
+      idempotencyKey,
+      rule: rule.line,
+      deadlineMilliseconds: Math.max(1, this.#remaining(attempt) - deadlineReserveMilliseconds),
+      method: request.method,
+      target: request.target,
+      headers,
+      body,
+      position: Math.max(0, this.#options.control.state.position)
+    }
+  }
+
+  /** Forwards to this or another VM. The deadline and an abort end it even when the other side does not react. */
+  async #forward (vm: string, forward: Forward, signal: AbortSignal): Promise<Answer> {
+    const { vm: self, local, peers } = this.#options
+    const controller = new AbortController()
+    return await new Promise(resolve => {
+      const end = (answer: Answer): void => {
+        clearTimeout(timer)
+        clearTimeout(abortTimer)
+        signal.removeEventListener('abort', onAbort)
+        resolve(answer)
+      }
+      let abortTimer: NodeJS.Timeout | undefined
+      const onAbort = (): void => {
+        abortTimer = setTimeout(() => end(unknownAnswer(peerReasons.cancelled)), abortGraceMilliseconds)
+        controller.abort()
+      }
+      const timer = setTimeout(() => {
+        end(unknownAnswer(peerReasons.deadlineExceeded))
+        controller.abort()
+      }, forward.deadlineMilliseconds + deadlineReserveMilliseconds)
+      signal.addEventListener('abort', onAbort, { once: true })
+      const running = vm === self ? local.handle(forward, controller.signal) : peers.forward(vm, forward, controller.signal)
+      running.then(end, () => end(unknownAnswer(peerReasons.internalError)))
+      if (signal.aborted) onAbort()
+    })
+  }
+
+  /** Decides whether and when a request is sent again, and waits until then. */
+  async #maySendAgain (attempt: Attempt, place: Place, answer: Answer, verdict: Verdict): Promise<boolean> {
+    const budget = this.#budget(attempt, place)
+    const otherEndpoint = this.#excludeEndpoint(attempt, place)
+    if (verdict === 'broken') return budget.allowsRetry && (otherEndpoint || await this.#waitForChange(attempt, place, answer, verdict))
+    if (verdict === 'refused' && !budget.allowsRetry) return false
+    return otherEndpoint || await this.#waitForChange(attempt, place, answer, verdict)
+  }
+
+  /** Excludes an endpoint of a pool without keys. Returns true when another one is left to try at once. */
+  #excludeEndpoint (attempt: Attempt, place: Place): boolean {
+    if (attempt.bucket !== noBucket) return false
+    attempt.excluded.add(place.endpoint)
+    const members = this.#members.of(this.#options.control.state, attempt.accepted.rule.pool)
+    if (members.some(member => !attempt.excluded.has(member))) return true
+    attempt.excluded.clear()
+    return false
+  }
+
+  /**
+   * Waits until the place has changed, or for the backoff time when sending to the same place again is allowed.
+   * Returns false when the request is to be given up.
+   */
+  async #waitForChange (attempt: Attempt, place: Place, answer: Answer, verdict: Verdict): Promise<boolean> {
+    const endsAt = attempt.relocationEndsAt ??= this.#clock.now() + longestRelocationMilliseconds
+    const { control } = this.#options
+    if (verdict === 'moved' && answer.position > control.state.position) {
+      return await this.#waitForPositionOrMove(attempt, place, answer.position, endsAt)
+    }
+    for (;;) {
+      const backoffEndsAt = this.#clock.now() + attempt.backoffMilliseconds * (0.5 + this.#options.random.fraction() / 2)
+      attempt.backoffMilliseconds = Math.min(longestBackoffMilliseconds, attempt.backoffMilliseconds * 2)
+      if (!await this.#waitForMove(attempt, place, Math.min(backoffEndsAt, endsAt))) return false
+      if (this.#hasMoved(attempt, place)) return true
+      if (this.#clock.now() >= endsAt) return false
+      if (verdict === 'unreachable' || this.#spendRetry(attempt, place, verdict)) return true
+      if (verdict !== 'moved') return false
+    }
+  }
+
+  /** Waits until this VM has read as far as the other one, or the place has changed. */
+  async #waitForPositionOrMove (attempt: Attempt, place: Place, position: number, endsAt: number): Promise<boolean> {
+    const { control } = this.#options
+    while (control.state.position < position && !this.#hasMoved(attempt, place)) {
+      const left = Math.min(endsAt - this.#clock.now(), this.#remaining(attempt))
+      if (!await this.#wait(attempt, control.state.position + 1, left)) return false
+    }
+    return this.#remaining(attempt) > 0
+  }
+
+  /** Waits until the place has changed or the time has come. Returns false when the request must end. */
+  async #waitForMove (attempt: Attempt, place: Place, until: number): Promise<boolean> {
+    const { control } = this.#options
+    const endsAt = Math.min(until, attempt.accepted.deadlineAt)
+    while (!this.#hasMoved(attempt, place)) {
+      const left = endsAt - this.#clock.now()
+      if (left <= 0) break
+      // Timers may fire a little early; a refusal to wait at all comes much earlier.
+      const ended = !await this.#wait(attempt, control.state.position + 1, left)
+      if (attempt.signal.aborted || (ended && this.#clock.now() < endsAt - timerToleranceMilliseconds)) return false
+    }
+    return this.#remaining(attempt) > 0
+  }
+
+  #hasMoved (attempt: Attempt, place: Place): boolean {
+    const { state } = this.#options.control
+    if (attempt.bucket !== noBucket) {
+      const now = placeOfBucket(state, attempt.accepted.rule.pool, attempt.bucket)
+      return typeof now === 'string' || now.version !== place.version
+    }
+    const endpoint = state.endpoints.get(place.endpoint)
+    return endpoint === undefined || endpoint.leaving || placeOfEndpoint(endpoint).version !== place.version
+  }
+
+  /** Returns true when the budget allows one more sending to a place that has not changed. */
+  #spendRetry (attempt: Attempt, place: Place, verdict: Verdict): boolean {
+    const budget = this.#budget(attempt, place)
+    if (!budget.allowsRetry) return false
+    // Other verdicts were counted when the answer came.
+    if (verdict === 'moved') budget.failed()
+    return true
+  }
+
+  /** Waits for a log position. Returns false after the time, on an abort, or when too many requests wait. */
+  async #wait (attempt: Attempt, position: number, milliseconds: number): Promise<boolean> {
+    if (milliseconds <= 0 || attempt.signal.aborted || this.#waiting >= (this.#options.maximumWaiting ?? defaultMaximumWaiting)) return false
+    this.#waiting += 1
+    try {
+      return await this.#options.control.waitForPosition(position, milliseconds, attempt.signal)
+    } finally {
+      this.#waiting -= 1
+    }
+  }
+
+  #remaining ({ accepted }: Attempt): number {
+    return accepted.deadlineAt - this.#clock.now()
+  }
+
+  #refuse (reason: string): CallerAnswer {
+    const answer = refusal(reason, this.#options.random)
+    this.#options.metrics.request({ pool: 'none', serviceClass: 'none', outcome: answer.outcome, reason, milliseconds: 0 })
+    return answer
+  }
+
+  #chooser (pool: string): EndpointChooser {
+    let chooser = this.#choosers.get(pool)
+    if (chooser === undefined) this.#choosers.set(pool, chooser = this.#options.createChooser(pool))
+    return chooser
+  }
+
+  /** One budget for each keyed endpoint and for each pool without keys, so that one lost endpoint stops no other's retries. */
+  #budget ({ bucket, accepted: { rule } }: Attempt, place: Place): RetryBudget {
+    const name = bucket === noBucket ? `pool ${rule.pool}` : `endpoint ${place.endpoint}`
+    let budget = this.#budgets.get(name)
+    if (budget !== undefined) return budget
+    if (this.#budgets.size >= maximumBudgets) this.#budgets.clear()
+    this.#budgets.set(name, budget = new RetryBudget())
+    return budget
+  }
+}
+
+function matchReason (match: Exclude<MatchResult, { outcome: 'matched' }>): string {
+  return match.outcome === 'bad_key' ? `key_${match.reason}` : match.outcome
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+export { Daemon, type DaemonAddresses } from './daemon.js'
+export { main } from './main.js'
--- /dev/null
+++ b/packages/daemon/src/measure-reporter.ts
@@ -0,0 +1,59 @@
+import type { LifeCycle } from '@briarsaddle/common'
+import type { ControlPlane } from './control-plane.js'
+import type { Metrics } from './metrics.js'
+
+const reportMilliseconds = 5000
+
+/** Sends the measures that come from control state: load imbalance, churn of ownership and unavailable time. */
+export class MeasureReporter {
+  readonly #control: ControlPlane
+  readonly #metrics: Metrics
+  readonly #unavailableSince = new Map<string, number>()
+  readonly #lastVersions = new Map<string, ReadonlyArray<string | undefined>>()
+
+  constructor (control: ControlPlane, metrics: Metrics) {
+    this.#control = control
+    this.#metrics = metrics
+  }
+
+  /** Starts reporting. */
+  start (lifeCycle: LifeCycle): void {
+    lifeCycle.every('measures', reportMilliseconds, () => this.#report(), () => {})
+  }
+
+  #report (): void {
+    for (const [pool, { buckets }] of this.#control.follower.state.pools) {
+      const owners = buckets.map(bucket => bucket?.owner)
+      const former = this.#lastVersions.get(pool)
+      if (former !== undefined) this.#metrics.bucketsMoved(pool, owners.filter((owner, index) => owner !== former[index]).length, 'all')
+      this.#lastVersions.set(pool, owners)
+      this.#reportUnavailable(pool, buckets.some(bucket => bucket?.pendingFrom !== undefined))
+    }
+    for (const session of this.#control.coordinator.sessions) {
+      this.#metrics.queued(session.description.pool, session.description.id, session.queue.queued)
+    }
+    for (const [pool, loads] of this.#loadsByPool()) {
+      const mean = loads.reduce((sum, load) => sum + load, 0) / loads.length
+      if (mean > 0) this.#metrics.loadImbalance(pool, Math.max(...loads) / mean)
+    }
+  }
+
+  #reportUnavailable (pool: string, unavailable: boolean): void {
+    const now = this.#control.clock.now()
+    const since = this.#unavailableSince.get(pool)
+    if (unavailable) this.#unavailableSince.set(pool, since ?? now)
+    else if (since !== undefined) {
+      this.#metrics.unavailable(pool, now - since)
+      this.#unavailableSince.delete(pool)
+    }
+  }
+
+  #loadsByPool (): ReadonlyMap<string, readonly number[]> {
+    const loads = new Map<string, number[]>()
+    for (const session of this.#control.coordinator.sessions) {
+      const { id, pool } = session.description
+      loads.set(pool, [...loads.get(pool) ?? [], session.load.load(id, session.queue.slots, true).busy])
+    }
+    return loads
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/metrics.ts
@@ -0,0 +1,132 @@
+import { StatsD } from 'hot-shots'
+import { Logger, describeError } from '@briarsaddle/common'
+
+const logger = new Logger('metrics')
+
+// Fits in one Ethernet frame.
+const maximumDatagramBytes = 1_432
+const flushIntervalMilliseconds = 1_000
+
+/** Where metrics go. */
+export interface MetricsOptions {
+  readonly host: string
+  readonly port: number
+  readonly prefix: string
+  /** VM id, added to every metric. */
+  readonly vm: string
+  /** Keeps metrics in `mockBuffer` instead of sending them, for tests. */
+  readonly mock?: boolean
+}
+
+/** One finished request. */
+export interface RequestMetric {
+  readonly pool: string
+  readonly serviceClass: string
+  readonly outcome: string
+  /** Empty for answered requests. */
+  readonly reason: string
+  /** Time from arrival to the final answer. */
+  readonly milliseconds: number
+}
+
+/** Sends measurements over StatsD. No method throws; errors are counted. */
+export class Metrics {
+  readonly #client: StatsD
+  #errors = 0
+
+  constructor (options: MetricsOptions) {
+    this.#client = new StatsD({
+      host: options.host,
+      port: options.port,
+      prefix: options.prefix,
+      globalTags: { vm: options.vm },
+      maxBufferSize: maximumDatagramBytes,
+      bufferFlushInterval: flushIntervalMilliseconds,
+      mock: options.mock ?? false,
+      errorHandler: error => this.#failed(error)
+    })
+  }
+
+  /** Number of measurements or datagrams that could not be sent. */
+  get errors (): number {
+    return this.#errors
+  }
+
+  /** Lines kept when `mock` is set. */
+  get mockBuffer (): readonly string[] {
+    return this.#client.mockBuffer ?? []
+  }
+
+  /** Counts and times one request of a caller. */
+  request ({ pool, serviceClass, outcome, reason, milliseconds }: RequestMetric): void {
+    this.#send(() => {
+      this.#client.increment('requests', 1, { pool, class: serviceClass, outcome, reason: reason === '' ? 'none' : reason })
+      this.#client.timing('request_milliseconds', milliseconds, { pool, class: serviceClass, outcome })
+    })
+  }
+
+  /** Counts a request that was sent again. */
+  resent (reason: string): void {
+    this.#send(() => this.#client.increment('requests_resent', 1, { reason }))
+  }
+
+  /** Load imbalance: load of the most loaded endpoint of a pool divided by the mean. */
+  loadImbalance (pool: string, ratio: number): void {
+    this.#send(() => this.#client.gauge('load_imbalance', ratio, { pool }))
+  }
+
+  /** Churn of key ownership: buckets that changed their owner. */
+  bucketsMoved (pool: string, buckets: number, cause: string): void {
+    this.#send(() => this.#client.increment('buckets_moved', buckets, { pool, cause }))
+  }
+
+  /** Time during which a bucket or an endpoint could not serve its keys. */
+  unavailable (pool: string, milliseconds: number): void {
+    this.#send(() => this.#client.timing('unavailable_milliseconds', milliseconds, { pool }))
+  }
+
+  /** Service at the peak of a demand swing: share of the offered requests that were answered in time, from 0 to 1. */
+  peakService (pool: string, answeredShare: number): void {
+    this.#send(() => this.#client.gauge('peak_service', answeredShare, { pool }))
+  }
+
+  /** Head-of-line blocking: time that a request waited in the queue while long work held the slots. */
+  blockedBehindLong (pool: string, serviceClass: string, milliseconds: number): void {
+    this.#send(() => this.#client.timing('blocked_behind_long_milliseconds', milliseconds, { pool, class: serviceClass }))
+  }
+
+  /** Requests that wait in the queue of one endpoint. */
+  queued (pool: string, endpoint: string, requests: number): void {
+    this.#send(() => this.#client.gauge('queued', requests, { pool, endpoint }))
+  }
+
+  /** Any other gauge of the process, for example `event_loop_delay_milliseconds`. */
+  gauge (name: string, value: number): void {
+    this.#send(() => this.#client.gauge(name, value))
+  }
+
+  /** Sends what is buffered and closes the socket. */
+  async close (): Promise<void> {
+    await new Promise<void>(resolve => {
+      this.#send(() => this.#client.close(error => {
+        if (error !== undefined && error !== null) this.#failed(error)
+        resolve()
+      }), resolve)
+    })
+  }
+
+  #send (send: () => void, onError?: () => void): void {
+    try {
+      send()
+    } catch (error) {
+      this.#failed(error)
+      onError?.()
+    }
+  }
+
+  #failed (error: unknown): void {
+    // The first error tells the cause; the count in the state dump tells the rest.
+    if (this.#errors === 0) logger.warning('metrics cannot be sent', { error: describeError(error) })
+    this.#errors += 1
+  }
+}
--- /dev/null
+++ b/packages/integration/src/bed/index.ts
@@ -0,0 +1,7 @@
+export { administrationToken, Deployment, waitFor, type CallerAnswer, type DeploymentPlan, type EndpointPlan, type RunningEndpoint, type RunningProxy, type RunningVm, type VmPlan } from './deployment.js'
+export { ManagedProcess } from './managed-process.js'
+export { executables, repositoryPath } from './paths.js'
+export { dataCentres, endpointPlans, exampleRules, smallAtlas, vmPlans } from './plans.js'
+export type { EndpointRecordData, FaultSettings, LogControl } from './stand-in-data.js'
+export { sendTraced, Traffic, type CallerTrace, type RequestKind } from './traffic.js'
+export { collectRecords, findBreaches, findDoubleOwners, findFalseNotRun, findForeignAnswers, findRepeats, longestGap, type Records } from './outcome-checks.js'
--- a/packages/integration/src/index.ts
+++ b/packages/integration/src/index.ts
@@ -1,1 +1,1 @@
-export {}
+export * from './bed/index.js'
--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -1,1 +1,11 @@
-export {}
+export { main } from './main.js'
+export { planRequests, rateFactor, type PlannedRequest, type PlanOptions } from './plan.js'
+export { formatReport, type NamedResult } from './report.js'
+export { resultSchema, type ClassResult, type LatencySummary, type Measures, type RunResult } from './result.js'
+export { runPlan, type FinishedRequest, type RunOptions } from './run-plan.js'
+export { scenarioSchema, type Phase, type RequestKind, type Scenario } from './scenario.js'
+export { scenarios } from './scenarios.js'
+export { Sender, readOutcome, type Outcome } from './sender.js'
+export { summarizeRun, type RunInput } from './summarize-run.js'
+export { computeMeasures, findViolations, type MeasureInput } from './measures.js'
+export { endpointRecordSchema, readAdministrationState, readEndpointRecords, type EndpointRecord } from './observers.js'
--- /dev/null
+++ b/packages/ownership/src/checkpoint.ts
@@ -0,0 +1,122 @@
+import { BriarsaddleError, describeError } from '@briarsaddle/common'
+import { z } from 'zod'
+import { bucketsPerPool } from './control-state.js'
+import type { BucketState, ControlState } from './control-state.js'
+import { endpointDescriptionSchema, noVersion } from './records.js'
+
+const version = z.number().int().min(noVersion)
+const names = z.array(z.string().min(1))
+const count = z.number().int().nonnegative()
+/** Index into `names`, or -1 for none. */
+const nameIndex = z.number().int().min(-1)
+
+/** Equal neighbouring buckets as [length, owner, token, pendingFrom]; owner -1 means never assigned. */
+const runSchema = z.tuple([count.min(1), nameIndex, version, nameIndex])
+
+const encodedStateSchema = z.strictObject({
+  format: z.literal(1),
+  position: version,
+  rules: z.strictObject({ version, text: z.string(), author: z.string() }),
+  witnesses: z.strictObject({ version, vms: names, pending: z.strictObject({ offset: version, vms: names }).optional() }),
+  endpoints: z.array(z.strictObject({
+    description: endpointDescriptionSchema,
+    vm: z.string().min(1),
+    token: version,
+    standby: z.string().min(1).optional(),
+    leaving: z.boolean(),
+    version
+  })),
+  names,
+  pools: z.array(z.strictObject({ id: z.string().min(1), version, runs: z.array(runSchema) })),
+  recentIds: z.array(z.uuid())
+})
+
+type EncodedState = z.infer<typeof encodedStateSchema>
+type Run = z.infer<typeof runSchema>
+
+/** Encodes the state as compact JSON. Equal states have equal encodings. */
+export function encodeState (state: ControlState): string {
+  const indexes = new Map<string, number>()
+  const indexOf = (name: string | undefined): number => {
+    if (name === undefined) return -1
+    const index = indexes.get(name) ?? indexes.size
+    indexes.set(name, index)
+    return index
+  }
+  const pools = [...state.pools].map(([id, pool]) => ({ id, version: pool.version, runs: encodeRuns(pool.buckets, indexOf) }))
+  const { rules, witnesses } = state
+  const encoded: EncodedState = {
+    format: 1,
+    position: state.position,
+    rules: { version: rules.version, text: rules.text, author: rules.author },
+    witnesses: {
+      version: witnesses.version,
+      vms: [...witnesses.vms],
+      pending: witnesses.pending === undefined ? undefined : { offset: witnesses.pending.offset, vms: [...witnesses.pending.vms] }
+    },
+    endpoints: [...state.endpoints.values()].map(({ description, coordinator, leaving, version }) => ({ description: endpointDescriptionSchema.parse(description), ...coordinator, leaving, version })),
+    names: [...indexes.keys()],
+    pools,
+    recentIds: [...state.recentIds]
+  }
+  return JSON.stringify(encoded)
+}
+
+function encodeRuns (buckets: ReadonlyArray<BucketState | undefined>, indexOf: (name: string | undefined) => number): Run[] {
+  const runs: Run[] = []
+  let previous: BucketState | undefined
+  for (const bucket of buckets) {
+    const last = runs.at(-1)
+    if (last !== undefined && bucket === previous) {
+      last[0]++
+      continue
+    }
+    previous = bucket
+    const run: Run = [1, indexOf(bucket?.owner), bucket?.token ?? noVersion, indexOf(bucket?.pendingFrom)]
+    if (last !== undefined && last[1] === run[1] && last[2] === run[2] && last[3] === run[3]) last[0]++
+    else runs.push(run)
+  }
+  return runs
+}
+
+/** Decodes what `encodeState` wrote. Throws `checkpoint_invalid`. */
+export function decodeState (text: string): ControlState {
+  const encoded = parseEncoded(text)
+  return {
+    position: encoded.position,
+    rules: encoded.rules,
+    witnesses: { version: encoded.witnesses.version, vms: encoded.witnesses.vms, pending: encoded.witnesses.pending },
+    endpoints: new Map(encoded.endpoints.map(({ description, vm, token, standby, leaving, version }) =>
+      [description.id, { description, coordinator: { vm, token, standby }, leaving, version }])),
+    pools: new Map(encoded.pools.map(({ id, version, runs }) => [id, { version, buckets: decodeRuns(runs, encoded.names) }])),
+    recentIds: encoded.recentIds
+  }
+}
+
+function parseEncoded (text: string): EncodedState {
+  try {
+    return encodedStateSchema.parse(JSON.parse(text))
+  } catch (error) {
+    throw invalid(describeError(error), error)
+  }
+}
+
+function decodeRuns (runs: readonly Run[], names: readonly string[]): Array<BucketState | undefined> {
+  // Checked before anything is allocated, because a run length may be arbitrarily large.
+  if (runs.reduce((total, [length]) => total + length, 0) !== bucketsPerPool) throw invalid(`a pool does not have ${bucketsPerPool} buckets`)
+  const nameAt = (index: number): string => {
+    const name = names[index]
+    if (name === undefined) throw invalid(`there is no name ${index}`)
+    return name
+  }
+  const buckets: Array<BucketState | undefined> = []
+  for (const [length, owner, token, pendingFrom] of runs) {
+    const bucket = owner === -1 ? undefined : { owner: nameAt(owner), token, pendingFrom: pendingFrom === -1 ? undefined : nameAt(pendingFrom) }
+    for (let index = 0; index < length; index++) buckets.push(bucket)
+  }
+  return buckets
+}
+
+function invalid (message: string, cause?: unknown): BriarsaddleError {
+  return new BriarsaddleError(`the checkpoint is invalid: ${message}`, { code: 'checkpoint_invalid', step: 'decode checkpoint', cause })
+}
--- a/packages/ownership/src/control-state.ts
+++ b/packages/ownership/src/control-state.ts
@@ -60,7 +60,7 @@
 }
 
 /** Why a record had no effect. */
-export type VoidReason = 'stale_base' | 'duplicate' | 'unknown_endpoint' | 'unknown_bucket' | 'still_owner' | 'not_pending' | 'invalid'
+export type VoidReason = 'stale_base' | 'duplicate' | 'unknown_endpoint' | 'leaving_endpoint' | 'unknown_bucket' | 'still_owner' | 'not_pending' | 'invalid'
 
 /** Result of applying one record. */
 export interface Applied {
--- a/packages/ownership/src/index.ts
+++ b/packages/ownership/src/index.ts
@@ -1,2 +1,12 @@
 export * from './records.js'
 export * from './control-state.js'
+export { applyRecord, initialState, newestWitnessList, parseRecord, skipRecord, type MalformedRecord, type ParsedRecord } from './reducer.js'
+export { decodeState, encodeState } from './checkpoint.js'
+export { ControlReader, type ControlPage, type ReadProblem, type ReadRecord, type ReadReport } from './control-reader.js'
+export { KeyHasher } from './hash.js'
+export { MembershipRing, watchersPerVm, type CoordinatedEndpoint, type RingVm } from './ring.js'
+export { bucketsHeldFor, bucketsLeaving, defaultMaximumBalanceMoves, planAssignment, type HeldBucket, type Moves, type PlanRequest } from './placement.js'
+export {
+  EndpointClock, Right, TakeAway, WitnessRound, compareTokens, defaultRightOptions, isMajority, witnessAnswer, witnessLists,
+  type CoordinatorToken, type RightOptions, type RoundOutcome, type TakeAwayOptions, type WitnessAnswer, type WitnessRequest
+} from './rights.js'
--- /dev/null
+++ b/packages/ownership/src/placement.ts
@@ -0,0 +1,125 @@
+import { bucketsPerPool } from './control-state.js'
+import type { BucketState, ControlState } from './control-state.js'
+import type { RecordOfKind } from './records.js'
+
+/** Moves of an `assignment` record. */
+export type Moves = RecordOfKind<'assignment'>['moves']
+
+/** Buckets that may be on their way for the sake of balance at one time, so that few keys are unavailable at once. */
+export const defaultMaximumBalanceMoves = 16
+
+/** What a plan is made from. */
+export interface PlanRequest {
+  readonly state: ControlState
+  readonly pool: string
+  /** Ids of the endpoints that are available: listed, answering and not suspected. */
+  readonly endpoints: Iterable<string>
+  /** Available endpoints that keep their buckets but should get no more, for example overloaded ones. */
+  readonly avoid?: ReadonlySet<string>
+  readonly maximumBalanceMoves?: number
+}
+
+/** A bucket with its fencing token. */
+export interface HeldBucket {
+  readonly bucket: number
+  readonly token: number
+}
+
+/**
+ * Plans the next assignment of a pool with as few moves as possible; empty when nothing should move.
+ * Buckets without an owner and those of lost or leaving endpoints move at once; otherwise a limited number of buckets
+ * moves from the most to the least loaded endpoint. Every VM plans the same moves from the same input.
+ */
+export function planAssignment (request: PlanRequest): Moves {
+  const { state, pool } = request
+  const owners = [...new Set(request.endpoints)].filter(id => canOwn(state, pool, id)).sort()
+  const preferred = owners.filter(id => request.avoid?.has(id) !== true)
+  const receivers = preferred.length > 0 ? preferred : owners
+  if (receivers.length === 0) return []
+  const buckets = state.pools.get(pool)?.buckets ?? new Array<undefined>(bucketsPerPool).fill(undefined)
+  const loads = new Map(owners.map(id => [id, 0]))
+  for (const bucket of buckets) {
+    const load = loads.get(bucket?.owner ?? '')
+    if (bucket !== undefined && load !== undefined) loads.set(bucket.owner, load + 1)
+  }
+  const moves = planLost(buckets, loads, receivers)
+  return moves.length > 0 ? moves : planBalance(buckets, loads, receivers, request.maximumBalanceMoves ?? defaultMaximumBalanceMoves)
+}
+
+function canOwn (state: ControlState, pool: string, id: string): boolean {
+  const endpoint = state.endpoints.get(id)
+  return endpoint !== undefined && !endpoint.leaving && endpoint.description.pool === pool
+}
+
+function planLost (buckets: ReadonlyArray<BucketState | undefined>, loads: Map<string, number>, receivers: readonly string[]): Moves {
+  const moves: Array<Moves[number]> = []
+  for (const [index, bucket] of buckets.entries()) {
+    if (bucket !== undefined && loads.has(bucket.owner)) continue
+    // A bucket that returns to its first holder needs no release, so it is available at once.
+    const former = bucket?.pendingFrom
+    const to = former !== undefined && receivers.includes(former) ? former : leastLoaded(receivers, loads)
+    moves.push({ bucket: index, to })
+    add(loads, to, 1)
+  }
+  return moves
+}
+
+function planBalance (buckets: ReadonlyArray<BucketState | undefined>, loads: Map<string, number>, receivers: readonly string[], maximumMoves: number): Moves {
+  const movable = new Map<string, number[]>()
+  let budget = maximumMoves
+  for (const [index, bucket] of buckets.entries()) {
+    if (bucket === undefined) continue
+    const list = movable.get(bucket.owner)
+    if (bucket.pendingFrom !== undefined) budget--
+    else if (list === undefined) movable.set(bucket.owner, [index])
+    else list.push(index)
+  }
+  const moves: Array<Moves[number]> = []
+  while (moves.length < budget) {
+    const to = leastLoaded(receivers, loads)
+    const from = mostLoaded(loads, movable)
+    // A difference of one is balance; moving more would only move buckets back and forth.
+    if (from === undefined || (loads.get(from) ?? 0) - (loads.get(to) ?? 0) <= 1) break
+    const bucket = movable.get(from)?.pop()
+    if (bucket === undefined) break
+    moves.push({ bucket, to })
+    add(loads, from, -1)
+    add(loads, to, 1)
+  }
+  return moves
+}
+
+function leastLoaded (ids: readonly string[], loads: ReadonlyMap<string, number>): string {
+  return ids.reduce((best, id) => (loads.get(id) ?? 0) < (loads.get(best) ?? 0) ? id : best)
+}
+
+function mostLoaded (loads: ReadonlyMap<string, number>, movable: ReadonlyMap<string, readonly number[]>): string | undefined {
+  let best: string | undefined
+  for (const [id, load] of loads) {
+    if ((movable.get(id)?.length ?? 0) > 0 && (best === undefined || load > (loads.get(best) ?? 0))) best = id
+  }
+  return best
+}
+
+function add (loads: Map<string, number>, id: string, change: number): void {
+  loads.set(id, (loads.get(id) ?? 0) + change)
+}
+
+/** The buckets that the endpoint's coordinator may grant: owned by the endpoint and not pending. */
+export function bucketsHeldFor (state: ControlState, endpoint: string): readonly HeldBucket[] {
+  return select(state, endpoint, bucket => bucket.owner === endpoint && bucket.pendingFrom === undefined)
+}
+
+/** The buckets that the endpoint may still hold and must give up, each with the token of the assignment that took it. */
+export function bucketsLeaving (state: ControlState, endpoint: string): readonly HeldBucket[] {
+  return select(state, endpoint, bucket => bucket.pendingFrom === endpoint)
+}
+
+function select (state: ControlState, endpoint: string, wanted: (bucket: BucketState) => boolean): readonly HeldBucket[] {
+  const pool = state.endpoints.get(endpoint)?.description.pool
+  const found: HeldBucket[] = []
+  state.pools.get(pool ?? '')?.buckets.forEach((bucket, index) => {
+    if (bucket !== undefined && wanted(bucket)) found.push({ bucket: index, token: bucket.token })
+  })
+  return found
+}
--- /dev/null
+++ b/packages/ownership/src/ring.ts
@@ -0,0 +1,89 @@
+import type { KeyHasher } from './hash.js'
+
+/** Number of live predecessors to which each VM sends heartbeats. */
+export const watchersPerVm = 4
+
+/** An entry VM and its data centre. */
+export interface RingVm {
+  readonly id: string
+  readonly dataCentre: string
+}
+
+/** An endpoint for which a coordinator is wanted. */
+export interface CoordinatedEndpoint {
+  readonly id: string
+  readonly dataCentre: string
+}
+
+/** The ring of live VMs, ordered by the hash of their id. Immutable: build a new one when the VM list changes. */
+export class MembershipRing {
+  readonly #hasher: KeyHasher
+  readonly #vms: readonly RingVm[]
+  readonly #suspected: ReadonlySet<string>
+
+  /** `suspected` holds the ids of VMs of the list that do not answer; they keep their place but watch nobody. */
+  constructor (hasher: KeyHasher, vms: readonly RingVm[], suspected: ReadonlySet<string> = new Set()) {
+    this.#hasher = hasher
+    const positions = new Map(vms.map(vm => [vm.id, hasher.ringPosition(vm.id)]))
+    this.#vms = [...vms].sort((one, other) => (positions.get(one.id) ?? 0) - (positions.get(other.id) ?? 0) || compareText(one.id, other.id))
+    this.#suspected = suspected
+  }
+
+  /** The VMs to which `id` sends its heartbeats, the nearest first; suspected ones are replaced by the next. */
+  watchedBy (id: string): readonly RingVm[] {
+    const index = this.#vms.findIndex(vm => vm.id === id)
+    const self = this.#vms[index]
+    if (self === undefined) return []
+    const before = [...this.#vms.slice(0, index).reverse(), ...this.#vms.slice(index + 1).reverse()].filter(vm => !this.#suspected.has(vm.id))
+    const watchers = before.slice(0, watchersPerVm)
+    const elsewhere = before.find(vm => vm.dataCentre !== self.dataCentre)
+    // The loss of a data centre must be seen from outside it, so one watcher is elsewhere where that is possible.
+    if (elsewhere !== undefined && !watchers.includes(elsewhere)) watchers[watchers.length - 1] = elsewhere
+    return watchers
+  }
+
+  /** The watchers of `id` by rank. Rank 0 is in another data centre where there is one; the others follow by distance. */
+  watchersOf (id: string): readonly RingVm[] {
+    const watchers = this.watchedBy(id)
+    const dataCentre = this.#vms.find(vm => vm.id === id)?.dataCentre
+    const first = watchers.find(vm => vm.dataCentre !== dataCentre)
+    return first === undefined ? watchers : [first, ...watchers.filter(vm => vm !== first)]
+  }
+
+  /** The VMs from which `id` may expect heartbeats. */
+  watchedFrom (id: string): readonly RingVm[] {
+    return this.#vms.filter(vm => vm.id !== id && this.watchedBy(vm.id).some(watcher => watcher.id === id))
+  }
+
+  /**
+   * Chooses the coordinator of an endpoint by rendezvous hashing, in another data centre than the endpoint's where the
+   * balance allows it: no VM gets more than one endpoint above the rounded-up average.
+   * `counts` holds the number of other endpoints that each VM coordinates. Returns undefined when every VM is suspected.
+   */
+  preferredCoordinator (endpoint: CoordinatedEndpoint, counts: ReadonlyMap<string, number>): RingVm | undefined {
+    const usable = this.#vms.filter(vm => !this.#suspected.has(vm.id))
+    const total = 1 + [...counts.values()].reduce((sum, count) => sum + count, 0)
+    const bound = Math.ceil(total / usable.length) + 1
+    const free = usable.filter(vm => (counts.get(vm.id) ?? 0) < bound)
+    const elsewhere = free.filter(vm => vm.dataCentre !== endpoint.dataCentre)
+    return this.#highest(elsewhere.length > 0 ? elsewhere : free, endpoint.id)
+  }
+
+  /** The standby of a coordinator: its watcher of rank 0. */
+  preferredStandby (coordinator: string): RingVm | undefined {
+    return this.watchersOf(coordinator)[0]
+  }
+
+  #highest (vms: readonly RingVm[], key: string): RingVm | undefined {
+    let best: { readonly vm: RingVm, readonly score: number } | undefined
+    for (const vm of vms) {
+      const score = this.#hasher.ringPosition(`${vm.id} ${key}`)
+      if (best === undefined || score > best.score) best = { vm, score }
+    }
+    return best?.vm
+  }
+}
+
+function compareText (one: string, other: string): number {
+  return one < other ? -1 : one > other ? 1 : 0
+}
--- /dev/null
+++ b/packages/protocol/src/exchange.test.ts
@@ -0,0 +1,236 @@
+import { expect } from 'chai'
+import { createServer, connect, type AddressInfo, type Server, type Socket } from 'node:net'
+import { LifeCycle, delay } from '@briarsaddle/common'
+import { Answer, ControlHandler, Forward, FrameHandler, InnerServer, Outcome, PeerClient, PeerPool, type ConfirmResponse, type FetchJournalResponse, type FetchStateResponse, type HeartbeatRequest, type HeartbeatResponse, type Journal, type JournalAcknowledgement, type PeerClientOptions } from './index.js'
+
+class TestFrames extends FrameHandler {
+  started = 0
+  aborted = 0
+
+  /** The target holds the time to run in milliseconds; the answer's body repeats the key. */
+  async forward (forward: Forward, signal: AbortSignal): Promise<Answer> {
+    this.started += 1
+    signal.addEventListener('abort', () => { this.aborted += 1 })
+    await delay(Number(forward.target), signal)
+    const body = forward.method === 'LARGE' ? Buffer.alloc(100_000) : Buffer.from(forward.key)
+    return Answer.create({ outcome: Outcome.OUTCOME_ANSWERED, status: 200, body })
+  }
+
+  async journal (journal: Journal): Promise<JournalAcknowledgement> {
+    if (journal.endpoint === 'broken') throw new Error('broken')
+    return { id: 0, complete: true }
+  }
+}
+
+class TestControl extends ControlHandler {
+  async heartbeat (request: HeartbeatRequest): Promise<HeartbeatResponse> {
+    return { vm: 'server', instance: request.instance, position: 7, leaving: false }
+  }
+
+  async confirm (): Promise<ConfirmResponse> { return { ready: true, position: 7, outdated: [], quietMilliseconds: [] } }
+  async fetchState (): Promise<FetchStateResponse> { throw new Error('no state yet') }
+  async fetchJournal (): Promise<FetchJournalResponse> { return { complete: false, entries: [] } }
+}
+
+/** Relays connections; once silent, it passes no more bytes on the connections that are open. */
+class Relay {
+  readonly #server: Server
+  readonly #sockets: Socket[] = []
+
+  constructor (targetPort: number) {
+    this.#server = createServer(socket => {
+      const upstream = connect(targetPort, '127.0.0.1')
+      this.#sockets.push(socket, upstream)
+      for (const end of [socket, upstream]) end.on('error', () => {})
+      socket.pipe(upstream).pipe(socket)
+    })
+  }
+
+  async listen (): Promise<number> {
+    await new Promise<void>(resolve => this.#server.listen(0, '127.0.0.1', resolve))
+    return (this.#server.address() as AddressInfo).port
+  }
+
+  silence (): void {
+    for (const socket of this.#sockets) socket.unpipe().pause()
+  }
+
+  cut (): void {
+    for (const socket of this.#sockets.splice(0)) socket.destroy()
+  }
+
+  close (): void {
+    this.cut()
+    this.#server.close()
+  }
+}
+
+function forward (fields: Partial<Forward>): Forward {
+  return { ...Forward.create({ target: '0', deadlineMilliseconds: 2_000 }), ...fields }
+}
+
+describe('Exchange', () => {
+  let frames: TestFrames
+  let server: InnerServer
+  let relay: Relay
+  let relayPort: number
+  let clients: PeerClient[]
+
+  beforeEach(async () => {
+    clients = []
+    frames = new TestFrames()
+    server = new InnerServer({ host: '127.0.0.1', port: 0, maximumMessageBytes: 50_000 }, frames, new TestControl())
+    relay = new Relay(await server.listen())
+    relayPort = await relay.listen()
+  })
+
+  afterEach(async () => {
+    for (const client of clients) client.close()
+    relay.close()
+    await server.stop(0)
+  })
+
+  async function connectClient (options: PeerClientOptions = {}): Promise<PeerClient> {
+    const client = new PeerClient(`127.0.0.1:${relayPort}`, { maximumMessageBytes: 50_000, ...options })
+    clients.push(client)
+    await client.forward(forward({}))
+    return client
+  }
+
+  async function waitUntil (condition: () => boolean): Promise<void> {
+    for (let attempt = 0; attempt < 200 && !condition(); attempt++) await delay(10)
+    expect(condition()).to.equal(true)
+  }
+
+  it('gives each request its own answer when answers come out of order (crossed answers)', async () => {
+    const client = await connectClient()
+    const answers = await Promise.all(Array.from({ length: 200 }, async (_, index) => await client.forward(forward({ id: 9, key: `key-${index}`, target: String((index * 7) % 40) }))))
+    expect(answers.map(answer => answer.body.toString())).to.deep.equal(answers.map((_, index) => `key-${index}`))
+    expect(answers.every(answer => answer.id === 9)).to.equal(true)
+  })
+
+  it('drops a late answer instead of giving it to a later request (crossed answers)', async () => {
+    const client = await connectClient()
+    const late = await client.forward(forward({ key: 'late', target: '60', deadlineMilliseconds: 20 }))
+    expect(late).to.include({ outcome: Outcome.OUTCOME_UNKNOWN, reason: 'deadline_exceeded' })
+    const next = await client.forward(forward({ key: 'next', target: '100' }))
+    expect(next.body.toString()).to.equal('next')
+  })
+
+  it('reports UNKNOWN, never NOT_RUN, when the stream breaks after the write (broken stream after write)', async () => {
+    const client = await connectClient()
+    const running = client.forward(forward({ target: '1000' }))
+    await waitUntil(() => frames.started === 2)
+    relay.cut()
+    expect(await running).to.include({ outcome: Outcome.OUTCOME_UNKNOWN, reason: 'peer_lost' })
+    await waitUntil(() => frames.aborted === 1)
+    await waitUntil(() => client.connected)
+    expect(await client.forward(forward({ key: 'again' }))).to.include({ outcome: Outcome.OUTCOME_ANSWERED })
+  })
+
+  it('reports NOT_RUN at once when there is no connection (requests that hang on a lost peer)', async () => {
+    const client = new PeerClient('127.0.0.1:1')
+    clients.push(client)
+    expect(await client.forward(forward({}))).to.include({ outcome: Outcome.OUTCOME_NOT_RUN, reason: 'peer_unreachable' })
+    const begun = performance.now()
+    expect(await client.forward(forward({}))).to.include({ reason: 'peer_unreachable' })
+    expect(performance.now() - begun).to.be.lessThan(20)
+  })
+
+  it('aborts the handler when the caller cancels (work for nobody)', async () => {
+    const client = await connectClient()
+    const controller = new AbortController()
+    const running = client.forward(forward({ target: '1000' }), controller.signal)
+    await waitUntil(() => frames.started === 2)
+    controller.abort()
+    expect(await running).to.include({ outcome: Outcome.OUTCOME_UNKNOWN, reason: 'cancelled' })
+    await waitUntil(() => frames.aborted === 1)
+  })
+
+  it('replaces a silent stream and leaves its requests UNKNOWN (open connection that went silent)', async () => {
+    const client = await connectClient({ silenceMilliseconds: 50 })
+    const other = client.forward(forward({ target: '5000', deadlineMilliseconds: 10_000 }))
+    await waitUntil(() => frames.started === 2)
+    relay.silence()
+    expect(await client.forward(forward({ deadlineMilliseconds: 100 }))).to.include({ outcome: Outcome.OUTCOME_UNKNOWN })
+    expect(await other).to.include({ outcome: Outcome.OUTCOME_UNKNOWN, reason: 'peer_lost' })
+    await waitUntil(() => client.connected)
+    expect(await client.forward(forward({}))).to.include({ outcome: Outcome.OUTCOME_ANSWERED })
+  })
+
+  it('reaches the peer over a fresh connection while the old one is silent (lost peer or silent connection)', async () => {
+    const client = await connectClient()
+    relay.silence()
+    const request = { vm: 'client', instance: 'i', position: 1 }
+    const error = await client.heartbeat(request, 100).catch((thrown: unknown) => thrown)
+    expect(error).to.include({ code: 'peer_timeout', step: 'heartbeat' })
+    expect(await client.freshHeartbeat(request, 1_000)).to.deep.include({ vm: 'server', instance: 'i' })
+  })
+
+  it('refuses beyond the bound of waiting frames without writing them (unbounded memory)', async () => {
+    const client = await connectClient({ maximumWaitingFrames: 10 })
+    const answers = await Promise.all(Array.from({ length: 500 }, async () => await client.forward(forward({ target: '20' }))))
+    const refused = answers.filter(answer => answer.reason === 'peer_congested')
+    expect(refused.length).to.be.greaterThan(0)
+    expect(refused.every(answer => answer.outcome === Outcome.OUTCOME_NOT_RUN)).to.equal(true)
+    expect(frames.started).to.equal(1 + 500 - refused.length)
+  })
+
+  it('keeps the stream when a request or an answer is too long (oversize breaks the requests of others)', async () => {
+    const client = await connectClient()
+    const other = client.forward(forward({ target: '100' }))
+    expect(await client.forward(forward({ body: Buffer.alloc(60_000) }))).to.include({ outcome: Outcome.OUTCOME_NOT_RUN, reason: 'request_too_large' })
+    expect(await client.forward(forward({ method: 'LARGE' }))).to.include({ outcome: Outcome.OUTCOME_UNKNOWN, reason: 'answer_too_large' })
+    expect(await other).to.include({ outcome: Outcome.OUTCOME_ANSWERED })
+  })
+
+  it('finishes requests in flight on a graceful stop (interrupted requests)', async () => {
+    const client = await connectClient()
+    const running = client.forward(forward({ key: 'kept', target: '150' }))
+    await waitUntil(() => frames.started === 2)
+    const stopped = server.stop(5_000)
+    const crossing = client.forward(forward({}))
+    expect((await running).body.toString()).to.equal('kept')
+    expect(await crossing).to.include({ outcome: Outcome.OUTCOME_NOT_RUN })
+    await stopped
+    expect(frames.aborted).to.equal(0)
+  })
+
+  it('aborts requests that outlast the grace period of a stop (stop that never ends)', async () => {
+    const client = await connectClient()
+    const running = client.forward(forward({ target: '5000', deadlineMilliseconds: 10_000 }))
+    await waitUntil(() => frames.started === 2)
+    await server.stop(50)
+    expect(await running).to.include({ outcome: Outcome.OUTCOME_UNKNOWN, reason: 'peer_lost' })
+    expect(frames.aborted).to.equal(1)
+  })
+
+  it('distinguishes acknowledged, unacknowledged and unsent journal entries (a lost entry taken for a stored one)', async () => {
+    const client = await connectClient()
+    const journal = { id: 5, endpoint: 'e', token: 1, sequence: 1, entry: undefined }
+    expect(await client.journal(journal, 1_000)).to.deep.equal({ id: 5, complete: true })
+    const unacknowledged = await client.journal({ ...journal, endpoint: 'broken' }, 50).catch((thrown: unknown) => thrown)
+    expect(unacknowledged).to.include({ code: 'journal_unacknowledged' })
+    client.close()
+    expect(await client.journal(journal, 50).catch((thrown: unknown) => thrown)).to.include({ code: 'peer_unreachable' })
+  })
+
+  it('reports a refused control call with its message (a refusal taken for a lost peer)', async () => {
+    const client = await connectClient()
+    const error = await client.fetchState(1_000).catch((thrown: unknown) => thrown)
+    expect(error).to.include({ code: 'peer_refused' })
+    expect(error).to.have.property('message').that.contains('no state yet')
+  })
+
+  it('finishes the requests of a peer that left the list (requests lost to a list change)', async () => {
+    const lifeCycle = new LifeCycle('test')
+    const pool = new PeerPool(lifeCycle)
+    pool.update([{ vm: 'a', host: '127.0.0.1', port: relayPort }])
+    const running = pool.forward('a', forward({ key: 'kept', target: '100' }), lifeCycle.signal)
+    await waitUntil(() => frames.started === 1)
+    pool.update([])
+    expect((await running).body.toString()).to.equal('kept')
+    expect(await pool.forward('a', forward({}), lifeCycle.signal)).to.include({ reason: 'peer_unreachable' })
+    await lifeCycle.close()
+  })
+})
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,1 +1,11 @@
-export * from './generated/inner.js'
+export {
+  Answer, Cancel, ConfirmRequest, ConfirmResponse, EndpointVersion, FetchJournalRequest, FetchJournalResponse, FetchStateRequest,
+  FetchStateResponse, Forward, Frame, GoingAway, Header, HeartbeatRequest, HeartbeatResponse, Journal, JournalAcknowledgement,
+  JournalEntry, JournalStage, Outcome, ServiceClass
+} from './generated/inner.js'
+export { answerBytes, forwardBytes, notRunAnswer, peerReasons, unknownAnswer } from './answers.js'
+export { ControlHandler, FrameHandler } from './handlers.js'
+export { InnerServer, type InnerServerOptions } from './inner-server.js'
+export { defaultMaximumMessageBytes, formatAddress, type ConnectionOptions } from './options.js'
+export { PeerClient, type PeerClientOptions } from './peer-client.js'
+export { PeerPool, type PeerAddress } from './peer-pool.js'
--- /dev/null
+++ b/packages/protocol/src/peer-client.ts
@@ -0,0 +1,235 @@
+import { randomInt } from 'node:crypto'
+import { Metadata, credentials, status, type ServiceError } from '@grpc/grpc-js'
+import { BriarsaddleError, MonotonicClock, Random, type Clock } from '@briarsaddle/common'
+import { forwardBytes, notRunAnswer, peerReasons, unknownAnswer } from './answers.js'
+import { InnerClient, type Answer, type ConfirmRequest, type ConfirmResponse, type FetchJournalRequest, type FetchJournalResponse, type FetchStateResponse, type Forward, type HeartbeatRequest, type HeartbeatResponse, type Journal, type JournalAcknowledgement } from './generated/inner.js'
+import { channelOptions, defaultMaximumMessageBytes, type ConnectionOptions } from './options.js'
+import { PeerLink, type LinkOptions, type LinkReply } from './peer-link.js'
+
+/** Settings of the client; every field has a default. */
+export interface PeerClientOptions extends ConnectionOptions {
+  /** Time to establish connection and stream. Default 1,000 ms. */
+  readonly connectTimeoutMilliseconds?: number
+  /** A stream with an overdue answer is replaced when no frame has arrived for this long. Default 1,000 ms. */
+  readonly silenceMilliseconds?: number
+  /** Most frames that wait while the stream's write buffer is full. Default 1,024. */
+  readonly maximumWaitingFrames?: number
+  /** Most bytes of frames that wait. Default 32 MiB. */
+  readonly maximumWaitingBytes?: number
+  /** Longest pause between attempts to connect. Default 1,000 ms. */
+  readonly maximumBackoffMilliseconds?: number
+  readonly clock?: Clock
+  readonly random?: Random
+}
+
+const defaultLinkOptions = {
+  connectTimeoutMilliseconds: 1_000,
+  silenceMilliseconds: 1_000,
+  maximumWaitingFrames: 1_024,
+  maximumWaitingBytes: 32 * 1024 * 1024
+}
+const initialBackoffMilliseconds = 50
+const defaultMaximumBackoffMilliseconds = 1_000
+
+// The peer gets a slightly shorter deadline, so that its truthful refusal arrives before this side gives up.
+const deadlineReserveFraction = 0.05
+const maximumDeadlineReserveMilliseconds = 10
+const journalOverheadBytes = 1_024
+
+type UnaryCall<Response> = (client: InnerClient, deadline: Date, callback: (error: ServiceError | null, response: Response) => void) => void
+
+/** Client of one peer address. It keeps one stream open and replaces it when it breaks or falls silent. */
+export class PeerClient {
+  readonly address: string
+  readonly #options: PeerClientOptions
+  readonly #linkOptions: LinkOptions
+  readonly #maximumMessageBytes: number
+  readonly #clock: Clock
+  readonly #random: Random
+  readonly #leavingLinks = new Set<PeerLink>()
+  #link: PeerLink | undefined
+  #backoffTimer: NodeJS.Timeout | undefined
+  #failures = 0
+  #closed = false
+
+  constructor (address: string, options: PeerClientOptions = {}) {
+    this.address = address
+    this.#options = options
+    this.#linkOptions = { ...defaultLinkOptions, ...options }
+    this.#maximumMessageBytes = options.maximumMessageBytes ?? defaultMaximumMessageBytes
+    this.#clock = options.clock ?? new MonotonicClock()
+    this.#random = options.random ?? new Random(randomInt(2 ** 31))
+    this.#connect()
+  }
+
+  /** True while the stream is open. */
+  get connected (): boolean {
+    return this.#link?.open === true
+  }
+
+  /** Requests on all streams to this peer that have no reply yet. */
+  get inFlight (): number {
+    return [...this.#leavingLinks].reduce((sum, link) => sum + link.inFlight, this.#link?.inFlight ?? 0)
+  }
+
+  /**
+   * Forwards a request. Always resolves: NOT_RUN only when the frame was surely not written or the peer says so;
+   * UNKNOWN when the stream broke, the signal aborted or the deadline passed after the write.
+   */
+  async forward (forward: Forward, signal?: AbortSignal): Promise<Answer> {
+    const link = this.#usableLink()
+    if (link === undefined) return notRunAnswer(peerReasons.unreachable)
+    const bytes = forwardBytes(forward)
+    if (bytes > this.#maximumMessageBytes) return notRunAnswer(peerReasons.requestTooLarge)
+    const reply = await link.request({
+      frame: (id, remaining) => ({ $case: 'forward', value: { ...forward, id, deadlineMilliseconds: peerDeadline(remaining) } }),
+      bytes,
+      timeoutMilliseconds: forward.deadlineMilliseconds,
+      cancellable: true,
+      ...(signal === undefined ? {} : { signal })
+    })
+    return { ...toAnswer(reply), id: forward.id }
+  }
+
+  /**
+   * Sends a journal entry and waits for its acknowledgement.
+   * Throws `peer_unreachable` when it surely was not sent and `journal_unacknowledged` when it may have been.
+   */
+  async journal (journal: Journal, timeoutMilliseconds: number): Promise<JournalAcknowledgement> {
+    const link = this.#usableLink()
+    if (link === undefined) throw this.#error('peer_unreachable', 'send journal entry', 'there is no connection')
+    const reply = await link.request({
+      frame: id => ({ $case: 'journal', value: { ...journal, id } }),
+      bytes: journalOverheadBytes + (journal.entry?.answer?.body.length ?? 0),
+      timeoutMilliseconds,
+      cancellable: false
+    })
+    if (reply.kind === 'reply' && reply.body.$case === 'journalAcknowledgement') return { ...reply.body.value, id: journal.id }
+    const code = reply.kind === 'reply' || reply.written ? 'journal_unacknowledged' : 'peer_unreachable'
+    throw this.#error(code, 'send journal entry', `the entry was not acknowledged (${reply.kind})`)
+  }
+
+  /** Sends a heartbeat over the connection of the stream. Throws `peer_unreachable`, `peer_timeout` or `peer_refused`. */
+  async heartbeat (request: HeartbeatRequest, timeoutMilliseconds: number): Promise<HeartbeatResponse> {
+    return await this.#unary('heartbeat', timeoutMilliseconds, (client, deadline, callback) => client.heartbeat(request, new Metadata(), { deadline }, callback))
+  }
+
+  /** Sends a heartbeat over a new connection, to tell a silent connection from a lost peer. Throws as `heartbeat`. */
+  async freshHeartbeat (request: HeartbeatRequest, timeoutMilliseconds: number): Promise<HeartbeatResponse> {
+    const client = new InnerClient(this.address, credentials.createInsecure(), channelOptions(this.#options))
+    try {
+      return await this.#call('fresh heartbeat', client, timeoutMilliseconds, (client, deadline, callback) => client.heartbeat(request, new Metadata(), { deadline }, callback))
+    } finally {
+      client.close()
+    }
+  }
+
+  /** Asks a witness. Throws as `heartbeat`. */
+  async confirm (request: ConfirmRequest, timeoutMilliseconds: number): Promise<ConfirmResponse> {
+    return await this.#unary('confirm', timeoutMilliseconds, (client, deadline, callback) => client.confirm(request, new Metadata(), { deadline }, callback))
+  }
+
+  /** Fetches the peer's control state. Throws as `heartbeat`. */
+  async fetchState (timeoutMilliseconds: number): Promise<FetchStateResponse> {
+    return await this.#unary('fetch state', timeoutMilliseconds, (client, deadline, callback) => client.fetchState({}, new Metadata(), { deadline }, callback))
+  }
+
+  /** Fetches the peer's copy of a journal. Throws as `heartbeat`. */
+  async fetchJournal (request: FetchJournalRequest, timeoutMilliseconds: number): Promise<FetchJournalResponse> {
+    return await this.#unary('fetch journal', timeoutMilliseconds, (client, deadline, callback) => client.fetchJournal(request, new Metadata(), { deadline }, callback))
+  }
+
+  /** Takes no new requests and closes once those in flight have ended. */
+  finish (): void {
+    if (this.#closed) return
+    this.#closed = true
+    clearTimeout(this.#backoffTimer)
+    this.#link?.finish()
+  }
+
+  /** Closes at once. Requests in flight end as UNKNOWN or, when never written, as NOT_RUN. */
+  close (): void {
+    this.finish()
+    this.#link?.close()
+    for (const link of [...this.#leavingLinks]) link.close()
+  }
+
+  /** Returns the link unless it is known not to work at the moment. */
+  #usableLink (): PeerLink | undefined {
+    if (this.#closed) return undefined
+    // After a failed attempt nobody waits for the next one: the caller can do better elsewhere.
+    if (this.#failures > 0 && this.#link?.open !== true) return undefined
+    return this.#link
+  }
+
+  #connect (): void {
+    const link: PeerLink = new PeerLink(this.address, this.#linkOptions, this.#clock, {
+      onOpen: () => { this.#failures = 0 },
+      onLeaving: () => {
+        this.#leavingLinks.add(link)
+        this.#replace(link)
+      },
+      onClosed: () => {
+        this.#leavingLinks.delete(link)
+        this.#replace(link)
+      }
+    })
+    this.#link = link
+  }
+
+  #replace (link: PeerLink): void {
+    if (this.#link !== link) return
+    this.#link = undefined
+    this.#failures += 1
+    if (this.#closed) return
+    const longest = this.#options.maximumBackoffMilliseconds ?? defaultMaximumBackoffMilliseconds
+    const backoff = Math.min(longest, initialBackoffMilliseconds * 2 ** (this.#failures - 1))
+    this.#backoffTimer = setTimeout(() => this.#connect(), backoff * (0.5 + this.#random.fraction() / 2))
+  }
+
+  async #unary<Response> (step: string, timeoutMilliseconds: number, call: UnaryCall<Response>): Promise<Response> {
+    const link = this.#link
+    if (link === undefined) throw this.#error('peer_unreachable', step, 'there is no connection')
+    try {
+      const response = await this.#call(step, link.client, timeoutMilliseconds, call)
+      link.noteAlive()
+      return response
+    } catch (error) {
+      if (error instanceof BriarsaddleError && error.code === 'peer_timeout') link.noteOverdue()
+      throw error
+    }
+  }
+
+  async #call<Response> (step: string, client: InnerClient, timeoutMilliseconds: number, call: UnaryCall<Response>): Promise<Response> {
+    return await new Promise((resolve, reject) => {
+      call(client, new Date(Date.now() + timeoutMilliseconds), (error, response) => {
+        if (error === null) return resolve(response)
+        reject(this.#error(errorCodes.get(error.code) ?? 'peer_refused', step, error.details, error))
+      })
+    })
+  }
+
+  #error (code: string, step: string, detail: string, cause?: unknown): BriarsaddleError {
+    return new BriarsaddleError(`${step} at ${this.address} failed: ${detail}`, { code, step, peer: this.address, cause })
+  }
+}
+
+const errorCodes: ReadonlyMap<status, string> = new Map([
+  [status.DEADLINE_EXCEEDED, 'peer_timeout'],
+  [status.UNAVAILABLE, 'peer_unreachable'],
+  [status.CANCELLED, 'peer_unreachable']
+])
+
+function peerDeadline (remainingMilliseconds: number): number {
+  return remainingMilliseconds - Math.min(maximumDeadlineReserveMilliseconds, remainingMilliseconds * deadlineReserveFraction)
+}
+
+function toAnswer (reply: LinkReply): Answer {
+  switch (reply.kind) {
+    case 'reply': return reply.body.$case === 'answer' ? reply.body.value : unknownAnswer(peerReasons.internalError)
+    case 'congested': return notRunAnswer(peerReasons.congested)
+    case 'closed': return reply.written ? unknownAnswer(peerReasons.lost) : notRunAnswer(peerReasons.unreachable)
+    case 'timeout': return (reply.written ? unknownAnswer : notRunAnswer)(peerReasons.deadlineExceeded)
+    case 'aborted': return (reply.written ? unknownAnswer : notRunAnswer)(peerReasons.cancelled)
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/peer-link.ts
@@ -0,0 +1,232 @@
+import { credentials, type ClientDuplexStream } from '@grpc/grpc-js'
+import type { Clock } from '@briarsaddle/common'
+import { InnerClient, type Frame } from './generated/inner.js'
+import { channelOptions, type ConnectionOptions } from './options.js'
+import { WriteBuffer } from './write-buffer.js'
+
+/** Limits and times of one link. */
+export interface LinkOptions extends ConnectionOptions {
+  readonly connectTimeoutMilliseconds: number
+  /** A link with an overdue answer is replaced when no frame has arrived for this long. */
+  readonly silenceMilliseconds: number
+  readonly maximumWaitingFrames: number
+  readonly maximumWaitingBytes: number
+}
+
+/** Called when the link changes. */
+export interface LinkEvents {
+  readonly onOpen: () => void
+  /** The link takes no new requests but finishes those in flight. */
+  readonly onLeaving: () => void
+  readonly onClosed: () => void
+}
+
+/** One request on a link. */
+export interface LinkRequest {
+  readonly frame: (id: number, remainingMilliseconds: number) => NonNullable<Frame['body']>
+  readonly bytes: number
+  readonly timeoutMilliseconds: number
+  /** True for requests that the peer should stop when nobody waits for them any more. */
+  readonly cancellable: boolean
+  readonly signal?: AbortSignal
+}
+
+/** Result of a request. `written` false means that the frame surely never left this process. */
+export type LinkReply =
+  | { readonly kind: 'reply', readonly body: NonNullable<Frame['body']> }
+  | { readonly kind: 'congested' | 'closed' | 'timeout' | 'aborted', readonly written: boolean }
+
+interface Pending {
+  readonly id: number
+  readonly request: LinkRequest
+  readonly deadline: number
+  written: boolean
+  readonly settle: (reply: LinkReply) => void
+}
+
+// After an overdue answer the link gets this long to show a frame. A process that was itself paused reads the
+// frames that wait in its socket in that time.
+const overdueConfirmationMilliseconds = 50
+
+/** One connection to a peer with one Exchange stream. It is never reopened; its owner replaces it. */
+export class PeerLink {
+  readonly client: InnerClient
+  readonly #stream: ClientDuplexStream<Frame, Frame>
+  readonly #buffer: WriteBuffer
+  readonly #options: LinkOptions
+  readonly #events: LinkEvents
+  readonly #clock: Clock
+  readonly #pending = new Map<number, Pending>()
+  // A set keeps the order of insertion and removes an aborted request in constant time.
+  readonly #waiting = new Set<Pending>()
+  readonly #connectTimer: NodeJS.Timeout
+  #waitingBytes = 0
+  #nextId = 1
+  #state: 'connecting' | 'open' | 'leaving' | 'closed' = 'connecting'
+  #writable = false
+  #lastFrameAt: number
+  #confirmationTimer: NodeJS.Timeout | undefined
+
+  constructor (address: string, options: LinkOptions, clock: Clock, events: LinkEvents) {
+    this.#options = options
+    this.#events = events
+    this.#clock = clock
+    this.#lastFrameAt = clock.now()
+    this.client = new InnerClient(address, credentials.createInsecure(), channelOptions(options))
+    this.#stream = this.client.exchange()
+    this.#buffer = new WriteBuffer(this.#stream)
+    this.#stream.on('metadata', () => this.#open())
+    this.#stream.on('data', (frame: Frame) => this.#receive(frame))
+    this.#stream.on('drain', () => this.#drain())
+    this.#stream.on('error', () => this.close())
+    this.#stream.on('end', () => this.close())
+    this.#connectTimer = setTimeout(() => this.close(), options.connectTimeoutMilliseconds)
+  }
+
+  /** Frames that wait for the stream plus requests that wait for a reply. */
+  get inFlight (): number {
+    return this.#pending.size
+  }
+
+  get open (): boolean {
+    return this.#state === 'open'
+  }
+
+  /** Sends a request and waits for the reply with the same id. Never rejects. */
+  async request (request: LinkRequest): Promise<LinkReply> {
+    if (this.#state === 'leaving' || this.#state === 'closed') return { kind: 'closed', written: false }
+    if (request.signal?.aborted === true) return { kind: 'aborted', written: false }
+    const mustWait = !this.#writable
+    if (mustWait && this.#isCongested(request.bytes)) return { kind: 'congested', written: false }
+    return await new Promise(resolve => {
+      const pending = this.#register(request, resolve)
+      if (mustWait) this.#enqueue(pending)
+      else this.#write(pending)
+    })
+  }
+
+  /** Takes no new requests and closes once those in flight have ended. */
+  finish (): void {
+    if (this.#state === 'leaving' || this.#state === 'closed') return
+    this.#state = 'leaving'
+    for (const pending of [...this.#waiting]) pending.settle({ kind: 'closed', written: false })
+    this.#events.onLeaving()
+    this.#closeWhenIdle()
+  }
+
+  /** Closes at once. Requests in flight end with `closed`. */
+  close (): void {
+    if (this.#state === 'closed') return
+    this.#state = 'closed'
+    this.#writable = false
+    clearTimeout(this.#connectTimer)
+    clearTimeout(this.#confirmationTimer)
+    for (const pending of [...this.#pending.values()]) pending.settle({ kind: 'closed', written: pending.written })
+    this.#stream.cancel()
+    this.client.close()
+    this.#events.onClosed()
+  }
+
+  /** Notes a sign of life that came over this connection outside the stream. */
+  noteAlive (): void {
+    this.#lastFrameAt = this.#clock.now()
+  }
+
+  /** Notes an overdue reply; closes the link when nothing has arrived on it for a while. */
+  noteOverdue (): void {
+    if (this.#state === 'closed' || this.#confirmationTimer !== undefined || !this.#isSilent()) return
+    const lastFrameAt = this.#lastFrameAt
+    this.#confirmationTimer = setTimeout(() => {
+      this.#confirmationTimer = undefined
+      if (this.#lastFrameAt === lastFrameAt) this.close()
+    }, overdueConfirmationMilliseconds)
+  }
+
+  #isSilent (): boolean {
+    return this.#clock.now() - this.#lastFrameAt >= this.#options.silenceMilliseconds
+  }
+
+  #isCongested (bytes: number): boolean {
+    return this.#waiting.size >= this.#options.maximumWaitingFrames || this.#waitingBytes + bytes > this.#options.maximumWaitingBytes
+  }
+
+  #register (request: LinkRequest, resolve: (reply: LinkReply) => void): Pending {
+    const id = this.#nextId++
+    const onAbort = (): void => this.#abandon(pending, 'aborted')
+    const timer = setTimeout(() => this.#abandon(pending, 'timeout'), Math.max(0, request.timeoutMilliseconds))
+    const pending: Pending = {
+      id,
+      request,
+      deadline: this.#clock.now() + request.timeoutMilliseconds,
+      written: false,
+      settle: reply => {
+        if (!this.#pending.delete(id)) return
+        clearTimeout(timer)
+        request.signal?.removeEventListener('abort', onAbort)
+        if (this.#waiting.delete(pending)) this.#waitingBytes -= request.bytes
+        resolve(reply)
+      }
+    }
+    request.signal?.addEventListener('abort', onAbort, { once: true })
+    this.#pending.set(id, pending)
+    return pending
+  }
+
+  #enqueue (pending: Pending): void {
+    this.#waiting.add(pending)
+    this.#waitingBytes += pending.request.bytes
+  }
+
+  #abandon (pending: Pending, kind: 'timeout' | 'aborted'): void {
+    const written = pending.written
+    pending.settle({ kind, written })
+    if (written) {
+      if (pending.request.cancellable) this.#stream.write({ body: { $case: 'cancel', value: { id: pending.id } } })
+      if (kind === 'timeout') this.noteOverdue()
+    }
+    this.#closeWhenIdle()
+  }
+
+  #write (pending: Pending): void {
+    pending.written = true
+    const body = pending.request.frame(pending.id, pending.deadline - this.#clock.now())
+    this.#writable = this.#buffer.write(body, pending.request.bytes)
+  }
+
+  #open (): void {
+    if (this.#state !== 'connecting') return
+    clearTimeout(this.#connectTimer)
+    this.#state = 'open'
+    this.noteAlive()
+    this.#events.onOpen()
+    this.#drain()
+  }
+
+  #drain (): void {
+    if (this.#state !== 'open') return
+    this.#writable = true
+    for (const pending of this.#waiting) {
+      if (!this.#writable) return
+      this.#waiting.delete(pending)
+      this.#waitingBytes -= pending.request.bytes
+      this.#write(pending)
+    }
+  }
+
+  #receive (frame: Frame): void {
+    this.noteAlive()
+    const body = frame.body
+    switch (body?.$case) {
+      case 'goingAway': return this.finish()
+      case 'answer':
+      case 'journalAcknowledgement':
+        // An id that is not pending belongs to a request that has ended; its late reply is dropped.
+        this.#pending.get(body.value.id)?.settle({ kind: 'reply', body })
+        this.#closeWhenIdle()
+    }
+  }
+
+  #closeWhenIdle (): void {
+    if (this.#state === 'leaving' && this.#pending.size === 0) this.close()
+  }
+}
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,1 +1,12 @@
-export {}
+export { serviceClasses, type PerClass, type ServiceClass } from './service-class.js'
+export { RefusalError, refusalError, type Refusal, type RefusalCode } from './refusal.js'
+export { ClassPolicy, FifoPolicy, QueuePolicy, type ClassPolicyOptions, type QueueView } from './queue-policy.js'
+export { EndpointQueue, type EndpointQueueOptions, type EndpointQueueSnapshot, type JobDescription, type QueueJob } from './endpoint-queue.js'
+export { EndpointChooser, RandomChoice, type EndpointChooserOptions, type RequestEnd } from './endpoint-chooser.js'
+export { TwoChoices } from './two-choices.js'
+export { RetryBudget } from './retry-budget.js'
+export { HotBuckets, type HotBucket, type HotBucketsOptions } from './hot-buckets.js'
+export {
+  defaultBalanceSettings, planBalanceMoves,
+  type BalanceInput, type BalanceMove, type BalanceSettings, type BucketLoad, type EndpointLoad
+} from './balance.js'
--- /dev/null
+++ b/packages/scheduling/src/retry-budget.test.ts
@@ -0,0 +1,16 @@
+import { expect } from 'chai'
+import { RetryBudget } from './retry-budget.js'
+
+describe('RetryBudget', () => {
+  it('stops retries after a run of failures and allows them again only after many successes', () => {
+    const budget = new RetryBudget()
+    for (let failure = 0; failure < 4; failure++) budget.failed()
+    expect(budget.allowsRetry).to.equal(true)
+    for (let failure = 0; failure < 4; failure++) budget.failed()
+    expect(budget.allowsRetry).to.equal(false)
+    for (let success = 0; success < 25; success++) budget.succeeded()
+    expect(budget.allowsRetry).to.equal(false)
+    for (let success = 0; success < 10; success++) budget.succeeded()
+    expect(budget.allowsRetry).to.equal(true)
+  })
+})
--- /dev/null
+++ b/packages/scheduling/src/two-choices.test.ts
@@ -0,0 +1,82 @@
+import { ManualClock, Random } from '@briarsaddle/common'
+import { expect } from 'chai'
+import { TwoChoices } from './two-choices.js'
+
+const candidates = ['a', 'b', 'c', 'd']
+const good = { outstanding: 0, milliseconds: 10, failed: false }
+
+function setUp (): { readonly clock: ManualClock, readonly chooser: TwoChoices, readonly serve: (endpoint: string, end?: Partial<typeof good>, times?: number) => void } {
+  const clock = new ManualClock()
+  const chooser = new TwoChoices({ clock, random: new Random(7) })
+  const serve = (endpoint: string, end: Partial<typeof good> = {}, times = 10): void => {
+    for (let index = 0; index < times; index++) {
+      chooser.started(endpoint)
+      chooser.finished(endpoint, { ...good, ...end })
+    }
+  }
+  for (const candidate of candidates) serve(candidate)
+  return { clock, chooser, serve }
+}
+
+describe('TwoChoices', () => {
+  it('avoids an endpoint that was reported busy, but not for ever, or an old report would never be corrected', () => {
+    const { clock, chooser, serve } = setUp()
+    serve('a', { outstanding: 50 }, 1)
+    expect(Array.from({ length: 100 }, () => chooser.choose(candidates))).not.to.include('a')
+    clock.advance(5000)
+    expect(Array.from({ length: 100 }, () => chooser.choose(candidates))).to.include('a')
+  })
+
+  it('counts what was sent since the report, so that a burst does not go to one endpoint', () => {
+    const { chooser } = setUp()
+    const counts: Record<string, number> = {}
+    for (let index = 0; index < 100; index++) {
+      const endpoint = chooser.choose(candidates) as string
+      chooser.started(endpoint)
+      counts[endpoint] = (counts[endpoint] ?? 0) + 1
+    }
+    expect(Math.max(...Object.values(counts)) - Math.min(...Object.values(counts))).to.be.lessThan(10)
+  })
+
+  it('sets a failing or slow endpoint aside, tries it with a single probe, and waits longer after each bad probe', () => {
+    for (const bad of [{ failed: true }, { milliseconds: 500 }]) {
+      const { clock, chooser, serve } = setUp()
+      serve('a', bad)
+      const timesBetweenProbes: number[] = []
+      for (let probe = 0; probe < 3; probe++) {
+        let waited = 0
+        while (chooser.choose(candidates) !== 'a') {
+          clock.advance(100)
+          waited += 100
+        }
+        timesBetweenProbes.push(waited)
+        chooser.started('a')
+        expect(Array.from({ length: 50 }, () => chooser.choose(candidates)), 'a second probe').not.to.include('a')
+        chooser.finished('a', { ...good, ...bad })
+      }
+      expect(timesBetweenProbes).to.deep.equal([1000, 2000, 4000])
+    }
+  })
+
+  it('takes an endpoint back after a good probe', () => {
+    const { clock, chooser, serve } = setUp()
+    serve('a', { failed: true })
+    clock.advance(1001)
+    expect(chooser.choose(candidates)).to.equal('a')
+    serve('a', {}, 1)
+    expect(Array.from({ length: 100 }, () => chooser.choose(candidates)).filter(choice => choice === 'a').length).to.be.greaterThan(10)
+  })
+
+  it('sets at most half of the candidates aside, so that the rest is not overloaded', () => {
+    const { chooser, serve } = setUp()
+    for (const endpoint of ['a', 'b', 'c']) serve(endpoint, { failed: true }, 30)
+    const chosen = new Set(Array.from({ length: 200 }, () => chooser.choose(candidates)))
+    expect(chosen.size).to.be.at.least(2)
+  })
+
+  it('does not choose what the caller excluded, and chooses nothing when nothing is left', () => {
+    const { chooser } = setUp()
+    expect(chooser.choose(candidates, new Set(['a', 'b', 'c']))).to.equal('d')
+    expect(chooser.choose(candidates, new Set(candidates))).to.equal(undefined)
+  })
+})
