--- /dev/null
+++ b/packages/scheduling/src/two-choices.ts
@@ -0,0 +1,166 @@
+import { EndpointChooser, type RequestEnd } from './endpoint-chooser.js'
+
+interface EndpointRecord {
+  /** Requests of this process that have not ended. */
+  own: number
+  reported: number
+  reportedAt: number
+  sentSinceReport: number
+  samples: number
+  /** Smoothed share of failed or slow answers, from 0 to 1. */
+  badness: number
+  /** Times that the endpoint was set aside without a good period since. */
+  setAside: number
+  asideUntil: number
+  probing: boolean
+  probedAt: number
+}
+
+// A high report about an endpoint that gets no more requests would otherwise never be corrected.
+const reportHalfLifeMilliseconds = 200
+const badnessSmoothing = 0.2
+const badnessLimit = 0.6
+const minimumSamples = 5
+// Classes run for different times, so only a large multiple of the usual latency counts as slow.
+const slowFactor = 5
+const firstAsideMilliseconds = 1_000
+const maximumAsideMilliseconds = 30_000
+// A probe without an answer after this time no longer blocks the next one.
+const probeTimeoutMilliseconds = 5_000
+const latencySmoothing = 0.02
+const maximumEndpoints = 4_096
+
+/** The endpoint with the least outstanding work of two random candidates; sets failing and slow outliers aside. */
+export class TwoChoices extends EndpointChooser {
+  readonly #records = new Map<string, EndpointRecord>()
+  // The mean of the logarithm is little affected by a few very long requests.
+  #logLatency: number | undefined
+
+  override choose (candidates: readonly string[], excluded?: ReadonlySet<string>): string | undefined {
+    const allowed = this.without(candidates, excluded)
+    if (allowed.length < 2) return allowed[0]
+    const now = this.clock.now()
+    const aside = this.#aside(candidates, now)
+    const probe = allowed.find(candidate => this.#isDueForProbe(candidate, aside, now))
+    if (probe !== undefined) return probe
+    const available = aside.size === 0 ? allowed : allowed.filter(candidate => !aside.has(candidate))
+    // Excluded by the caller or set aside, all of them: an endpoint set aside is better than none.
+    return this.#lessLoaded(available.length === 0 ? allowed : available, now)
+  }
+
+  override started (endpoint: string): void {
+    const record = this.#record(endpoint)
+    const now = this.clock.now()
+    record.own++
+    record.sentSinceReport++
+    if (record.setAside > 0 && now >= record.asideUntil) {
+      record.probing = true
+      record.probedAt = now
+    }
+  }
+
+  override finished (endpoint: string, { outstanding, milliseconds, failed }: RequestEnd): void {
+    const record = this.#record(endpoint)
+    const now = this.clock.now()
+    record.own = Math.max(0, record.own - 1)
+    if (outstanding !== undefined) {
+      record.reported = outstanding
+      record.reportedAt = now
+      record.sentSinceReport = 0
+    }
+    const bad = failed || this.#isSlow(milliseconds)
+    if (!failed) this.#recordLatency(milliseconds)
+    record.samples++
+    record.badness += badnessSmoothing * ((bad ? 1 : 0) - record.badness)
+    if (record.probing) this.#endProbe(record, bad, now)
+    else if (now >= record.asideUntil && this.#isOutlier(endpoint, record)) this.#setAside(record, now)
+  }
+
+  override snapshot (): Readonly<Record<string, unknown>> {
+    const now = this.clock.now()
+    return Object.fromEntries([...this.#records].map(([endpoint, record]) => [endpoint, {
+      outstanding: this.#load(record, now),
+      badness: record.badness,
+      asideMilliseconds: Math.max(0, record.asideUntil - now)
+    }]))
+  }
+
+  #record (endpoint: string): EndpointRecord {
+    let record = this.#records.get(endpoint)
+    if (record !== undefined) return record
+    if (this.#records.size >= maximumEndpoints) this.#records.delete(this.#records.keys().next().value as string)
+    record = { own: 0, reported: 0, reportedAt: 0, sentSinceReport: 0, samples: 0, badness: 0, setAside: 0, asideUntil: 0, probing: false, probedAt: 0 }
+    this.#records.set(endpoint, record)
+    return record
+  }
+
+  #load (record: EndpointRecord, now: number): number {
+    // Rounded, so that the remainder of an old report does not lose every tie against an idle endpoint.
+    const reported = Math.round(record.reported * 0.5 ** ((now - record.reportedAt) / reportHalfLifeMilliseconds))
+    return Math.max(record.own, reported + record.sentSinceReport)
+  }
+
+  #lessLoaded (candidates: readonly string[], now: number): string {
+    if (candidates.length === 1) return candidates[0] as string
+    const first = this.random.integer(0, candidates.length - 1)
+    const second = (first + this.random.integer(1, candidates.length - 1)) % candidates.length
+    const [one, other] = [candidates[first] as string, candidates[second] as string]
+    return this.#load(this.#record(other), now) < this.#load(this.#record(one), now) ? other : one
+  }
+
+  /** The candidates to avoid: those set aside, but never more than half, the worst first. */
+  #aside (candidates: readonly string[], now: number): ReadonlySet<string> {
+    const aside: Array<[string, EndpointRecord]> = []
+    for (const candidate of candidates) {
+      const record = this.#records.get(candidate)
+      // An endpoint whose time is over stays aside until its probe has succeeded.
+      if (record !== undefined && record.setAside > 0 && (now < record.asideUntil || record.badness > 0)) aside.push([candidate, record])
+    }
+    const limit = Math.floor(candidates.length / 2)
+    if (aside.length > limit) aside.sort(([, one], [, other]) => other.badness - one.badness)
+    return new Set(aside.slice(0, limit).map(([candidate]) => candidate))
+  }
+
+  #isDueForProbe (candidate: string, aside: ReadonlySet<string>, now: number): boolean {
+    if (!aside.has(candidate)) return false
+    const record = this.#record(candidate)
+    return now >= record.asideUntil && (!record.probing || now - record.probedAt > probeTimeoutMilliseconds)
+  }
+
+  #endProbe (record: EndpointRecord, bad: boolean, now: number): void {
+    record.probing = false
+    if (bad) return this.#setAside(record, now)
+    // One step back only, so that an endpoint that fails again soon is set aside for longer.
+    record.setAside--
+    record.badness = 0
+    record.samples = 0
+  }
+
+  #setAside (record: EndpointRecord, now: number): void {
+    record.asideUntil = now + Math.min(maximumAsideMilliseconds, firstAsideMilliseconds * 2 ** record.setAside)
+    record.setAside = Math.min(record.setAside + 1, 10)
+    record.badness = Math.max(record.badness, badnessLimit)
+  }
+
+  #isSlow (milliseconds: number): boolean {
+    return this.#logLatency !== undefined && milliseconds > slowFactor * Math.exp(this.#logLatency)
+  }
+
+  #recordLatency (milliseconds: number): void {
+    const value = Math.log(Math.max(milliseconds, 0.1))
+    this.#logLatency = this.#logLatency === undefined ? value : this.#logLatency + latencySmoothing * (value - this.#logLatency)
+  }
+
+  /** Whether the endpoint is bad in itself, and not merely as bad as the others are. */
+  #isOutlier (endpoint: string, record: EndpointRecord): boolean {
+    if (record.samples < minimumSamples || record.badness < badnessLimit) return false
+    let sum = 0
+    let others = 0
+    for (const [other, { badness, samples }] of this.#records) {
+      if (other === endpoint || samples === 0) continue
+      sum += badness
+      others++
+    }
+    return others > 0 && record.badness > 2 * (sum / others)
+  }
+}
--- a/packages/standins/bin/endpoint.js
+++ b/packages/standins/bin/endpoint.js
@@ -14,6 +14,8 @@
     slots: text(endpointDefaults.slots),
     checks: text(endpointDefaults.checks),
     'cold-start-milliseconds': text(endpointDefaults.coldStartMilliseconds),
+    // Longer than a right with its margin (510 ms).
+    'offer-delay-milliseconds': text(600),
     'service-milliseconds': text(endpointDefaults.serviceMilliseconds),
     'long-service-milliseconds': text(endpointDefaults.longServiceMilliseconds),
     'maximum-connections': text(endpointDefaults.maximumConnections),
@@ -28,6 +30,7 @@
   slots: numberFlag('slots', values.slots),
   checks: booleanFlag('checks', values.checks),
   coldStartMilliseconds: numberFlag('cold-start-milliseconds', values['cold-start-milliseconds']),
+  offerDelayMilliseconds: numberFlag('offer-delay-milliseconds', values['offer-delay-milliseconds']),
   serviceMilliseconds: numberFlag('service-milliseconds', values['service-milliseconds']),
   longServiceMilliseconds: numberFlag('long-service-milliseconds', values['long-service-milliseconds']),
   maximumConnections: numberFlag('maximum-connections', values['maximum-connections']),
--- a/packages/standins/src/endpoint.ts
+++ b/packages/standins/src/endpoint.ts
@@ -18,6 +18,11 @@
   readonly checks: boolean
   /** Time after the start during which every request is shed. */
   readonly coldStartMilliseconds: number
+  /**
+   * Time after the start during which no offer is taken. A new process has forgotten higher tokens, so grants could
+   * come from a former coordinator whose right from before the start still runs.
+   */
+  readonly offerDelayMilliseconds: number
   readonly serviceMilliseconds: number
   /** Service time of requests whose first path segment is `long`. */
   readonly longServiceMilliseconds: number
@@ -34,6 +39,7 @@
   slots: 2,
   checks: true,
   coldStartMilliseconds: 0,
+  offerDelayMilliseconds: 0,
   serviceMilliseconds: 5,
   longServiceMilliseconds: 1000,
   maximumConnections: 100
@@ -65,6 +71,7 @@
   readonly #random: Random
   readonly #effects = new Map<string, number>()
   readonly #readyAt: number
+  readonly #offersFrom: number
   #running = 0
   #draining = false
   #serviceMilliseconds: number
@@ -80,6 +87,7 @@
     this.#record = new EndpointRecord(this.#clock)
     this.#grants = new GrantTable({ clock: this.#clock, record: this.#record, instance: this.instance, checks: this.#options.checks })
     this.#readyAt = this.#clock.now() + this.#options.coldStartMilliseconds
+    this.#offersFrom = this.#clock.now() + this.#options.offerDelayMilliseconds
     this.#serviceMilliseconds = this.#options.serviceMilliseconds
     this.#longServiceMilliseconds = this.#options.longServiceMilliseconds
     this.server.maxConnections = this.#options.maximumConnections
@@ -100,6 +108,10 @@
   }
 
   #hello (hello: Hello, response: ServerResponse): void {
+    if (this.#clock.now() < this.#offersFrom) {
+      sendJson(response, 503, { error: 'starting' })
+      return
+    }
     const refusal = this.#grants.hello(hello)
     if (refusal !== undefined) return this.#refuseControl(response, refusal)
     const { slots, checks } = this.#options
@@ -185,7 +197,7 @@
     const count = (this.#effects.get(key) ?? 0) + 1
     this.#effects.set(key, count)
     this.#record.finish(recorded, 'completed')
-    const answer = { endpoint: this.#options.id, key, request: recorded.request, count }
+    const answer = { endpoint: this.#options.id, key, request: recorded.request, testRequest: recorded.testRequest, count }
     const missing = Math.min(maximumResponseBytes, Number(request.headers['x-response-bytes']) || 0) - JSON.stringify({ ...answer, padding: '' }).length
     sendJson(response, 200, missing > 0 ? { ...answer, padding: '.'.repeat(missing) } : answer)
   }
