Move hot buckets off overloaded endpoints

Balance by bucket count now starts only below 90 % of an even share; otherwise it answered a hot move with moves the other way.

--- a/packages/daemon/src/control-plane.ts
+++ b/packages/daemon/src/control-plane.ts
@@ -6,8 +6,9 @@
 import { ClassPolicy, FifoPolicy, type QueuePolicy } from '@briarsaddle/scheduling'
 import type { Settings } from '@briarsaddle/settings'
 import { Assignments } from './control/assignments.js'
+import { Balancer } from './control/balancer.js'
 import { Coordination, ProvisionalCoordination } from './control/coordination.js'
-import { InnerControl, InnerFrames, PoolJournals, PoolJournalSource, PoolStates } from './control/inner-adapters.js'
+import { InnerControl, InnerFrames, PoolJournals, PoolJournalSource, PoolLoads, PoolStates } from './control/inner-adapters.js'
 import { FollowerObserver, LogFollower } from './control/log-follower.js'
 import { Membership } from './control/membership.js'
 import { RecordWriter } from './control/record-writer.js'
@@ -23,6 +24,7 @@
 const logger = new Logger('daemon')
 const reviewMilliseconds = 50
 const upkeepMilliseconds = 250
+const balanceMilliseconds = 250
 const handOverMilliseconds = 5000
 const idlePollMilliseconds = 20
 
@@ -41,6 +43,7 @@
   readonly #assignments: Assignments
   readonly #coordination: Coordination
   readonly #upkeep: Upkeep
+  readonly #balancer: Balancer
   readonly #innerServer: InnerServer
   readonly #loops: LifeCycle
   #innerPort = 0
@@ -99,8 +102,9 @@
       startPosition: () => this.coordinator.startPosition
     })
     this.#upkeep = new Upkeep({ self, follower: this.follower, membership: this.membership, writer: this.writer, poll, clock, lifeCycle: this.#loops })
-    this.#innerServer = new InnerServer(settings.listen.inner, new InnerFrames(this.coordinator), new InnerControl({ membership: this.membership, witness, follower: this.follower, coordinator: this.coordinator }))
-    this.follower.observe(new StateEvents(this.coordinator, this.rights))
+    this.#balancer = new Balancer({ self, follower: this.follower, coordinator: this.coordinator, writer: this.writer, loads: new PoolLoads(this.peers), clock, random: this.random, lifeCycle: this.#loops })
+    this.#innerServer = new InnerServer(settings.listen.inner, new InnerFrames(this.coordinator), new InnerControl({ membership: this.membership, witness, follower: this.follower, coordinator: this.coordinator, balancer: this.#balancer }))
+    this.follower.observe(new StateEvents(this.coordinator, this.rights, this.#balancer))
   }
 
   /** Creates the control plane and listens for other VMs. Throws `listen_failed`. */
@@ -159,6 +163,7 @@
     this.rights.start(this.#loops)
     void this.follower.run(this.#loops, new PoolStates(this.peers)).catch(report('log follower'))
     this.#loops.every('review', reviewMilliseconds, () => this.review(), report('review'))
+    this.#loops.every('balance', balanceMilliseconds, async () => await this.#balancer.review(), report('balance'))
     this.#loops.every('upkeep', upkeepMilliseconds, async () => await this.#upkeep.review(), report('upkeep'))
   }
 }
@@ -166,14 +171,17 @@
 class StateEvents extends FollowerObserver {
   readonly #coordinator: Coordinator
   readonly #rights: RightKeeper
+  readonly #balancer: Balancer
 
-  constructor (coordinator: Coordinator, rights: RightKeeper) {
+  constructor (coordinator: Coordinator, rights: RightKeeper, balancer: Balancer) {
     super()
     this.#coordinator = coordinator
     this.#rights = rights
+    this.#balancer = balancer
   }
 
   override stateChanged (state: ControlState, read: readonly ReadRecord[]): void {
+    this.#balancer.recordsRead(read)
     this.#coordinator.stateChanged(state, read)
   }
 
--- a/packages/daemon/src/control/assignments.ts
+++ b/packages/daemon/src/control/assignments.ts
@@ -12,6 +12,8 @@
 /** A pool is first assigned when no endpoint has joined for this time, so that buckets do not move right away. */
 const firstAssignmentQuietMilliseconds = 1000
 const balanceIntervalMilliseconds = 500
+/** Share of an even number of buckets below which an endpoint asks for more. */
+const fewBucketsShare = 0.9
 const removalMilliseconds = 10_000
 
 /** Plans which endpoint owns which bucket, for the endpoints that this VM coordinates, and releases buckets. */
@@ -81,7 +83,7 @@
     }
     if (session.grants.state !== 'active' || !session.grants.ready) return
     if (!state.pools.has(pool)) return this.#assignFirst(pool, id)
-    if (!this.#balanceIsDue(pool)) return
+    if (!this.#hasFewBuckets(pool, id) || !this.#balanceIsDue(pool)) return
     void this.#assign(pool, [...this.#others(pool, id), id], 'balance', id)
   }
 
@@ -110,6 +112,13 @@
     else if (members[0] === id && this.#clock.now() - last.at >= firstAssignmentQuietMilliseconds) void this.#assign(pool, members, 'first assignment')
   }
 
+  /** Small differences are left alone, so that moves of hot buckets are not answered with moves the other way. */
+  #hasFewBuckets (pool: string, id: string): boolean {
+    const buckets = this.#follower.state.pools.get(pool)?.buckets ?? []
+    const members = [...this.#follower.state.endpoints.values()].filter(({ description, leaving }) => description.pool === pool && !leaving).length
+    return buckets.filter(bucket => bucket?.owner === id).length < fewBucketsShare * buckets.length / members
+  }
+
   #balanceIsDue (pool: string): boolean {
     const now = this.#clock.now()
     if (now - (this.#lastBalance.get(pool) ?? -Infinity) < balanceIntervalMilliseconds) return false
--- a/packages/daemon/src/control/inner-adapters.ts
+++ b/packages/daemon/src/control/inner-adapters.ts
@@ -1,12 +1,14 @@
 import { describeError, Logger } from '@briarsaddle/common'
 import {
   ControlHandler, FrameHandler, type PeerPool,
-  type Answer, type ConfirmRequest, type ConfirmResponse, type FetchJournalRequest, type FetchJournalResponse, type FetchStateResponse,
+  type Answer, type ConfirmRequest, type ConfirmResponse, type FetchJournalRequest, type FetchJournalResponse, type FetchLoadsRequest, type FetchLoadsResponse, type FetchStateResponse,
   type Forward, type HeartbeatRequest, type HeartbeatResponse, type Journal, type JournalAcknowledgement
 } from '@briarsaddle/protocol'
 import { PeerForwarder } from '../contracts.js'
 import { JournalSource, type Coordinator } from '../coordinator/coordinator.js'
 import { JournalSink } from '../coordinator/journal.js'
+import type { EndpointLoad } from '@briarsaddle/scheduling'
+import { LoadSource, type Balancer } from './balancer.js'
 import { PeerStateSource, type LogFollower } from './log-follower.js'
 import type { Membership } from './membership.js'
 import type { Witness } from './witness.js'
@@ -61,6 +63,20 @@
   }
 }
 
+/** Fetches endpoint loads from other VMs. */
+export class PoolLoads extends LoadSource {
+  readonly #peers: PeerPool
+
+  constructor (peers: PeerPool) {
+    super()
+    this.#peers = peers
+  }
+
+  override async fetch (vm: string, endpoints: readonly string[]): Promise<readonly EndpointLoad[]> {
+    return (await this.#peers.get(vm)?.fetchLoads({ endpoints: [...endpoints] }, peerCallMilliseconds))?.loads ?? []
+  }
+}
+
 /** Asks all known peers and takes the newest state. */
 export class PoolStates extends PeerStateSource {
   readonly #peers: PeerPool
@@ -104,13 +120,15 @@
   readonly #witness: Witness
   readonly #follower: LogFollower
   readonly #coordinator: Coordinator
+  readonly #balancer: Balancer
 
-  constructor (options: { readonly membership: Membership, readonly witness: Witness, readonly follower: LogFollower, readonly coordinator: Coordinator }) {
+  constructor (options: { readonly membership: Membership, readonly witness: Witness, readonly follower: LogFollower, readonly coordinator: Coordinator, readonly balancer: Balancer }) {
     super()
     this.#membership = options.membership
     this.#witness = options.witness
     this.#follower = options.follower
     this.#coordinator = options.coordinator
+    this.#balancer = options.balancer
   }
 
   override async heartbeat (request: HeartbeatRequest): Promise<HeartbeatResponse> {
@@ -129,4 +147,8 @@
   override async fetchJournal (request: FetchJournalRequest): Promise<FetchJournalResponse> {
     return this.#coordinator.fetchJournal(request)
   }
+
+  override async fetchLoads (request: FetchLoadsRequest): Promise<FetchLoadsResponse> {
+    return { loads: this.#balancer.ownLoads(request.endpoints).map(load => ({ ...load })) }
+  }
 }
--- a/packages/protocol/src/exchange.test.ts
+++ b/packages/protocol/src/exchange.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { createServer, connect, type AddressInfo, type Server, type Socket } from 'node:net'
 import { LifeCycle, delay } from '@briarsaddle/common'
-import { Answer, ControlHandler, Forward, FrameHandler, InnerServer, Outcome, PeerClient, PeerPool, type ConfirmResponse, type FetchJournalResponse, type FetchStateResponse, type HeartbeatRequest, type HeartbeatResponse, type Journal, type JournalAcknowledgement, type PeerClientOptions } from './index.js'
+import { Answer, ControlHandler, Forward, FrameHandler, InnerServer, Outcome, PeerClient, PeerPool, type ConfirmResponse, type FetchJournalResponse, type FetchLoadsResponse, type FetchStateResponse, type HeartbeatRequest, type HeartbeatResponse, type Journal, type JournalAcknowledgement, type PeerClientOptions } from './index.js'
 
 class TestFrames extends FrameHandler {
   started = 0
@@ -30,6 +30,7 @@
   async confirm (): Promise<ConfirmResponse> { return { ready: true, position: 7, outdated: [], quietMilliseconds: [] } }
   async fetchState (): Promise<FetchStateResponse> { throw new Error('no state yet') }
   async fetchJournal (): Promise<FetchJournalResponse> { return { complete: false, entries: [] } }
+  async fetchLoads (): Promise<FetchLoadsResponse> { return { loads: [] } }
 }
 
 /** Relays connections; once silent, it passes no more bytes on the connections that are open. */
--- a/packages/protocol/src/handlers.ts
+++ b/packages/protocol/src/handlers.ts
@@ -1,4 +1,4 @@
-import type { Answer, ConfirmRequest, ConfirmResponse, FetchJournalRequest, FetchJournalResponse, FetchStateResponse, Forward, HeartbeatRequest, HeartbeatResponse, Journal, JournalAcknowledgement } from './generated/inner.js'
+import type { Answer, ConfirmRequest, ConfirmResponse, FetchJournalRequest, FetchJournalResponse, FetchLoadsRequest, FetchLoadsResponse, FetchStateResponse, Forward, HeartbeatRequest, HeartbeatResponse, Journal, JournalAcknowledgement } from './generated/inner.js'
 
 /** Receives the frames of peers. Ids of answers are set by the server. */
 export abstract class FrameHandler {
@@ -15,4 +15,5 @@
   /** Rejects when this VM has no state to hand out. */
   abstract fetchState (): Promise<FetchStateResponse>
   abstract fetchJournal (request: FetchJournalRequest): Promise<FetchJournalResponse>
+  abstract fetchLoads (request: FetchLoadsRequest): Promise<FetchLoadsResponse>
 }
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,5 +1,5 @@
 export {
-  Answer, Cancel, ConfirmRequest, ConfirmResponse, EndpointVersion, FetchJournalRequest, FetchJournalResponse, FetchStateRequest,
+  Answer, Cancel, ConfirmRequest, ConfirmResponse, EndpointVersion, EndpointLoad, FetchJournalRequest, FetchJournalResponse, FetchLoadsRequest, FetchLoadsResponse, FetchStateRequest,
   FetchStateResponse, Forward, Frame, GoingAway, Header, HeartbeatRequest, HeartbeatResponse, Journal, JournalAcknowledgement,
   JournalEntry, JournalStage, Outcome, ServiceClass
 } from './generated/inner.js'
--- a/packages/protocol/src/inner-server.ts
+++ b/packages/protocol/src/inner-server.ts
@@ -96,7 +96,8 @@
       heartbeat: unary(async request => await control.heartbeat(request)),
       confirm: unary(async request => await control.confirm(request)),
       fetchState: unary(async () => await control.fetchState()),
-      fetchJournal: unary(async request => await control.fetchJournal(request))
+      fetchJournal: unary(async request => await control.fetchJournal(request)),
+      fetchLoads: unary(async request => await control.fetchLoads(request))
     }
   }
 }
--- a/packages/protocol/src/peer-client.ts
+++ b/packages/protocol/src/peer-client.ts
@@ -2,7 +2,8 @@
 import { Metadata, credentials, status, type ServiceError } from '@grpc/grpc-js'
 import { BriarsaddleError, MonotonicClock, Random, type Clock } from '@briarsaddle/common'
 import { forwardBytes, notRunAnswer, peerReasons, unknownAnswer } from './answers.js'
-import { InnerClient, type Answer, type ConfirmRequest, type ConfirmResponse, type FetchJournalRequest, type FetchJournalResponse, type FetchStateResponse, type Forward, type HeartbeatRequest, type HeartbeatResponse, type Journal, type JournalAcknowledgement } from './generated/inner.js'
+import type { FetchLoadsRequest, FetchLoadsResponse, Answer, ConfirmRequest, ConfirmResponse, FetchJournalRequest, FetchJournalResponse, FetchStateResponse, Forward, HeartbeatRequest, HeartbeatResponse, Journal, JournalAcknowledgement } from './generated/inner.js'
+import { InnerClient } from './generated/inner.js'
 import { channelOptions, defaultMaximumMessageBytes, type ConnectionOptions } from './options.js'
 import { PeerLink, type LinkOptions, type LinkReply } from './peer-link.js'
 
@@ -139,6 +140,11 @@
     return await this.#unary('fetch journal', timeoutMilliseconds, (client, deadline, callback) => client.fetchJournal(request, new Metadata(), { deadline }, callback))
   }
 
+  /** Fetches loads of endpoints that the peer coordinates. Throws as `heartbeat`. */
+  async fetchLoads (request: FetchLoadsRequest, timeoutMilliseconds: number): Promise<FetchLoadsResponse> {
+    return await this.#unary('fetch loads', timeoutMilliseconds, (client, deadline, callback) => client.fetchLoads(request, new Metadata(), { deadline }, callback))
+  }
+
   /** Takes no new requests and closes once those in flight have ended. */
   finish (): void {
     if (this.#closed) return
