Spread coordination over VMs that join, and hand over until nothing is left

The first VM to read the VM list took every endpoint, since it knew no other VM yet, and kept them: in a run with two VMs one coordinated all nine. Claims now wait 400 ms after an endpoint is first seen, and a VM with clearly more than its share gives one endpoint a second to the VM with the fewest.

In a run with four VMs an endpoint was given to a VM that was stopping, since only its watchers knew of the stop. The target is now asked first, and a stopping VM hands over until it coordinates nothing.

--- a/packages/daemon/src/control/coordination.ts
+++ b/packages/daemon/src/control/coordination.ts
@@ -1,4 +1,4 @@
-import { Logger, type Clock } from '@briarsaddle/common'
+import { delay, Logger, type Clock } from '@briarsaddle/common'
 import { noVersion, type EndpointDescription, type EndpointState } from '@briarsaddle/ownership'
 import type { ListedVm } from '@briarsaddle/platform'
 import type { LogFollower } from './log-follower.js'
@@ -10,6 +10,11 @@
 const missingMilliseconds = 3000
 /** How long an endpoint may stay without the coordinator that the ring prefers before any other VM steps in. */
 const unclaimedMilliseconds = 2000
+/** How long an endpoint is left alone after it was first seen, so that VMs that start together share the endpoints. */
+const claimDelayMilliseconds = 400
+/** Shortest time between two endpoints that a VM gives away for balance. */
+const rebalanceMilliseconds = 1000
+const handOverRetryMilliseconds = 50
 
 /** Starts and stops coordination without a record in the log. */
 export abstract class ProvisionalCoordination {
@@ -29,6 +34,7 @@
   readonly #provisional: ProvisionalCoordination
   readonly #unclaimedSince = new Map<string, number>()
   readonly #startPosition: () => number | undefined
+  #lastRebalance = -Infinity
 
   constructor (options: {
     readonly self: string
@@ -60,22 +66,33 @@
     if (!this.#follower.caughtUp) return
     for (const listed of this.#membership.endpoints) this.#claimNew(listed)
     for (const endpoint of this.#follower.state.endpoints.values()) this.#reviewKnown(endpoint)
+    this.#rebalance()
   }
 
   /** Names another VM for every endpoint that this VM coordinates; resolves when the records were read back. */
   async handOver (signal: AbortSignal): Promise<void> {
-    const own = [...this.#follower.state.endpoints.values()].filter(({ coordinator }) => coordinator.vm === this.#self)
-    const counts = this.#counts()
-    await Promise.all(own.map(async endpoint => {
-      const { description, coordinator } = endpoint
-      const standby = coordinator.standby
-      // The standby has the journal, so it is the best successor.
-      const usable = standby !== undefined && this.#membership.vms.some(vm => vm.id === standby) && !this.#membership.suspected.has(standby)
-      const vm = usable ? standby : this.#membership.ring.preferredCoordinator(description, counts)?.id
-      if (vm === undefined || vm === this.#self) return
-      counts.set(vm, (counts.get(vm) ?? 0) + 1)
-      await this.#propose(endpoint.description, coordinator.token, vm, 'hand over', signal)
-    }))
+    // Another VM may name this one before it knows of the stop, so one round is not always enough.
+    while (!signal.aborted) {
+      const own = this.#own()
+      if (own.length === 0) return
+      const counts = this.#counts()
+      await Promise.all(own.map(async endpoint => await this.#handOverOne(endpoint, counts, signal)))
+      await delay(handOverRetryMilliseconds, signal)
+    }
+  }
+
+  async #handOverOne ({ description, coordinator }: EndpointState, counts: Map<string, number>, signal: AbortSignal): Promise<void> {
+    const { standby } = coordinator
+    // The standby has the journal, so it is the best successor.
+    const preferred = standby !== undefined && await this.#membership.takesWork(standby) ? standby : undefined
+    const vm = preferred ?? this.#membership.ring.preferredCoordinator(description, counts)?.id
+    if (vm === undefined || vm === this.#self || !await this.#membership.takesWork(vm)) return
+    counts.set(vm, (counts.get(vm) ?? 0) + 1)
+    await this.#propose(description, coordinator.token, vm, 'hand over', signal)
+  }
+
+  #own (): readonly EndpointState[] {
+    return [...this.#follower.state.endpoints.values()].filter(({ coordinator }) => coordinator.vm === this.#self)
   }
 
   /** While the log is down, reads are late by more than a right lasts. */
@@ -90,7 +107,8 @@
     const description = describe(listed)
     if (description === undefined) return
     const preferred = this.#membership.ring.preferredCoordinator(description, this.#counts())?.id === this.#self
-    if (preferred || this.#clock.now() - since > unclaimedMilliseconds) void this.#propose(description, noVersion, this.#self, 'new endpoint')
+    const waited = this.#clock.now() - since
+    if (waited > (preferred ? claimDelayMilliseconds : unclaimedMilliseconds)) void this.#propose(description, noVersion, this.#self, 'new endpoint')
   }
 
   #reviewKnown (endpoint: EndpointState): void {
@@ -117,6 +135,27 @@
     }
   }
 
+  /** Gives one endpoint to the VM with the fewest when this VM has clearly more than its share. */
+  #rebalance (): void {
+    const counts = this.#counts()
+    const usable = this.#membership.vms.filter(({ id }) => !this.#membership.suspected.has(id))
+    const total = this.#follower.state.endpoints.size
+    const share = Math.ceil(total / usable.length)
+    const now = this.#clock.now()
+    if ((counts.get(this.#self) ?? 0) <= share + 1 || now - this.#lastRebalance < rebalanceMilliseconds) return
+    this.#lastRebalance = now
+    const count = (id: string): number => counts.get(id) ?? 0
+    const target = usable.reduce((least, vm) => count(vm.id) < count(least.id) ? vm : least)
+    if (count(target.id) >= share) return
+    const own = this.#own()
+    const chosen = own.find(({ description }) => description.dataCentre !== target.dataCentre) ?? own[0]
+    if (chosen !== undefined) void this.#giveAway(chosen, target.id)
+  }
+
+  async #giveAway ({ description, coordinator }: EndpointState, vm: string): Promise<void> {
+    if (await this.#membership.takesWork(vm)) await this.#propose(description, coordinator.token, vm, 'balance')
+  }
+
   #mayReplace (vm: string, endpoint: EndpointDescription): boolean {
     const suspectedFor = this.#membership.suspectedFor(vm)
     if (suspectedFor !== undefined) return suspectedFor >= this.#rank(vm) * this.#watcherStepMilliseconds
--- a/packages/daemon/src/control/membership.ts
+++ b/packages/daemon/src/control/membership.ts
@@ -94,6 +94,18 @@
     return this.#clock.now() - (last ?? this.#clock.now())
   }
 
+  /** Asks a VM whether it takes new work: only its watchers know of a stop before the list does. */
+  async takesWork (vm: string): Promise<boolean> {
+    if (vm === this.#self.id) return !this.#selfLeaving
+    try {
+      const response = await this.#peers.get(vm)?.heartbeat(this.#request(), heartbeatTimeoutMilliseconds)
+      if (response !== undefined) this.#noteLeaving(vm, response.leaving)
+      return response?.leaving === false
+    } catch {
+      return false
+    }
+  }
+
   /** Announces that this VM stops. */
   leave (): void {
     this.#selfLeaving = true
