Wait for fresh load averages after a hot bucket has moved

On a busy machine the test saw all six hot buckets leave the overloaded endpoint, although two or three moves would do. The averages cover 5 s and the balancer looks four times a second, so it went on acting on loads from before the move. Slow answers were ruled out as the only cause: the queue average alone kept the endpoint above the threshold. An endpoint that gained or lost a bucket now neither gives nor receives one until a window that began after the move is complete. The check of the test is unchanged.

--- a/packages/daemon/src/control/balancer.ts
+++ b/packages/daemon/src/control/balancer.ts
@@ -3,6 +3,7 @@
 import { defaultBalanceSettings, planBalanceMoves, type BucketLoad, type EndpointLoad } from '@briarsaddle/scheduling'
 import type { Coordinator } from '../coordinator/coordinator.js'
 import type { EndpointSession } from '../coordinator/endpoint-session.js'
+import { loadWindowMilliseconds } from '../coordinator/session-load.js'
 import type { LogFollower } from './log-follower.js'
 import type { RecordWriter } from './record-writer.js'
 
@@ -15,6 +16,9 @@
 /** Mean load of the asked endpoints from which a pool is at a peak: a move would only add to the trouble. */
 const peakLoad = 0.9
 
+/** After a move the load averages of both endpoints are wrong until a window that began later is complete. */
+const settleMilliseconds = 2 * loadWindowMilliseconds
+
 /** Asks coordinators for the loads of endpoints. */
 export abstract class LoadSource {
   abstract fetch (vm: string, endpoints: readonly string[]): Promise<readonly EndpointLoad[]>
@@ -31,6 +35,8 @@
   readonly #random: Random
   readonly #lifeCycle: LifeCycle
   readonly #lastMoves = new Map<string, { readonly at: number, readonly from: string }>()
+  /** When an endpoint last gained or lost a bucket. */
+  readonly #changedAt = new Map<string, number>()
 
   constructor (options: {
     readonly self: string
@@ -65,8 +71,10 @@
     const { state } = this.#follower
     for (const { record, voidReason } of read) {
       if (record.kind !== 'assignment' || voidReason !== undefined) continue
-      for (const { bucket } of record.moves) {
+      for (const { bucket, to } of record.moves) {
         const from = state.pools.get(record.pool)?.buckets[bucket]?.pendingFrom
+        this.#changedAt.set(to, this.#clock.now())
+        if (from !== undefined) this.#changedAt.set(from, this.#clock.now())
         if (from !== undefined) this.#lastMoves.set(`${record.pool} ${bucket}`, { at: this.#clock.now(), from })
       }
     }
@@ -82,7 +90,7 @@
     for (const session of this.#coordinator.sessions) {
       session.sampleLoad()
       const load = loadOf(session)
-      if (session.grants.state === 'active' && load.busy + load.queued / load.slots >= reliefLoad) await this.#relieve(session, load)
+      if (session.grants.state === 'active' && this.#isSettled(session.description.id) && load.busy + load.queued / load.slots >= reliefLoad) await this.#relieve(session, load)
     }
   }
 
@@ -119,7 +127,12 @@
       if (chosen !== undefined) byVm.set(chosen.coordinator.vm, [...byVm.get(chosen.coordinator.vm) ?? [], chosen.description.id])
     }
     const answers = await Promise.allSettled([...byVm].map(async ([vm, ids]) => vm === this.#self ? this.ownLoads(ids) : await this.#loads.fetch(vm, ids)))
-    return answers.flatMap(answer => answer.status === 'fulfilled' ? answer.value : [])
+    const loads = answers.flatMap(answer => answer.status === 'fulfilled' ? answer.value : [])
+    return loads.map(load => ({ ...load, accepting: load.accepting && this.#isSettled(load.endpoint) }))
+  }
+
+  #isSettled (endpoint: string): boolean {
+    return this.#clock.now() - (this.#changedAt.get(endpoint) ?? -Infinity) >= settleMilliseconds
   }
 }
 
--- a/packages/daemon/src/coordinator/session-load.ts
+++ b/packages/daemon/src/coordinator/session-load.ts
@@ -1,8 +1,8 @@
 import type { Clock } from '@briarsaddle/common'
 import { HotBuckets, type EndpointLoad } from '@briarsaddle/scheduling'
 
-/** Window over which busy time and queue lengths are averaged. */
-const windowMilliseconds = 5000
+/** Window over which busy time and queue lengths are averaged, in milliseconds. */
+export const loadWindowMilliseconds = 5000
 const smoothing = 0.3
 
 /** Recent load of one endpoint as its coordinator sees it. The endpoint's own report is not used, since it may lie. */
@@ -37,7 +37,7 @@
     this.#queued += smoothing * (queued - this.#queued)
     const now = this.#clock.now()
     const elapsed = now - this.#windowStartedAt
-    if (elapsed < windowMilliseconds) return
+    if (elapsed < loadWindowMilliseconds) return
     this.#busy = Math.min(1, this.#busyMilliseconds / (elapsed * slots))
     this.#requestsPerSecond = this.#requests * 1000 / elapsed
     this.#busyMilliseconds = 0
