Answer running requests at once when their endpoint is lost

Requests at a frozen endpoint waited for their deadline, up to 2 minutes, although the endpoint had been declared lost and its buckets had been given away. They now end as unknown at once, so idempotent ones are sent to the new owner and callers of the others hear at once.

A provisional coordinator proposes its record as soon as the log is back, also when the former coordinator answers again; before, that one stayed fenced and nobody wrote the change down.

--- a/packages/daemon/src/control-plane.ts
+++ b/packages/daemon/src/control-plane.ts
@@ -62,7 +62,7 @@
     this.peers = new PeerPool(lifeCycle)
     this.#loops = lifeCycle.child('control loops')
     this.follower = new LogFollower({ log, clock, maximumRuleFileBytes: settings.limits.maximumRuleFileBytes })
-    this.writer = new RecordWriter(log, this.follower)
+    this.writer = new RecordWriter(log, this.follower, clock)
     this.membership = new Membership({ self: settings.vm, list, peers: this.peers, hasher, clock, timing, position: () => this.follower.state.position })
     const witness = new Witness(this.follower, clock)
     const poll = new WitnessPoll({ self, witness, peers: this.peers })
--- a/packages/daemon/src/control/coordination.ts
+++ b/packages/daemon/src/control/coordination.ts
@@ -114,6 +114,11 @@
   #reviewKnown (endpoint: EndpointState): void {
     const { description, coordinator } = endpoint
     this.#unclaimedSince.delete(description.id)
+    if (this.#provisional.isProvisional(description.id)) {
+      // The log is back: the record makes the change known and lets the former coordinator end its session.
+      void this.#propose(description, coordinator.token, this.#self, 'provisional coordination')
+      return
+    }
     if (coordinator.vm !== this.#self) {
       if (this.#mayReplace(coordinator.vm, description)) void this.#propose(description, coordinator.token, this.#self, `coordinator ${coordinator.vm} lost`)
       return
--- a/packages/daemon/src/coordinator/endpoint-session.ts
+++ b/packages/daemon/src/coordinator/endpoint-session.ts
@@ -68,6 +68,8 @@
   readonly #lifeCycle: LifeCycle
   #provisionalGrants: ReadonlySet<number> | undefined
   #activeWaiters: Array<() => void> = []
+  /** Aborted when the endpoint is lost. */
+  #lost = new AbortController()
 
   constructor (options: SessionOptions, lifeCycle: LifeCycle) {
     super()
@@ -144,7 +146,12 @@
     if (state === 'active') {
       for (const wake of this.#activeWaiters.splice(0)) wake()
     }
-    if (state === 'lost') this.stopNewWork('endpoint_lost')
+    if (state === 'lost') {
+      this.stopNewWork('endpoint_lost')
+      // Running requests get their final answer at once; an endpoint that checks refuses what ends after its grant.
+      this.#lost.abort()
+      this.#lost = new AbortController()
+    }
     this.#options.observer.stateChanged(this, state)
   }
 
@@ -234,7 +241,9 @@
     this.#running.set(bucket, (this.#running.get(bucket) ?? 0) + 1)
     const startedAt = this.#options.clock.now()
     try {
-      return await this.#sender.send(forward, bucketToken, deadlineAt, signal)
+      const lost = this.#lost.signal
+      const answer = await this.#sender.send(forward, bucketToken, deadlineAt, AbortSignal.any([signal, lost]))
+      return answer.reason === 'cancelled' && lost.aborted ? { ...answer, reason: 'endpoint_lost' } : answer
     } finally {
       const left = (this.#running.get(bucket) ?? 1) - 1
       if (left === 0) this.#running.delete(bucket)
