Publish a checkpoint as soon as the log retains no start of the state

Cause: after the log had discarded all records, operators got control_state_unavailable until the next regular checkpoint, up to 30 s later; a change must be in force within 16 s. Ruled out: a fault of the command-line tool, which reads what the log retains. Before: publishing failed in the test; after: published 1961 ms after a newcomer served (one run, on a busy machine).

--- a/packages/daemon/src/control/log-follower.ts
+++ b/packages/daemon/src/control/log-follower.ts
@@ -1,5 +1,5 @@
 import { delay, describeError, errorCode, Logger, type Clock, type LifeCycle } from '@briarsaddle/common'
-import { ControlReader, decodeState, encodeState, initialState, type ControlState, type ReadRecord } from '@briarsaddle/ownership'
+import { ControlReader, decodeState, encodeState, initialState, noVersion, type ControlState, type ReadRecord } from '@briarsaddle/ownership'
 import type { LogClient, LogPage } from '@briarsaddle/platform'
 import { LogForgottenError } from '@briarsaddle/platform'
 import { parseRules, type RuleFile } from '@briarsaddle/rules'
@@ -37,6 +37,7 @@
   #lastReadAt = -Infinity
   #retained: Pick<LogPage, 'first' | 'next'> | undefined
   #lastCheckpoint: number | undefined
+  #lastCheckpointPosition = noVersion
   #waiters: Array<{ readonly position: number, readonly wake: () => void }> = []
 
   constructor (options: { readonly log: LogClient, readonly clock: Clock, readonly maximumRuleFileBytes: number }) {
@@ -60,6 +61,8 @@
   get retained (): Pick<LogPage, 'first' | 'next'> | undefined { return this.#retained }
   /** Offset of the newest checkpoint that was read. */
   get lastCheckpoint (): number | undefined { return this.#lastCheckpoint }
+  /** False when the log has discarded records that the newest checkpoint does not cover, so that nobody could start from it. */
+  get startRetained (): boolean { return this.#lastCheckpointPosition + 1 >= (this.#retained?.first ?? 0) }
 
   /** Registers an observer. Observers are called in the order of registration. */
   observe (observer: FollowerObserver): void {
@@ -112,7 +115,10 @@
     const report = this.#reader.feed(page)
     for (const { code, message, offset } of report.problems) logger.warning('problem in the control stream', { code, offset, detail: message })
     for (const { offset, record, voidReason } of report.read) {
-      if (record.kind === 'checkpoint') this.#lastCheckpoint = offset
+      if (record.kind === 'checkpoint') {
+        this.#lastCheckpoint = offset
+        this.#lastCheckpointPosition = record.position
+      }
       if (voidReason !== undefined) logger.debug('record had no effect', { offset, kind: record.kind, reason: voidReason })
     }
     this.#adopt(report.read)
--- a/packages/daemon/src/control/upkeep.ts
+++ b/packages/daemon/src/control/upkeep.ts
@@ -108,8 +108,10 @@
   }
 
   #checkpointIsDue (): boolean {
-    const { state, lastCheckpoint } = this.#follower
+    const { state, lastCheckpoint, startRetained } = this.#follower
     if (state.position === noVersion) return false
+    // Operators could not publish until the next regular checkpoint, which may be later than a change must be in force.
+    if (!startRetained) return true
     if (lastCheckpoint !== this.#lastCheckpointSeen) {
       this.#lastCheckpointSeen = lastCheckpoint
       this.#lastCheckpointAt = this.#clock.now()
