Test newcomer VMs with an empty, a short and an unavailable log

Guards against a newcomer that takes an empty log for a first start. Names in traffic ids keep two traffics of one deployment apart: equal ids were counted as repeats.

--- a/packages/integration/src/bed/observation.ts
+++ b/packages/integration/src/bed/observation.ts
@@ -59,7 +59,10 @@
 
 /** Owners of the keys in the pond pool as a VM knows them, by key. */
 export async function observeOwners (deployment: Deployment, vm: string, keys: readonly string[] = trafficKeys): Promise<ReadonlyMap<string, ObservedOwner>> {
-  return new Map(await Promise.all(keys.map(async key => [key, await administration(deployment, vm, `/owner?pool=ponds&key=${key}`) as ObservedOwner] as const)))
+  return new Map(await Promise.all(keys.map(async key => {
+    const { bucket, owner, token, pendingFrom } = await administration(deployment, vm, `/owner?pool=ponds&key=${key}`) as ObservedOwner
+    return [key, { bucket, owner, token, pendingFrom }] as const
+  })))
 }
 
 /** Rules as a VM knows them. */
--- a/packages/integration/src/bed/traffic.ts
+++ b/packages/integration/src/bed/traffic.ts
@@ -27,15 +27,17 @@
   readonly #random: Random
   readonly #vms: () => readonly string[]
   readonly #kinds: readonly RequestKind[]
+  readonly #name: string
   readonly #intervalMilliseconds: number
   readonly #pending = new Set<Promise<void>>()
   #timer: NodeJS.Timeout | undefined
   #count = 0
 
-  constructor (deployment: Deployment, options: { readonly seed: number, readonly perSecond?: number, readonly kinds?: readonly RequestKind[], readonly vms?: () => readonly string[] }) {
+  constructor (deployment: Deployment, options: { readonly seed: number, readonly perSecond?: number, readonly kinds?: readonly RequestKind[], readonly vms?: () => readonly string[], /** Begins the ids; must differ between traffics of one deployment. */ readonly name?: string }) {
     this.#deployment = deployment
     this.#random = new Random(options.seed)
     this.#vms = options.vms ?? (() => [...deployment.vms.keys()])
+    this.#name = options.name === undefined ? '' : `${options.name}-`
     this.#kinds = options.kinds ?? ['status', 'order', 'dispatch']
     this.#intervalMilliseconds = 1000 / (options.perSecond ?? 100)
   }
@@ -57,7 +59,7 @@
     const key = `pond-${this.#random.integer(1, pondCount)}`
     const vms = this.#vms()
     if (vms.length === 0) return
-    const id = `${kind}-${++this.#count}`
+    const id = `${this.#name}${kind}-${++this.#count}`
     const pending = sendTraced(this.#deployment, { id, kind, key, vm: this.#random.pick(vms) }).then(trace => {
       this.traces.push(trace)
       this.#pending.delete(pending)
--- a/packages/integration/src/scenarios/log-failures.test.ts
+++ b/packages/integration/src/scenarios/log-failures.test.ts
@@ -1,9 +1,12 @@
+import { randomUUID } from 'node:crypto'
 import { expect } from 'chai'
+import { request } from 'undici'
 import { collectRecords, Deployment, longestGap, smallAtlas, Traffic, waitFor } from '../bed/index.js'
 import { breachesOf, describeTraces, joinRecords, observeEndpoints, observeOwners, observeRules, pause, printedSeed, readControlStream, summarizeTraces } from '../bed/observation.js'
 
 const servedAgainMilliseconds = 1000 // stated target after a loss
 const promptMilliseconds = 1000 // far below the deadlines of 2 s to 30 s, and no longer than a repair may take
+const publicationMilliseconds = 16_000 // a change must be in force everywhere within 16 s
 const outageMilliseconds = 3000 // longer than the right (500 ms) and the grant (400 ms)
 
 describe('Failures of the log', function () {
@@ -135,3 +138,87 @@
     expect(describeTraces(traces.filter(({ startedAt, answer }) => startedAt > healedAt && answer?.outcome !== 'answered'))).to.deep.equal([])
   })
 })
+
+describe('Newcomer VMs when the log cannot tell the state', function () {
+  this.timeout(60_000)
+  let deployment: Deployment
+
+  before(async () => {
+    deployment = new Deployment(smallAtlas({ retainRecords: 40, logNamespaces: 'briarsaddle:*' }))
+    await deployment.start()
+  })
+
+  after(async () => await deployment.stop())
+
+  afterEach(function () {
+    if (this.currentTest?.state === 'failed') console.log(deployment.logs().split('\n').slice(-150).join('\n'))
+  })
+
+  async function startNewcomer (id: string, dataCentre: string): Promise<void> {
+    const [rules, owners] = [await observeRules(deployment, 'vm-1'), await observeOwners(deployment, 'vm-1')]
+    const startedAt = Date.now()
+    await deployment.startVm({ id, dataCentre })
+    await waitFor(`${id} has rules`, 15_000, async () => (await observeRules(deployment, id)).version === rules.version)
+    console.log(`      ${id} had the state ${Date.now() - startedAt} ms after its start`)
+    expect(await observeRules(deployment, id)).to.deep.equal(rules)
+    expect(await observeOwners(deployment, id)).to.deep.equal(owners)
+  }
+
+  async function serveThrough (vm: string, seed: number): Promise<void> {
+    const traffic = new Traffic(deployment, { seed, vms: () => [vm], name: vm })
+    traffic.start()
+    await pause(1000)
+    const traces = await traffic.stop()
+    console.log(`      through ${vm}: ${summarizeTraces(traces)}`)
+    const answered = new Set(traces.filter(({ answer }) => answer?.outcome === 'answered').map(({ kind }) => kind))
+    expect([...answered].sort()).to.deep.equal(['dispatch', 'order', 'status'])
+    expect(breachesOf(await collectRecords(deployment), traces)).to.deep.equal([])
+  }
+
+  it('takes the state from a peer when the log has discarded every record, so that an empty log is not taken for a first start', async () => {
+    const seed = printedSeed('the empty log')
+    await deployment.controlLog({ forgetBefore: 1_000_000 })
+    await startNewcomer('vm-4', 'dc-a')
+    await serveThrough('vm-4', seed)
+    const { text, version } = await observeRules(deployment, 'vm-4')
+    const startedAt = Date.now()
+    await waitFor('an operator can publish again', publicationMilliseconds, async () => (await deployment.publish(`${text}# after the loss of all records\n`, version)).length > 0)
+    console.log(`      published ${Date.now() - startedAt} ms after the newcomer served`)
+    await waitFor('every VM has the publication', publicationMilliseconds, async () => (await Promise.all([...deployment.vms.keys()].map(async vm => await observeRules(deployment, vm)))).every(known => known.version > version))
+  })
+
+  it('takes the state from a peer while the log is down', async () => {
+    const seed = printedSeed('the newcomer in an outage')
+    await deployment.controlLog({ outage: true })
+    try {
+      await startNewcomer('vm-5', 'dc-b')
+      await serveThrough('vm-5', seed)
+    } finally {
+      await deployment.controlLog({ outage: false })
+    }
+  })
+
+  it('starts from a checkpoint when the log retains only the newest records', async () => {
+    const seed = printedSeed('the short log')
+    // Records with an outdated base have no effect but push older ones out of the log.
+    for (let count = 0; count < 45; count++) await appendVoidRecord(deployment)
+    await pause(1000)
+    const { first } = await retained(deployment)
+    expect(first).to.be.above(0)
+    await startNewcomer('vm-6', 'dc-c')
+    await serveThrough('vm-6', seed)
+  })
+})
+
+async function appendVoidRecord (deployment: Deployment): Promise<void> {
+  const record = { id: randomUUID(), kind: 'endpointRemoved', base: 0, endpoint: 'not-known' }
+  const response = await request(`${deployment.logUrl}/streams/control/records`, { method: 'POST', body: JSON.stringify(record) })
+  expect(response.statusCode).to.equal(201)
+  await response.body.dump()
+}
+
+async function retained (deployment: Deployment): Promise<{ readonly first: number, readonly next: number }> {
+  const response = await request(`${deployment.logUrl}/_control`)
+  const { streams } = await response.body.json() as { readonly streams: { readonly control: { readonly first: number, readonly next: number } } }
+  return streams.control
+}
