Record in the control state that the VM list calls an endpoint leaving

Cause: entries choose the endpoint of a pool without keys by the control state, which learned of a leaving endpoint only from the drain command. Ruled out: late lists (polled every 200 ms in the test). Once recorded, an endpoint takes work again only after it was dropped from the list and listed anew.

--- a/packages/daemon/src/control/assignments.ts
+++ b/packages/daemon/src/control/assignments.ts
@@ -51,6 +51,7 @@
     const keyed = keyedPools(this.#follower.rules)
     for (const session of this.#coordinator.sessions) {
       if (session.grants.state === 'closed') continue
+      this.#recordLeaving(session)
       if (keyed.has(session.description.pool)) this.#reviewEndpoint(session)
       if (session.grants.state === 'lost') void this.#releaseLost(session)
       this.#removeGone(session)
@@ -172,6 +173,15 @@
     }))
   }
 
+  /** Entries choose the endpoint of a pool without keys by the control state alone, so a leaving state of the VM list has to be in it. */
+  #recordLeaving (session: EndpointSession): void {
+    const { id } = session.description
+    const endpoint = this.#follower.state.endpoints.get(id)
+    const listed = this.#membership.endpoints.find(other => other.id === id)
+    if (endpoint === undefined || endpoint.leaving || listed?.state !== 'leaving') return
+    void this.#writer.propose(`drain ${id}`, { kind: 'drain', endpoint: id, base: endpoint.version, author: 'VM list' }, this.#lifeCycle.signal)
+  }
+
   #removeGone (session: EndpointSession): void {
     const { id, pool } = session.description
     if (this.#membership.missingFor(id) < removalMilliseconds) return
