--- a/packages/integration/src/bed/traffic.ts
+++ b/packages/integration/src/bed/traffic.ts
@@ -57,7 +57,7 @@
     const key = `pond-${this.#random.integer(1, pondCount)}`
     const vms = this.#vms()
     if (vms.length === 0) return
-    const id = `${kind}-${++this.#count}`
+    const id = `${kind}-${this.#random.seed}-${++this.#count}`
     const pending = sendTraced(this.#deployment, { id, kind, key, vm: this.#random.pick(vms) }).then(trace => {
       this.traces.push(trace)
       this.#pending.delete(pending)
