Send and read administration calls in the CLI as the server defines them

The CLI sent { vms, author } to /witnesses/release and read error codes at the top level of the answer. Releases were always refused with 400, and a lost answer of the log (504, log_unknown) lost its message.

Its tests use the server's answers and check that the server's message reaches the operator.

--- a/packages/cli/src/administration-client.ts
+++ b/packages/cli/src/administration-client.ts
@@ -12,7 +12,7 @@
 }
 
 const callTimeoutMilliseconds = 15_000
-const errorSchema = z.object({ code: z.string().optional(), message: z.string().optional() })
+const errorSchema = z.object({ error: z.object({ code: z.string().optional(), message: z.string().optional() }) })
 
 // These errors precede the first byte of the request.
 const connectErrorCodes: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT'])
@@ -87,9 +87,9 @@
   }
 }
 
-function parseErrorBody (text: string): z.infer<typeof errorSchema> {
+function parseErrorBody (text: string): Partial<z.infer<typeof errorSchema>['error']> {
   try {
-    return errorSchema.parse(JSON.parse(text))
+    return errorSchema.parse(JSON.parse(text)).error
   } catch {
     return {}
   }
--- a/packages/cli/src/commands/administration.ts
+++ b/packages/cli/src/commands/administration.ts
@@ -74,7 +74,7 @@
   readonly author = Option.String('--author', { required: true, description: 'Who gives the command' })
 
   protected async run (): Promise<ExitCode> {
-    const answer = await this.call({ method: 'POST', path: '/witnesses/release', body: { vms: this.vms, author: this.author } })
+    const answer = await this.call({ method: 'POST', path: '/witnesses/release', body: { lost: this.vms, author: this.author } })
     this.write(answer, `released ${this.vms.join(', ')}\n${formatProperties(answer)}`)
     return exitCodes.success
   }
--- a/packages/cli/src/main.test.ts
+++ b/packages/cli/src/main.test.ts
@@ -107,14 +107,14 @@
     await call('match', 'get', '/ponds/1?x=2')
     expect(received[0]?.[1]).to.equal('/match?method=GET&path=%2Fponds%2F1%3Fx%3D2')
     await call('witnesses', 'release', 'vm-1', 'vm-2', '--author', 'matej')
-    expect(received[0]).to.deep.equal(['POST', '/witnesses/release', '{"vms":["vm-1","vm-2"],"author":"matej"}'])
+    expect(received[0]).to.deep.equal(['POST', '/witnesses/release', '{"lost":["vm-1","vm-2"],"author":"matej"}'])
   })
 
   const outcomes: ReadonlyArray<readonly [situation: string, given: typeof answer, getCode: number, postCode: number]> = [
-    ['a missing endpoint', { status: 404, body: { code: 'unknown_endpoint', message: 'no such endpoint' } }, 1, 1],
-    ['a conflict', { status: 409, body: { code: 'stale_base' } }, 1, 1],
-    ['a log that is down', { status: 503, body: { code: 'log_unavailable' } }, 3, 3],
-    ['a lost answer of the log', { status: 504, body: { code: 'log_unknown' } }, 4, 4],
+    ['a missing endpoint', { status: 404, body: { error: { code: 'unknown_endpoint', message: 'no such endpoint' } } }, 1, 1],
+    ['a conflict', { status: 409, body: { error: { code: 'stale_base' } } }, 1, 1],
+    ['a log that is down', { status: 503, body: { error: { code: 'log_unavailable' } } }, 3, 3],
+    ['a lost answer of the log', { status: 504, body: { error: { code: 'log_unknown' } } }, 4, 4],
     ['an internal error', { status: 500, body: {} }, 3, 4],
     ['a broken connection', 'disconnect', 3, 4]
   ]
@@ -125,6 +125,7 @@
       const drain = await call('drain', 'pond-1', '--author', 'matej')
       expect(drain).to.include({ code: postCode, stdout: '' })
       expect(drain.stderr).to.match(/^briarsaddle: [^\n]+\n$/)
+      if (given !== 'disconnect' && given.status === 404) expect(drain.stderr).to.equal('briarsaddle: no such endpoint\n')
       expect(received).to.have.length(1)
     })
   }
