--- a/packages/daemon/src/administration/administration-server.ts
+++ b/packages/daemon/src/administration/administration-server.ts
@@ -152,7 +152,9 @@
   const result = schema.safeParse(value)
   if (result.success) return result.data
   const issue = result.error.issues[0]
-  throw requestError('invalid_request', issue?.message ?? 'the request is invalid', issue?.path.join('.'))
+  const path = issue?.path.join('.') ?? ''
+  const message = issue?.message ?? 'the request is invalid'
+  throw requestError('invalid_request', path === '' ? message : `${path}: ${message}`, path)
 }
 
 function requestError (code: string, message: string, path?: string): BriarsaddleError {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,7 +1,7 @@
-import { BriarsaddleError, LifeCycle } from '@briarsaddle/common'
+import { LifeCycle } from '@briarsaddle/common'
 import { RandomChoice, TwoChoices } from '@briarsaddle/scheduling'
 import { administrationToken, type Address, type Settings } from '@briarsaddle/settings'
-import { AdministrationOperations, AdministrationServer, StateDump, type OperationResult } from './administration/index.js'
+import { AdministrationServer, LogOperations, StateDump } from './administration/index.js'
 import { ControlPlane } from './control-plane.js'
 import { PoolForwarder } from './control/inner-adapters.js'
 import { EntryServer, RequestRouter } from './entry/index.js'
@@ -84,7 +84,7 @@
       control: control.follower,
       hasher: control.hasher,
       dump: new DaemonDump(control, router, entry),
-      operations: new LogOperations(control),
+      operations: new LogOperations(control.follower, control.writer),
       isServing: () => entry.serving && control.follower.started
     })
     const port = await administration.listen()
@@ -115,32 +115,3 @@
     }
   }
 }
-
-class LogOperations extends AdministrationOperations {
-  readonly #control: ControlPlane
-
-  constructor (control: ControlPlane) {
-    super()
-    this.#control = control
-  }
-
-  override async drain (endpoint: string, author: string): Promise<OperationResult> {
-    const known = this.#control.follower.state.endpoints.get(endpoint)
-    if (known === undefined) throw new BriarsaddleError(`endpoint ${endpoint} is not known`, { code: 'unknown_endpoint', step: 'drain endpoint' })
-    const offset = await this.#control.writer.append({ kind: 'drain', base: known.version, endpoint, author })
-    const leaving = this.#control.follower.state.endpoints.get(endpoint)?.leaving ?? true
-    if (!leaving) throw new BriarsaddleError(`endpoint ${endpoint} changed at the same time; try again`, { code: 'conflict', step: 'drain endpoint' })
-    return { offset }
-  }
-
-  override async releaseWitnesses (lost: readonly string[], author: string): Promise<OperationResult> {
-    const { witnesses } = this.#control.follower.state
-    const missing = lost.find(vm => !witnesses.vms.includes(vm))
-    if (missing !== undefined) throw new BriarsaddleError(`${missing} is not a witness`, { code: 'unknown_witness', step: 'release witnesses' })
-    const offset = await this.#control.writer.append({ kind: 'witnessesReleased', base: witnesses.version, lost, author })
-    if (this.#control.follower.state.witnesses.vms.some(vm => lost.includes(vm))) {
-      throw new BriarsaddleError('the witness list changed at the same time; try again', { code: 'conflict', step: 'release witnesses' })
-    }
-    return { offset }
-  }
-}
