--- a/packages/integration/src/bed/deployment.ts
+++ b/packages/integration/src/bed/deployment.ts
@@ -95,6 +95,7 @@
   readonly #agent = new Agent({ connections: 256, pipelining: 1 })
   readonly #leaving = new Set<string>()
   #directory = ''
+  #stopped = false
   #log: ListeningAddress | undefined
   #list: ListeningAddress | undefined
 
@@ -243,8 +244,9 @@
     })
   }
 
-  /** Ends all processes. */
+  /** Ends all processes. A start that is still running fails, because no process may begin after this. */
   async stop (): Promise<void> {
+    this.#stopped = true
     await this.#agent.destroy()
     for (const process of this.#processes) if (process.running) process.resume()
     await Promise.all(this.#processes.map(async process => await process.kill()))
@@ -257,6 +259,7 @@
   }
 
   #start (name: string, script: string, args: readonly string[]): ManagedProcess {
+    if (this.#stopped) throw new Error(`${name} cannot start: the deployment was stopped`)
     const process = new ManagedProcess(name, script, args, this.plan.logNamespaces === undefined ? {} : { DEBUG: this.plan.logNamespaces })
     this.#processes.push(process)
     return process
--- a/packages/integration/src/bed/index.ts
+++ b/packages/integration/src/bed/index.ts
@@ -1,3 +1,4 @@
+export { runCli, runProgram, type ProgramResult } from './command-line.js'
 export { administrationToken, Deployment, waitFor, type CallerAnswer, type DeploymentPlan, type EndpointPlan, type RunningEndpoint, type RunningProxy, type RunningVm, type VmPlan } from './deployment.js'
 export { ManagedProcess } from './managed-process.js'
 export { executables, repositoryPath } from './paths.js'
