--- a/packages/integration/src/demo/demo.ts
+++ b/packages/integration/src/demo/demo.ts
@@ -209,16 +209,18 @@
     this.#say('The records of all endpoints agree: no bucket had two owners, nothing ran twice, nothing reported as not run had run, and every answer belongs to its request.')
   }
 
+  /** Stops one VM as an upgrade does: it hands its endpoints to the VMs that still run. */
   async #stopGracefully (): Promise<void> {
-    const vms = [...this.#deployment.vms.values()]
+    const vm = [...this.#deployment.vms.values()].find(({ plan }) => plan.id !== this.#entryVm)
+    ensure(vm !== undefined, 'no VM is left to stop')
     const since = performance.now()
-    // One after the other, as in an upgrade: each hands its endpoints to the VMs that still run.
-    for (const { plan, process } of vms) {
-      const code = await process.stop()
-      ensure(code === 0, `${plan.id} exited with ${code}`)
-      await this.#deployment.unlist(plan.id)
-    }
-    this.#say(`The remaining ${vms.length} VMs stopped gracefully in ${elapsed(since)}.`)
+    const code = await vm.process.stop()
+    ensure(code === 0, `${vm.plan.id} exited with ${code}`)
+    this.#say(`Stopped ${vm.plan.id} gracefully as for an upgrade; it took ${elapsed(since)} to hand over and exit.`)
+    await this.#deployment.unlist(vm.plan.id)
+    const trace = await sendTraced(this.#deployment, { id: 'demo-after-stop', kind: 'order', key: pond, vm: this.#entryVm })
+    const answer = expectAnswered(trace.answer, 'a flood order after the stop')
+    this.#say(`${this.#entryVm} took a flood order after that; ${endpointOf(answer)} answered after ${trace.endedAt - trace.startedAt} ms. Stopping everything else.`)
   }
 
   async #owner (): Promise<OwnerAnswer> {
