--- a/packages/integration/src/bed/index.ts
+++ b/packages/integration/src/bed/index.ts
@@ -1,3 +1,4 @@
+export { runCli, runProgram, type ProgramResult } from './command-line.js'
 export { administrationToken, Deployment, waitFor, type CallerAnswer, type DeploymentPlan, type EndpointPlan, type RunningEndpoint, type RunningProxy, type RunningVm, type VmPlan } from './deployment.js'
 export { coordinators, FailureResult, runFailure, startSpread, witnesses, type FailurePlan, type RunningFailure } from './failure-run.js'
 export { KeyProbe } from './key-probe.js'
