Measure idle control of real daemons

It counts bytes with a relay inside the measuring process, since one fault proxy process per connection point would need 150 processes at 16 VMs and 120 endpoints.

--- a/packages/integration/src/bed/deployment.ts
+++ b/packages/integration/src/bed/deployment.ts
@@ -67,11 +67,11 @@
   readonly proxy: RunningProxy | undefined
 }
 
-/** A running fault proxy. */
+/** A running fault proxy. A relay of another kind has no process of its own and cannot be controlled. */
 export interface RunningProxy {
-  readonly process: ManagedProcess
+  readonly process?: ManagedProcess
   readonly address: ListeningAddress
-  readonly control: ListeningAddress
+  readonly control?: ListeningAddress
 }
 
 /** Answer to a caller. */
--- /dev/null
+++ b/packages/integration/src/capacity/measured-deployment.ts
@@ -0,0 +1,82 @@
+import { request } from 'undici'
+import { Deployment, type DeploymentPlan, type RunningProxy, endpointPlans, exampleRules, vmPlans } from '../bed/index.js'
+import type { ListeningAddress } from '@briarsaddle/standins'
+import { ByteCounter } from './byte-counter.js'
+
+/** What one daemon has used since its start. */
+export interface ProcessUse {
+  readonly processorMilliseconds: number
+  readonly residentBytes: number
+}
+
+/** Counts at the log stand-in since its start. */
+export interface LogCounts {
+  readonly appends: number
+  readonly reads: number
+  readonly next: number
+}
+
+/** Bytes relayed since the start, by kind of connection. */
+export interface RelayedBytes {
+  readonly log: number
+  readonly inner: number
+  readonly endpoints: number
+}
+
+/** A deployment that counts bytes in this process, instead of one fault proxy process per connection point. */
+export class MeasuredDeployment extends Deployment {
+  readonly #counters: Array<{ readonly name: string, readonly counter: ByteCounter }> = []
+
+  override async startProxy (name: string, target: ListeningAddress): Promise<RunningProxy> {
+    const counter = new ByteCounter(target)
+    const address = await counter.listen()
+    this.#counters.push({ name, counter })
+    return { address }
+  }
+
+  override async stop (): Promise<void> {
+    for (const { counter } of this.#counters) counter.close()
+    await super.stop()
+  }
+
+  /** Bytes relayed so far. */
+  get bytes (): RelayedBytes {
+    const total = (wanted: (name: string) => boolean): number => this.#counters.filter(({ name }) => wanted(name)).reduce((sum, { counter }) => sum + counter.bytes, 0)
+    const isLog = (name: string): boolean => name.endsWith(' log proxy')
+    const isInner = (name: string): boolean => name.endsWith(' inner proxy')
+    return { log: total(isLog), inner: total(isInner), endpoints: total(name => !isLog(name) && !isInner(name)) }
+  }
+
+  /** Reads what every VM has used. */
+  async uses (): Promise<readonly ProcessUse[]> {
+    return await Promise.all([...this.vms.keys()].map(async vm => (await this.state(vm))['process'] as ProcessUse))
+  }
+
+  /** Reads the counts of the log stand-in. */
+  async logCounts (): Promise<LogCounts> {
+    const response = await request(`${this.logUrl}/_control`)
+    const { counts, streams } = await response.body.json() as { readonly counts: Omit<LogCounts, 'next'>, readonly streams: Readonly<Record<string, { readonly next: number } | undefined>> }
+    return { appends: counts.appends, reads: counts.reads, next: streams['control']?.next ?? 0 }
+  }
+}
+
+/** Atlas with the given numbers of VMs and endpoints: three quarters of the endpoints in the keyed pool. */
+export function atlasPlan (vms: number, endpoints: number, overrides: Partial<DeploymentPlan> = {}): DeploymentPlan {
+  const keyed = Math.round(endpoints * 0.75)
+  return { vms: vmPlans(vms), endpoints: [...endpointPlans('ponds', keyed), ...endpointPlans('dispatch', endpoints - keyed)], rules: exampleRules('atlas'), ...overrides }
+}
+
+/** Runs a measurement on a deployment and ends the deployment in any case. */
+export async function withDeployment (plan: DeploymentPlan, measure: (deployment: MeasuredDeployment) => Promise<void>): Promise<void> {
+  const deployment = new MeasuredDeployment(plan)
+  try {
+    await deployment.startProcesses()
+    await deployment.publish(plan.rules)
+    if (plan.endpoints.length > 0) await deployment.waitUntilServing(servingTimeoutMilliseconds)
+    await measure(deployment)
+  } finally {
+    await deployment.stop()
+  }
+}
+
+const servingTimeoutMilliseconds = 40_000
