Find a VM's heartbeat watchers without copying the ring

watchedFrom, which runs after every read of the VM list, copied and filtered the whole ring once per VM. At 650 VMs that took 12.5 ms; with one read per second this is 1.25 % of a core, half of the budget for control. Ruled out: building the ring itself, which takes 0.7 ms at 650 VMs. Change: walk backwards from the VM until the watchers and the one in another data centre are found. Checked: 25,320 answers of watchedBy, watchersOf and watchedFrom on 400 random rings equal those of the former code. All 278 tests pass.

--- a/packages/ownership/src/ring.ts
+++ b/packages/ownership/src/ring.ts
@@ -20,6 +20,8 @@
   readonly #hasher: KeyHasher
   readonly #vms: readonly RingVm[]
   readonly #suspected: ReadonlySet<string>
+  readonly #indexes: ReadonlyMap<string, number>
+  readonly #usableDataCentres: ReadonlySet<string>
 
   /** `suspected` holds the ids of VMs of the list that do not answer; they keep their place but watch nobody. */
   constructor (hasher: KeyHasher, vms: readonly RingVm[], suspected: ReadonlySet<string> = new Set()) {
@@ -27,16 +29,25 @@
     const positions = new Map(vms.map(vm => [vm.id, hasher.ringPosition(vm.id)]))
     this.#vms = [...vms].sort((one, other) => (positions.get(one.id) ?? 0) - (positions.get(other.id) ?? 0) || compareText(one.id, other.id))
     this.#suspected = suspected
+    this.#indexes = new Map(this.#vms.map(({ id }, index) => [id, index]))
+    this.#usableDataCentres = new Set(this.#vms.filter(({ id }) => !suspected.has(id)).map(({ dataCentre }) => dataCentre))
   }
 
   /** The VMs to which `id` sends its heartbeats, the nearest first; suspected ones are replaced by the next. */
   watchedBy (id: string): readonly RingVm[] {
-    const index = this.#vms.findIndex(vm => vm.id === id)
-    const self = this.#vms[index]
-    if (self === undefined) return []
-    const before = [...this.#vms.slice(0, index).reverse(), ...this.#vms.slice(index + 1).reverse()].filter(vm => !this.#suspected.has(vm.id))
-    const watchers = before.slice(0, watchersPerVm)
-    const elsewhere = before.find(vm => vm.dataCentre !== self.dataCentre)
+    const index = this.#indexes.get(id)
+    const self = this.#vms[index ?? -1]
+    if (index === undefined || self === undefined) return []
+    const watchers: RingVm[] = []
+    const existsElsewhere = [...this.#usableDataCentres].some(dataCentre => dataCentre !== self.dataCentre)
+    let elsewhere: RingVm | undefined
+    for (let distance = 1; distance < this.#vms.length; distance++) {
+      if (watchers.length === watchersPerVm && (elsewhere !== undefined || !existsElsewhere)) break
+      const vm = this.#vms[(index - distance + this.#vms.length) % this.#vms.length]
+      if (vm === undefined || this.#suspected.has(vm.id)) continue
+      if (watchers.length < watchersPerVm) watchers.push(vm)
+      if (vm.dataCentre !== self.dataCentre) elsewhere ??= vm
+    }
     // The loss of a data centre must be seen from outside it, so one watcher is elsewhere where that is possible.
     if (elsewhere !== undefined && !watchers.includes(elsewhere)) watchers[watchers.length - 1] = elsewhere
     return watchers
@@ -45,7 +56,7 @@
   /** The watchers of `id` by rank. Rank 0 is in another data centre where there is one; the others follow by distance. */
   watchersOf (id: string): readonly RingVm[] {
     const watchers = this.watchedBy(id)
-    const dataCentre = this.#vms.find(vm => vm.id === id)?.dataCentre
+    const dataCentre = this.#vms[this.#indexes.get(id) ?? -1]?.dataCentre
     const first = watchers.find(vm => vm.dataCentre !== dataCentre)
     return first === undefined ? watchers : [first, ...watchers.filter(vm => vm !== first)]
   }
