--- a/packages/integration/src/capacity/measured-deployment.ts
+++ b/packages/integration/src/capacity/measured-deployment.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from 'node:crypto'
 import { request } from 'undici'
 import { Deployment, type DeploymentPlan, type RunningProxy, endpointPlans, exampleRules, vmPlans } from '../bed/index.js'
 import type { ListeningAddress } from '@briarsaddle/standins'
@@ -52,6 +53,15 @@
     return await Promise.all([...this.vms.keys()].map(async vm => (await this.state(vm))['process'] as ProcessUse))
   }
 
+  /** Appends a record without an effect; returns its offset and when the append began. */
+  async appendVoidRecord (): Promise<{ readonly offset: number, readonly startedAt: number }> {
+    const startedAt = performance.now()
+    const body = JSON.stringify({ id: randomUUID(), kind: 'drain', base: 0, endpoint: 'no-such-endpoint', author: 'capacity' })
+    const response = await request(`${this.logUrl}/streams/control/records`, { method: 'POST', body })
+    const { offset } = await response.body.json() as { readonly offset: number }
+    return { offset, startedAt }
+  }
+
   /** Reads the counts of the log stand-in. */
   async logCounts (): Promise<LogCounts> {
     const response = await request(`${this.logUrl}/_control`)
