--- a/packages/load/src/commands/run.ts
+++ b/packages/load/src/commands/run.ts
@@ -22,7 +22,7 @@
 
   readonly scenario = Option.String('--scenario', { required: true, description: 'atlas or ostrina' })
   readonly targets = Option.Array('--target', { required: true, description: 'Address of an entry VM; may be given several times' })
-  readonly phase = Option.String('--phase', 'steady', { description: 'steady, crest, flare or reconciliation' })
+  readonly phase = Option.String('--phase', 'steady', { description: 'steady, crest, flare, reconciliation or long-jobs' })
   readonly seed = Option.String('--seed', '1', { validator: t.isNumber() })
   readonly rate = Option.String('--rate', { validator: isPositive, description: 'Base rate in requests per second; default of the scenario' })
   readonly duration = Option.String('--duration', '30', { validator: isPositive, description: 'Seconds' })
--- a/packages/load/src/measures.ts
+++ b/packages/load/src/measures.ts
@@ -1,6 +1,6 @@
 import { summarize } from './histogram.js'
 import type { EndpointRecord } from './observers.js'
-import type { Measures } from './result.js'
+import type { Measures, RunResult } from './result.js'
 import type { FinishedRequest } from './run-plan.js'
 import type { Scenario } from './scenario.js'
 
@@ -149,3 +149,21 @@
     recordsIncomplete: records.some(({ dropped }) => dropped > 0)
   }
 }
+
+/** Computes which share of each pool's slot time went to requests answered in time and before the end of the run. */
+export function usefulShares ({ scenario, finished, records, durationSeconds, startedAt }: Pick<MeasureInput, 'scenario' | 'finished' | 'records'> & { readonly durationSeconds: number, readonly startedAt: string }): RunResult['pools'] {
+  const duration = durationSeconds * 1000
+  const endsAt = Date.parse(startedAt) + duration
+  const inTime = finished.filter(isInTime)
+  const inTimeIds = new Set(inTime.map(({ id }) => id))
+  return Object.fromEntries(scenario.pools.map(({ pool, endpoints, slots }) => {
+    const available = endpoints * slots * duration
+    const planned = inTime
+      .filter(({ planned: { at, kind }, latencyMilliseconds }) => kind.pool === pool && at + latencyMilliseconds <= duration)
+      .reduce((sum, { planned }) => sum + planned.serviceMilliseconds, 0)
+    const recorded = records.filter(record => record.pool === pool).flatMap(({ requests }) => requests)
+      .filter(({ testRequest, result, end }) => result === 'completed' && testRequest !== undefined && inTimeIds.has(testRequest) && end !== undefined && end.wall <= endsAt)
+      .reduce((sum, { start, end }) => sum + (end?.clock ?? start.clock) - start.clock, 0)
+    return [pool, { usefulShare: planned / available, recordedUsefulShare: records.length === 0 ? -1 : recorded / available }]
+  }))
+}
--- a/packages/load/src/report.ts
+++ b/packages/load/src/report.ts
@@ -49,6 +49,15 @@
     { label: 'unavailable longest ms', value: ({ measures }) => measures.unavailable.longestMilliseconds },
     { label: 'window in time share', value: ({ measures }) => measures.windowService.inTimeShare },
     { label: 'window p99 ms', value: ({ measures }) => measures.windowService.p99 },
+    ...names(result => result.window).flatMap((name): Row[] => [
+      { label: `window ${name} p99 ms`, value: ({ window }) => window[name]?.latency.p99 },
+      { label: `window ${name} in time share`, value: ({ window }) => share(window[name]?.answeredInTime, window[name]?.planned) },
+      { label: `window ${name} accepted, late`, value: ({ window }) => window[name]?.acceptedNotInTime }
+    ]),
+    ...names(result => result.pools).flatMap((pool): Row[] => [
+      { label: `useful share ${pool}`, value: ({ pools }) => pools[pool]?.usefulShare },
+      { label: `useful share ${pool}, recorded`, value: ({ pools }) => pools[pool]?.recordedUsefulShare }
+    ]),
     { label: 'short waiting p99 in window ms', value: ({ measures }) => measures.headOfLineBlocking.p99InWindow },
     { label: 'short waiting p99 outside ms', value: ({ measures }) => measures.headOfLineBlocking.p99Outside },
     { label: 'deadline misses', value: result => result.deadlineMisses },
--- a/packages/load/src/result.ts
+++ b/packages/load/src/result.ts
@@ -7,6 +7,8 @@
   planned: z.number(),
   answeredInTime: z.number(),
   deadlineMisses: z.number(),
+  /** Requests that were not refused and not answered in time, whatever they were told. */
+  acceptedNotInTime: z.number(),
   /** Of answered requests, from the planned arrival, in milliseconds. */
   latency: latencySchema,
   /** Latency without the service time, in milliseconds. */
@@ -44,6 +46,15 @@
   goodputPerSecond: z.number(),
   classes: z.record(z.string(), classResultSchema),
   kinds: z.record(z.string(), classResultSchema),
+  /** Requests of the phase's window: per class, and `short` for all that are not long. */
+  window: z.record(z.string(), classResultSchema),
+  /** Per pool: slot time spent on requests answered in time and before the end of the run, relative to all slot time. */
+  pools: z.record(z.string(), z.object({
+    /** By the planned service times. */
+    usefulShare: z.number(),
+    /** By the times that the endpoints recorded, which include their own overhead; -1 without records. */
+    recordedUsefulShare: z.number()
+  }).readonly()),
   refusals: countsSchema,
   /** Time until a refusal arrived, in milliseconds. */
   refusalLatency: latencySchema,
--- a/packages/load/src/scenarios.ts
+++ b/packages/load/src/scenarios.ts
@@ -9,7 +9,9 @@
     steady: { rate: level, window: { from: 0.1, to: 1 } },
     crest: { rate: opening, window: { from: 0.34, to: 0.65 } },
     flare: { rate: level, window: { from: 0.3, to: 0.9 }, flareShare: 0.15 },
-    reconciliation: { rate: level, window: { from: 0.3, to: 0.9 }, weights: reconciliation }
+    reconciliation: { rate: level, window: { from: 0.3, to: 0.9 }, weights: reconciliation },
+    // The window of `steady`, so that the two phases differ in their long jobs alone.
+    'long-jobs': { rate: level, window: { from: 0.1, to: 1 }, weights: reconciliation }
   }
 }
 
--- a/packages/load/src/summarize-run.ts
+++ b/packages/load/src/summarize-run.ts
@@ -1,5 +1,5 @@
 import { summarize } from './histogram.js'
-import { computeMeasures, findViolations, isInTime, waitingMilliseconds } from './measures.js'
+import { computeMeasures, findViolations, isInTime, usefulShares, waitingMilliseconds } from './measures.js'
 import type { EndpointRecord } from './observers.js'
 import type { ClassResult, RunResult } from './result.js'
 import type { FinishedRequest } from './run-plan.js'
@@ -25,6 +25,7 @@
   const { scenario, phase, finished, records, durationSeconds, requestsPerSecond, seed, targets, startedAt, administration } = input
   const refused = finished.filter(({ outcome }) => outcome === 'not-run')
   const unknown = finished.filter(({ outcome }) => outcome === 'unknown')
+  const inWindow = finished.filter(({ planned }) => planned.inWindow)
   const windowSeconds = (phase.window.to - phase.window.from) * durationSeconds
   return {
     format: 1,
@@ -39,6 +40,11 @@
     goodputPerSecond: finished.filter(isInTime).length / durationSeconds,
     classes: perGroup(finished, ({ planned }) => planned.kind.serviceClass),
     kinds: perGroup(finished, ({ planned }) => planned.kind.name),
+    window: {
+      ...perGroup(inWindow, ({ planned }) => planned.kind.serviceClass),
+      ...perGroup(inWindow.filter(({ planned }) => planned.kind.serviceClass !== 'long'), () => 'short')
+    },
+    pools: usefulShares({ scenario, finished, records, durationSeconds, startedAt }),
     refusals: countReasons(refused),
     refusalLatency: summarize(refused.map(({ latencyMilliseconds }) => latencyMilliseconds)),
     refusalsWithoutRetryAfter: [...refused, ...unknown].filter(({ status, retryAfter }) => (status === 503 || status === 504) && !retryAfter).length,
@@ -72,6 +78,7 @@
       planned: requests.length,
       answeredInTime: requests.filter(isInTime).length,
       deadlineMisses: requests.filter(isDeadlineMiss).length,
+      acceptedNotInTime: requests.filter(request => request.outcome !== 'not-run' && !isInTime(request)).length,
       latency: summarize(answered.map(({ latencyMilliseconds }) => latencyMilliseconds)),
       waiting: summarize(answered.map(waitingMilliseconds))
     }]
--- a/packages/standins/src/endpoint.ts
+++ b/packages/standins/src/endpoint.ts
@@ -51,6 +51,8 @@
   freezeMilliseconds: z.number().nonnegative().optional(),
   serviceMilliseconds: z.number().nonnegative().optional(),
   longServiceMilliseconds: z.number().nonnegative().optional(),
+  /** Multiplies every service time, also those that requests ask for. */
+  serviceFactor: z.number().positive().optional(),
   /** Share of requests that end with 500 and no effect. */
   failRate: z.number().min(0).max(1).optional(),
   /** Load to report instead of the true one; null reports the true one again. */
@@ -76,6 +78,7 @@
   #draining = false
   #serviceMilliseconds: number
   #longServiceMilliseconds: number
+  #serviceFactor = 1
   #failRate = 0
   #reportedLoad: number | null = null
 
@@ -177,7 +180,7 @@
 
   async #run (request: IncomingMessage, response: ServerResponse, recorded: RecordedRequest, right: RunningRight, closed: AbortSignal): Promise<void> {
     await readText(request, maximumRequestBytes)
-    const serviceMilliseconds = this.#serviceTime(request)
+    const serviceMilliseconds = this.#serviceTime(request) * this.#serviceFactor
     const untilDeadline = recorded.deadline === undefined ? Infinity : recorded.deadline - this.#clock.now()
     const runningMilliseconds = Math.min(serviceMilliseconds, untilDeadline)
     // A timer of 0 ms takes 1 ms in Node.
@@ -225,6 +228,7 @@
     this.#draining = body.drain ?? this.#draining
     this.#serviceMilliseconds = body.serviceMilliseconds ?? this.#serviceMilliseconds
     this.#longServiceMilliseconds = body.longServiceMilliseconds ?? this.#longServiceMilliseconds
+    this.#serviceFactor = body.serviceFactor ?? this.#serviceFactor
     this.#failRate = body.failRate ?? this.#failRate
     if (body.reportedLoad !== undefined) this.#reportedLoad = body.reportedLoad
   }
@@ -247,6 +251,7 @@
       stillHeld: this.#grants.stillHeld,
       serviceMilliseconds: this.#serviceMilliseconds,
       longServiceMilliseconds: this.#longServiceMilliseconds,
+      serviceFactor: this.#serviceFactor,
       failRate: this.#failRate,
       reportedLoad: this.#reportedLoad
     }
