Do not count a pause of the coordinator as silence of the endpoint

On a machine with a load average of 40 two endpoints that answered were declared lost during a log outage: a paused process sees its timers before the answers that wait in its sockets. A step that took longer than its two calls may take now resets the time of the last contact.

--- a/packages/daemon/src/coordinator/grant-keeper.ts
+++ b/packages/daemon/src/coordinator/grant-keeper.ts
@@ -27,6 +27,7 @@
 const logger = new Logger('grants')
 const controlCallTimeoutMilliseconds = 200
 const freshConnectionTimeoutMilliseconds = 150
+const longestStepMilliseconds = 2 * controlCallTimeoutMilliseconds + 100
 const lostRetryMilliseconds = 500
 const offerMilliseconds = 50
 
@@ -145,6 +146,7 @@
   }
 
   async #step (lifeCycle: LifeCycle): Promise<void> {
+    const startedAt = this.#clock.now()
     try {
       if (!this.#hasRight()) return
       if (this.#hello === undefined) await this.#offer(controlCallTimeoutMilliseconds)
@@ -152,6 +154,8 @@
       else this.#change('waiting')
     } catch (error) {
       if (lifeCycle.closed) return
+      // A call that took much longer than its timeout shows that this process was paused; the answer may be waiting.
+      if (this.#clock.now() - startedAt > longestStepMilliseconds) this.#lastContact = this.#clock.now()
       await this.#failed(error)
     }
   }
