--- a/packages/integration/src/capacity/loss.ts
+++ b/packages/integration/src/capacity/loss.ts
@@ -43,6 +43,7 @@
     const atEnd = await deployment.logCounts()
     await delay(quietMilliseconds)
     const later = await deployment.logCounts()
+    const kinds = await deployment.recordKinds(before.next)
     this.report({
       vms,
       endpoints,
@@ -51,7 +52,8 @@
       milliseconds,
       appends: atEnd.appends - before.appends,
       appendsPerSecond: (atEnd.appends - before.appends) / milliseconds * 1000,
-      appendsAfterwards: later.appends - atEnd.appends
+      appendsAfterwards: later.appends - atEnd.appends,
+      ...kinds
     })
   }
 }
