--- a/packages/integration/src/capacity/measured-deployment.ts
+++ b/packages/integration/src/capacity/measured-deployment.ts
@@ -94,12 +94,21 @@
   try {
     await deployment.startProcesses()
     await deployment.publish(plan.rules)
-    if (plan.endpoints.length > 0) await deployment.waitUntilServing(servingTimeoutMilliseconds)
+    if (plan.endpoints.length > 0) await waitUntilServing(deployment)
     await measure(deployment)
   } finally {
     await deployment.stop()
   }
 }
 
+/** Waits; an error states the records of the control stream, which show a deployment that does not settle. */
+async function waitUntilServing (deployment: MeasuredDeployment): Promise<void> {
+  try {
+    await deployment.waitUntilServing(servingTimeoutMilliseconds)
+  } catch (cause) {
+    throw new Error(`the deployment did not settle; records: ${JSON.stringify(await deployment.recordKinds(0))}`, { cause })
+  }
+}
+
 // 40 s were too short for 8 VMs and 60 endpoints on a machine with four times as many runnable processes as cores.
 const servingTimeoutMilliseconds = 90_000
