--- a/packages/integration/src/scenarios/administration.test.ts
+++ b/packages/integration/src/scenarios/administration.test.ts
@@ -7,6 +7,8 @@
 
 const maximumBodyBytes = 4096
 const pond = 'pond-1'
+// Handing over takes tenths of a second; the rest is for a busy machine.
+const longestStopMilliseconds = 8000
 
 describe('Administration with real processes', function () {
   this.timeout(60_000)
@@ -174,6 +176,17 @@
       expect((await deployment.record(endpoint)).requests.filter(({ testRequest }) => testRequest === 'too-long')).to.deep.equal([])
     }
   })
+
+  it('exits as soon as a graceful stop is done (timers for deadlines kept the process alive for up to 30 s)', async () => {
+    const { coordinator } = await administerJson(['owner', '--pool', 'ponds', '--key', pond]) as unknown as { readonly coordinator: { readonly vm: string } }
+    // More than the slots of the endpoint, so that some wait in its queue with their deadline of 30 s.
+    const orders = await Promise.all(Array.from({ length: 20 }, async (_, count) => await sendTraced(deployment, { id: `before-stop-${count}`, kind: 'order', key: pond, vm: coordinator.vm })))
+    expect(orders.filter(({ answer }) => answer?.outcome !== 'answered').map(({ id }) => id)).to.deep.equal([])
+    const since = performance.now()
+    expect(await deployment.vms.get(coordinator.vm)?.process.stop()).to.equal(0)
+    expect(performance.now() - since).to.be.lessThan(longestStopMilliseconds)
+    await deployment.unlist(coordinator.vm)
+  })
 })
 
 /** Sends a chunked body of several times the limit, writing on after the refusal, and returns all that was answered. */
