Wait for an aborted command-line program to end

An interrupted demo could exit a moment before the command-line program that it had aborted, because execFile reports an abort at once.

--- a/packages/integration/src/bed/command-line.ts
+++ b/packages/integration/src/bed/command-line.ts
@@ -14,12 +14,17 @@
 export async function runProgram (script: string, args: readonly string[], options: { readonly environment?: Readonly<Record<string, string>>, readonly signal?: AbortSignal } = {}): Promise<ProgramResult> {
   const { environment = {}, signal } = options
   return await new Promise((resolve, reject) => {
-    const limits = { timeout: programTimeoutMilliseconds, killSignal: 'SIGKILL', ...(signal === undefined ? {} : { signal }) } as const
-    execFile(process.execPath, [script, ...args], { env: { ...process.env, ...environment }, ...limits }, (error, stdout, stderr) => {
+    const limits = { timeout: programTimeoutMilliseconds, killSignal: 'SIGKILL' } as const
+    const child = execFile(process.execPath, [script, ...args], { env: { ...process.env, ...environment }, ...limits }, (error, stdout, stderr) => {
+      signal?.removeEventListener('abort', onAbort)
       const code = error === null ? 0 : error.code
       if (typeof code === 'number') resolve({ code, stdout, stderr })
       else reject(new Error(`${script} did not run to its end`, { cause: error }))
     })
+    // execFile's own signal option reports an abort before the process has ended.
+    const onAbort = (): void => { child.kill('SIGKILL') }
+    if (signal?.aborted === true) onAbort()
+    else signal?.addEventListener('abort', onAbort)
   })
 }
 
