--- a/packages/integration/src/bed/observation.ts
+++ b/packages/integration/src/bed/observation.ts
@@ -102,12 +102,14 @@
 
 /** Counts traces by outcome and reason. */
 export function summarizeTraces (traces: readonly CallerTrace[]): string {
+  return countTexts(traces.map(({ answer }) => answer === undefined ? 'connection broken' : answer.outcome === 'answered' ? 'answered' : `${answer.outcome} ${answer.reason}`))
+}
+
+/** Lists different texts with their number. */
+export function countTexts (texts: readonly string[]): string {
   const counts = new Map<string, number>()
-  for (const { answer } of traces) {
-    const name = answer === undefined ? 'connection broken' : answer.outcome === 'answered' ? 'answered' : `${answer.outcome} ${answer.reason}`
-    counts.set(name, (counts.get(name) ?? 0) + 1)
-  }
-  return [...counts].map(([name, count]) => `${name} ${count}`).join(', ')
+  for (const text of texts) counts.set(text, (counts.get(text) ?? 0) + 1)
+  return [...counts].map(([text, count]) => `${text} ${count}`).join(', ')
 }
 
 /** Returns breaches, and fails over a record that dropped entries, which could hide one. */
