--- a/packages/integration/src/bed/observation.ts
+++ b/packages/integration/src/bed/observation.ts
@@ -57,10 +57,10 @@
   return new Map(control.endpoints.map(endpoint => [endpoint.description.id, endpoint]))
 }
 
-/** Owners of the keys in the pond pool as a VM knows them, by key. */
-export async function observeOwners (deployment: Deployment, vm: string, keys: readonly string[] = trafficKeys): Promise<ReadonlyMap<string, ObservedOwner>> {
+/** Owners of keys as a VM knows them, by key. */
+export async function observeOwners (deployment: Deployment, vm: string, keys: readonly string[] = trafficKeys, pool = 'ponds'): Promise<ReadonlyMap<string, ObservedOwner>> {
   return new Map(await Promise.all(keys.map(async key => {
-    const { bucket, owner, token, pendingFrom } = await administration(deployment, vm, `/owner?pool=ponds&key=${key}`) as ObservedOwner
+    const { bucket, owner, token, pendingFrom } = await administration(deployment, vm, `/owner?pool=${pool}&key=${key}`) as ObservedOwner
     return [key, { bucket, owner, token, pendingFrom }] as const
   })))
 }
