--- a/packages/integration/src/bed/observation.ts
+++ b/packages/integration/src/bed/observation.ts
@@ -57,10 +57,10 @@
   return new Map(control.endpoints.map(endpoint => [endpoint.description.id, endpoint]))
 }
 
-/** Owners of the keys in the pond pool as a VM knows them, by key. */
-export async function observeOwners (deployment: Deployment, vm: string, keys: readonly string[] = trafficKeys): Promise<ReadonlyMap<string, ObservedOwner>> {
+/** Owners of keys as a VM knows them, by key. */
+export async function observeOwners (deployment: Deployment, vm: string, keys: readonly string[] = trafficKeys, pool = 'ponds'): Promise<ReadonlyMap<string, ObservedOwner>> {
   return new Map(await Promise.all(keys.map(async key => {
-    const { bucket, owner, token, pendingFrom } = await administration(deployment, vm, `/owner?pool=ponds&key=${key}`) as ObservedOwner
+    const { bucket, owner, token, pendingFrom } = await administration(deployment, vm, `/owner?pool=${pool}&key=${key}`) as ObservedOwner
     return [key, { bucket, owner, token, pendingFrom }] as const
   })))
 }
@@ -102,12 +102,14 @@
 
 /** Counts traces by outcome and reason. */
 export function summarizeTraces (traces: readonly CallerTrace[]): string {
+  return countTexts(traces.map(({ answer }) => answer === undefined ? 'connection broken' : answer.outcome === 'answered' ? 'answered' : `${answer.outcome} ${answer.reason}`))
+}
+
+/** Lists different texts with their number. */
+export function countTexts (texts: readonly string[]): string {
   const counts = new Map<string, number>()
-  for (const { answer } of traces) {
-    const name = answer === undefined ? 'connection broken' : answer.outcome === 'answered' ? 'answered' : `${answer.outcome} ${answer.reason}`
-    counts.set(name, (counts.get(name) ?? 0) + 1)
-  }
-  return [...counts].map(([name, count]) => `${name} ${count}`).join(', ')
+  for (const text of texts) counts.set(text, (counts.get(text) ?? 0) + 1)
+  return [...counts].map(([text, count]) => `${text} ${count}`).join(', ')
 }
 
 /** Returns breaches, and fails over a record that dropped entries, which could hide one. */
