Give up requests on silent connections once a fresh one works

Cause: when open connections to an endpoint go silent, the coordinator reconnects, but requests sent on the former connections kept their slots until their deadlines (10 s and 30 s), so two of them stopped the endpoint. The endpoint and the grants were ruled out: renewals went on after 0.3 s and requests were refused with queue_full.

After the endpoint answers on a fresh connection, idempotent requests that were sent before and are not answered within 150 ms are sent again. A request that must run at most once is answered 'unknown' only when the endpoint reports that it runs nothing; it is not sent again.

--- a/packages/daemon/src/coordinator/endpoint-session.ts
+++ b/packages/daemon/src/coordinator/endpoint-session.ts
@@ -148,6 +148,10 @@
     this.#options.observer.stateChanged(this, state)
   }
 
+  override reconnected (running: number, since: number): void {
+    this.#sender.giveUpSilent(running, since)
+  }
+
   override renewed (granted: readonly BucketGrant[], answer: RenewAnswer): void {
     if (this.queue.slots !== this.grants.slots) this.queue.setSlots(this.grants.slots)
     const held = new Set([...granted.map(({ bucket }) => bucket), ...answer.stillHeld])
--- a/packages/daemon/src/coordinator/grant-keeper.ts
+++ b/packages/daemon/src/coordinator/grant-keeper.ts
@@ -20,6 +20,8 @@
   abstract takeoverEffective (): boolean
   /** Called after every change of state. */
   abstract stateChanged (state: SessionState): void
+  /** The endpoint answered on a fresh connection after silence on those from before `since` (local time); `running` is its number of running requests. */
+  abstract reconnected (running: number, since: number): void
   /** Called after every renewal that the endpoint acknowledged. */
   abstract renewed (granted: readonly BucketGrant[], answer: RenewAnswer): void
 }
@@ -237,9 +239,11 @@
 
   /** A connection may have gone silent while new ones work, so a fresh one decides. */
   async #tryFreshConnection (): Promise<void> {
+    const since = this.#clock.now()
     try {
       await this.#client.reconnect()
       await this.#offer(freshConnectionTimeoutMilliseconds)
+      if (this.#hello !== undefined) this.#owner.reconnected(this.#hello.running, since)
     } catch (error) {
       if (errorCode(error) === 'token_refused') return this.#refused()
       this.#change('lost')
--- a/packages/daemon/src/coordinator/request-sender.ts
+++ b/packages/daemon/src/coordinator/request-sender.ts
@@ -7,15 +7,25 @@
 const logger = new Logger('requests')
 const refusalRetryMilliseconds = 15
 const maximumRefusals = 4
+// An endpoint that was only frozen answers on its former connections within this time after it answered on a fresh one.
+const silentGraceMilliseconds = 150
 /** Refusals that may be over within a few milliseconds: slots of a former coordinator, a token or list in transit. */
 const passingRefusals: ReadonlySet<string> = new Set(['shed', 'stale', 'not-granted'])
 
+/** One request that was written and has no answer yet. */
+interface PendingAttempt {
+  readonly idempotent: boolean
+  readonly startedAt: number
+  readonly silent: AbortController
+}
+
 /** Sends one request to the endpoint and classifies what came of it. */
 export class RequestSender {
   readonly #client: EndpointClient
   readonly #grants: GrantKeeper
   readonly #clock: Clock
   readonly #coordinatorName: string
+  readonly #pending = new Set<PendingAttempt>()
 
   constructor (options: { readonly client: EndpointClient, readonly grants: GrantKeeper, readonly clock: Clock, readonly coordinatorName: string }) {
     this.#client = options.client
@@ -38,10 +48,25 @@
     }
   }
 
+  /**
+   * Called when the endpoint was silent and has answered on a fresh connection. What was sent before `since` and still has no
+   * answer after a short time would otherwise hold its slot until its deadline. A request that must run at most once
+   * is given up only when the endpoint ran nothing at that moment, since its answer may still come; it is not sent again.
+   */
+  giveUpSilent (running: number, since: number): void {
+    const silent = [...this.#pending].filter(({ idempotent, startedAt }) => startedAt < since && (idempotent || running === 0))
+    if (silent.length === 0) return
+    setTimeout(() => {
+      for (const pending of silent) if (this.#pending.has(pending)) pending.silent.abort()
+    }, silentGraceMilliseconds).unref()
+  }
+
   async #attempt (forward: Forward, bucketToken: number, deadlineAt: number, remaining: number, signal: AbortSignal): Promise<Answer> {
     const startedAt = this.#clock.now()
     const timeout = new AbortController()
     const timer = setTimeout(() => timeout.abort(), remaining)
+    const pending: PendingAttempt = { idempotent: forward.idempotent, startedAt, silent: new AbortController() }
+    this.#pending.add(pending)
     try {
       const answer = await this.#client.send({
         method: forward.method,
@@ -49,13 +74,14 @@
         headers: this.#headers(forward, bucketToken, deadlineAt),
         body: forward.body,
         timeoutMilliseconds: Math.ceil(remaining),
-        signal: AbortSignal.any([signal, timeout.signal])
+        signal: AbortSignal.any([signal, timeout.signal, pending.silent.signal])
       })
       return this.#classify(answer, this.#clock.now() - startedAt)
     } catch (error) {
       return this.#classifyError(error, forward, signal, timeout.signal)
     } finally {
       clearTimeout(timer)
+      this.#pending.delete(pending)
     }
   }
 
