Send idempotent requests of a lost coordinator to its successor with an empty retry budget

Lost frames and the endpoint were ruled out: the reason was peer_lost only.

The new entry test fails without the change.

--- a/packages/daemon/src/entry/entry.test.ts
+++ b/packages/daemon/src/entry/entry.test.ts
@@ -189,6 +189,16 @@
     expect(peers.sent[0]?.forward.requestId).to.equal(peers.sent[1]?.forward.requestId)
   })
 
+  it('sends an idempotent request to the successor of a lost coordinator although others have emptied the retry budget (a loss with many requests in hand)', async () => {
+    peers.script = (_forward, _signal, vm) => vm === 'vm2' ? unknownAnswer('peer_lost') : Answer.create({ outcome: Outcome.OUTCOME_ANSWERED, status: 200 })
+    for (let request = 1; request <= 6; request++) await call('GET', '/ponds/1', { 'briarsaddle-deadline-milliseconds': '40' })
+    expect(Object.values(router.snapshot()['retryTokens'] as object)).to.satisfy((tokens: number[]) => tokens.every(left => left <= 5), 'the budget is empty')
+    const reply = call('GET', '/ponds/1')
+    await delay(200)
+    control.change({ endpoints: new Map([['e1', { ...endpoint('e1', 'ponds', 'vm3'), coordinator: { vm: 'vm3', token: 2, standby: undefined } }]]) })
+    expect((await reply).status).to.equal(200)
+  })
+
   it('gives up at once, long before the deadline, with Retry-After (answers held back)', async () => {
     peers.script = () => notRunAnswer('queue_full', { retryAfterMilliseconds: 4_000 })
     const begun = performance.now()
--- a/packages/daemon/src/entry/request-router.ts
+++ b/packages/daemon/src/entry/request-router.ts
@@ -286,7 +286,10 @@
   async #maySendAgain (attempt: Attempt, place: Place, answer: Answer, verdict: Verdict): Promise<boolean> {
     const budget = this.#budget(attempt, place)
     const otherEndpoint = this.#excludeEndpoint(attempt, place)
-    if (verdict === 'broken') return budget.allowsRetry && (otherEndpoint || await this.#waitForChange(attempt, place, answer, verdict))
+    if (verdict === 'broken') {
+      if (otherEndpoint) return budget.allowsRetry
+      return (budget.allowsRetry || awaitsMove(answer, verdict)) && await this.#waitForChange(attempt, place, answer, verdict)
+    }
     if (verdict === 'refused' && !budget.allowsRetry) return false
     return otherEndpoint || await this.#waitForChange(attempt, place, answer, verdict)
   }
@@ -318,7 +321,7 @@
       if (this.#hasMoved(attempt, place)) return true
       if (this.#clock.now() >= endsAt) return false
       if (verdict === 'unreachable' || this.#spendRetry(attempt, place, verdict)) return true
-      if (verdict !== 'moved') return false
+      if (!awaitsMove(answer, verdict)) return false
     }
   }
 
@@ -403,6 +406,14 @@
   }
 }
 
+/**
+ * True when the place is expected to change: a lost coordinator is replaced. A sending to a changed place is free, so
+ * the request waits for the change even when the requests lost together have used up the retry budget.
+ */
+function awaitsMove (answer: Answer, verdict: Verdict): boolean {
+  return verdict === 'moved' || (verdict === 'broken' && answer.reason === peerReasons.lost)
+}
+
 function matchReason (match: Exclude<MatchResult, { outcome: 'matched' }>): string {
   return match.outcome === 'bad_key' ? `key_${match.reason}` : match.outcome
 }
