--- a/packages/integration/src/experiments/experiment-command.ts
+++ b/packages/integration/src/experiments/experiment-command.ts
@@ -1,6 +1,6 @@
 import { writeFile } from 'node:fs/promises'
 import { describeError } from '@briarsaddle/common'
-import { formatReport, scenarios, type RunResult } from '@briarsaddle/load'
+import { formatReport, scenarios, slowScenario, type RunResult } from '@briarsaddle/load'
 import { Command, Option } from 'clipanion'
 import * as t from 'typanion'
 import { Crest } from './crest.js'
@@ -27,6 +27,7 @@
   readonly seed = Option.String('--seed', '1', { validator: t.isNumber() })
   readonly seconds = Option.String('--seconds', { validator: isPositive, description: 'Length of each run; default of the experiment' })
   readonly rate = Option.String('--rate', { validator: isPositive, description: 'Base rate in requests per second; default of the experiment' })
+  readonly slowdown = Option.String('--slowdown', '1', { validator: isPositive, description: 'Makes service times this many times as long and lowers all rates as much, for machines without the processors for the full rate' })
   readonly json = Option.String('--json', { description: 'File for findings and all results' })
 
   override async execute (): Promise<number> {
@@ -43,7 +44,7 @@
     const experiment = experiments.find(({ name }) => name === this.experiment)
     const scenario = scenarios.get(this.firm)
     if (experiment === undefined || scenario === undefined) throw new Error(`no experiment ${this.experiment} for ${this.firm}`)
-    const options: ExperimentOptions = { firm: this.firm, scenario, seed: this.seed, seconds: this.seconds, rate: this.rate }
+    const options: ExperimentOptions = { firm: this.firm, scenario: slowScenario(scenario, this.slowdown), slowdown: this.slowdown, seed: this.seed, seconds: this.seconds, rate: this.rate }
     const results = new Map<string, RunResult>()
     for (const variant of experiment.variants(options)) {
       this.context.stderr.write(`${experiment.name}, ${this.firm}: ${variant.name}\n`)
@@ -51,7 +52,7 @@
     }
     const findings = experiment.findings(name => required(results, name), options)
     if (this.json !== undefined) {
-      await writeFile(this.json, JSON.stringify({ format: 1, experiment: experiment.name, firm: this.firm, seed: this.seed, findings, results: Object.fromEntries(results) }) + '\n')
+      await writeFile(this.json, JSON.stringify({ format: 1, experiment: experiment.name, firm: this.firm, seed: this.seed, slowdown: this.slowdown, findings, results: Object.fromEntries(results) }) + '\n')
     }
     this.context.stdout.write(formatReport([...results].map(([name, result]) => ({ name, result }))) + '\n' + formatFindings(findings))
   }
--- a/packages/integration/src/experiments/experiment.ts
+++ b/packages/integration/src/experiments/experiment.ts
@@ -13,6 +13,8 @@
   readonly seed: number
   /** Length of one run; undefined for the default of the experiment. */
   readonly seconds: number | undefined
+  /** By how much service times are longer and rates lower than in the firm's scenario; `scenario` has the result. */
+  readonly slowdown: number
   /** Base rate in requests per second; undefined for that of the experiment. */
   readonly rate: number | undefined
 }
--- a/packages/integration/src/experiments/run-variant.ts
+++ b/packages/integration/src/experiments/run-variant.ts
@@ -23,7 +23,7 @@
   try {
     await deployment.start()
     const load = async (phase: string, seed: number, seconds: number, requestsPerSecond: number): Promise<RunResult> =>
-      await runLoad(deployment, join(directory, `${seed}.json`), ['--scenario', options.firm, '--phase', phase, '--seed', String(seed), '--duration', String(seconds), '--rate', String(requestsPerSecond)], seconds)
+      await runLoad(deployment, join(directory, `${seed}.json`), ['--scenario', options.firm, '--slowdown', String(options.slowdown), '--phase', phase, '--seed', String(seed), '--duration', String(seconds), '--rate', String(requestsPerSecond)], seconds)
     await load('steady', options.seed + 1, warmUpSeconds, Math.min(variant.requestsPerSecond, options.scenario.requestsPerSecond))
     await variant.prepare?.(deployment)
     return await load(variant.phase, options.seed, variant.seconds, variant.requestsPerSecond)
--- a/packages/load/src/commands/run.ts
+++ b/packages/load/src/commands/run.ts
@@ -8,7 +8,7 @@
 import type { RunResult } from '../result.js'
 import { runPlan } from '../run-plan.js'
 import type { Scenario } from '../scenario.js'
-import { scenarios } from '../scenarios.js'
+import { scenarios, slowScenario } from '../scenarios.js'
 import { Sender } from '../sender.js'
 import { summarizeRun } from '../summarize-run.js'
 import { LoadCommand } from './load-command.js'
@@ -26,6 +26,7 @@
   readonly seed = Option.String('--seed', '1', { validator: t.isNumber() })
   readonly rate = Option.String('--rate', { validator: isPositive, description: 'Base rate in requests per second; default of the scenario' })
   readonly duration = Option.String('--duration', '30', { validator: isPositive, description: 'Seconds' })
+  readonly slowdown = Option.String('--slowdown', '1', { validator: isPositive, description: 'Makes service times this many times as long and lowers the default rate as much, for machines without the processors for the full rate' })
   readonly connections = Option.String('--connections', '1000', { validator: isPositive, description: 'Connections per target' })
   readonly endpointRecords = Option.Array('--endpoint-record', [], { description: 'Address of an endpoint stand-in; may be given several times' })
   readonly administration = Option.String('--administration', { description: 'Administration address of a VM' })
@@ -78,7 +79,7 @@
   #findScenario (): Scenario {
     const scenario = scenarios.get(this.scenario)
     if (scenario === undefined) throw badInput(`Scenario "${this.scenario}" does not exist; there are ${[...scenarios.keys()].join(', ')}`)
-    return scenario
+    return this.slowdown === 1 ? scenario : slowScenario(scenario, this.slowdown)
   }
 
   async #readState (): Promise<unknown> {
--- a/packages/load/src/plan.test.ts
+++ b/packages/load/src/plan.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'chai'
 import { planRequests, rateFactor, type PlanOptions, type PlannedRequest } from './plan.js'
 import type { Phase } from './scenario.js'
-import { scenarios } from './scenarios.js'
+import { scenarios, slowScenario } from './scenarios.js'
 
 function plan (scenarioName: string, phaseName: string, changes: Partial<PlanOptions> = {}): readonly PlannedRequest[] {
   const scenario = scenarios.get(scenarioName)
@@ -25,6 +25,16 @@
     expect(count(requests, 7000, 12_000) / 5).to.be.closeTo(500, 50)
   })
 
+  // A slowed run would otherwise load the pools more or less than the full rate does.
+  it('keeps the work per second when a scenario is slowed down', () => {
+    for (const scenario of scenarios.values()) {
+      const work = ({ requestsPerSecond, kinds }: typeof scenario): number => kinds.reduce((sum, { weight, service }) => sum + weight * service.meanMilliseconds, 0) * requestsPerSecond
+      const slow = slowScenario(scenario, 8)
+      expect(slow.requestsPerSecond).to.equal(scenario.requestsPerSecond / 8)
+      expect(work(slow)).to.be.closeTo(work(scenario), 1e-6 * work(scenario))
+    }
+  })
+
   it('interpolates the rate between points and holds it after the last', () => {
     const phase: Phase = { rate: [{ at: 0, factor: 1 }, { at: 0.5, factor: 3 }], window: { from: 0, to: 1 } }
     expect([0, 0.25, 0.5, 0.9].map(at => rateFactor(phase, at))).to.deep.equal([1, 2, 3, 3])
--- a/packages/load/src/scenarios.ts
+++ b/packages/load/src/scenarios.ts
@@ -56,3 +56,12 @@
 export const scenarios: ReadonlyMap<string, Scenario> = new Map(
   [atlas, ostrina].map(data => [data.name, scenarioSchema.parse(data)])
 )
+
+/** Returns the scenario with service times `factor` times as long and a base rate that loads the pools as before. */
+export function slowScenario (scenario: Scenario, factor: number): Scenario {
+  return scenarioSchema.parse({
+    ...scenario,
+    requestsPerSecond: scenario.requestsPerSecond / factor,
+    kinds: scenario.kinds.map(kind => ({ ...kind, service: { ...kind.service, meanMilliseconds: kind.service.meanMilliseconds * factor } }))
+  })
+}
