Let a provisional coordinator renew expired grants, and stop entries in two steps

A coordinator lost during a log outage left its keys refused for 3 s, until the log returned: its standby's token was accepted after about 0.5 s, when the grants of 400 ms had expired, and only unexpired ones were renewed. The endpoint now reports the buckets that it last held and did not give up, expired or not. A bucket can leave it only by its own acknowledgement, after which it is not reported, or by a record that a majority of witnesses has read, which then do not confirm.

A stopping entry closed idle connections at once and cut off a request that was on its way; it now goes on for 1 s while the health check says that it stops. Slots occupied by a former coordinator's requests are now counted, since 3 to 11 requests per handover were shed. An endpoint that says itself that it drains is now recorded as leaving, so that pools without keys stop using it too.

--- a/packages/daemon/src/control/assignments.ts
+++ b/packages/daemon/src/control/assignments.ts
@@ -182,13 +182,15 @@
     }))
   }
 
-  /** Entries choose the endpoint of a pool without keys by the control state alone, so a leaving state of the VM list has to be in it. */
+  /** Entries choose the endpoint of a pool without keys by the control state alone, so it has to say that an endpoint leaves. */
   #recordLeaving (session: EndpointSession): void {
     const { id } = session.description
     const endpoint = this.#follower.state.endpoints.get(id)
     const listed = this.#membership.endpoints.find(other => other.id === id)
-    if (endpoint === undefined || endpoint.leaving || listed?.state !== 'leaving') return
-    void this.#writer.propose(`drain ${id}`, { kind: 'drain', endpoint: id, base: endpoint.version, author: 'VM list' }, this.#lifeCycle.signal)
+    if (endpoint === undefined || endpoint.leaving) return
+    const author = listed?.state === 'leaving' ? 'VM list' : session.grants.draining ? 'endpoint' : undefined
+    if (author === undefined) return
+    void this.#writer.propose(`drain ${id}`, { kind: 'drain', endpoint: id, base: endpoint.version, author }, this.#lifeCycle.signal)
   }
 
   #removeGone (session: EndpointSession): void {
--- a/packages/daemon/src/coordinator/endpoint-client.ts
+++ b/packages/daemon/src/coordinator/endpoint-client.ts
@@ -28,6 +28,7 @@
   load: z.unknown(),
   draining: z.boolean(),
   ready: z.boolean().default(true),
+  running: z.number().int().nonnegative().default(0),
   stillHeld: z.array(z.number().int()).default([]),
   /** False when `validUntil` did not advance: the renewal then only took grants away. */
   extended: z.boolean().default(true)
--- a/packages/daemon/src/coordinator/endpoint-session.ts
+++ b/packages/daemon/src/coordinator/endpoint-session.ts
@@ -162,6 +162,8 @@
 
   override renewed (granted: readonly BucketGrant[], answer: RenewAnswer): void {
     if (this.queue.slots !== this.grants.slots) this.queue.setSlots(this.grants.slots)
+    // Requests of a former coordinator may still occupy slots.
+    this.queue.setForeignRunning(Math.max(0, answer.running - this.inFlight))
     const held = new Set([...granted.map(({ bucket }) => bucket), ...answer.stillHeld])
     const revoked = this.#options.view.leaving().filter(bucket => !held.has(bucket))
     if (revoked.length > 0) this.#options.observer.bucketsRevoked(this, revoked)
@@ -182,7 +184,10 @@
     }
   }
 
-  /** Only grants that had not expired at the endpoint when it accepted the provisional token are renewed. */
+  /**
+   * Only buckets that the endpoint last held and did not give up are renewed: a release by its acknowledgement may not
+   * have been read here, while the witnesses exclude any other way in which a bucket could have left it.
+   */
   #provisionalBuckets (formerly: readonly BucketGrant[]): readonly BucketGrant[] {
     this.#provisionalGrants ??= new Set(formerly.map(({ bucket }) => bucket))
     const renewable = this.#provisionalGrants
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -8,6 +8,9 @@
 import { MeasureReporter } from './measure-reporter.js'
 import { Metrics } from './metrics.js'
 
+/** Time for the platform's balancer to notice that this VM stops. */
+const lameDuckMilliseconds = 1000
+
 /** Addresses on which a daemon listens. */
 export interface DaemonAddresses {
   readonly callers: Address
@@ -57,7 +60,7 @@
   async #stop (): Promise<void> {
     const { shutdownMilliseconds } = this.#settings.timing
     // Both at the same time: requests of callers go on while the endpoints move to other coordinators.
-    await Promise.all([this.#control?.handOver(), this.#entry?.stop(shutdownMilliseconds)])
+    await Promise.all([this.#control?.handOver(), this.#entry?.stop(shutdownMilliseconds, lameDuckMilliseconds)])
     await this.#lifeCycle.close()
   }
 
--- a/packages/daemon/src/entry/entry-server.ts
+++ b/packages/daemon/src/entry/entry-server.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import polka from 'polka'
-import { BriarsaddleError, Logger, describeError, errorCode, type Clock, type Random } from '@briarsaddle/common'
+import { BriarsaddleError, delay, Logger, describeError, errorCode, type Clock, type Random } from '@briarsaddle/common'
 import { hasBody, readBody } from './body.js'
 import { refusal, unknownOutcome, type CallerAnswer } from './caller-answer.js'
 import { originForm, type AcceptedRequest, type CallerRequest } from './caller-request.js'
@@ -102,15 +102,18 @@
   }
 
   /**
-   * Stops accepting connections and finishes requests in flight for up to `graceMilliseconds`.
+   * Reports that the VM stops for `lameDuckMilliseconds`, in which requests are still accepted and connections end with
+   * their next answer; then stops accepting connections and finishes requests in flight for up to `graceMilliseconds`.
    * What is left then gets a truthful final answer.
    */
-  async stop (graceMilliseconds: number): Promise<void> {
-    this.#stopping ??= this.#stop(graceMilliseconds)
+  async stop (graceMilliseconds: number, lameDuckMilliseconds = 0): Promise<void> {
+    this.#stopping ??= this.#stop(graceMilliseconds, lameDuckMilliseconds)
     return await this.#stopping
   }
 
-  async #stop (graceMilliseconds: number): Promise<void> {
+  async #stop (graceMilliseconds: number, lameDuckMilliseconds: number): Promise<void> {
+    // A request that is on its way on an idle connection would be cut off if the connection were closed at once.
+    await delay(lameDuckMilliseconds)
     const closed = new Promise<void>(resolve => this.#server.close(() => resolve()))
     this.#server.closeIdleConnections()
     await this.#idleWithin(graceMilliseconds)
--- a/packages/standins/src/grant-table.ts
+++ b/packages/standins/src/grant-table.ts
@@ -52,11 +52,13 @@
     return this.#coordinator
   }
 
-  /** Grants that have not expired and are not revoked. */
+  /**
+   * Grants that are not revoked, also when they have expired: a provisional coordinator may renew them, since the
+   * endpoint has acknowledged no revocation.
+   */
   get granted (): ReadonlyArray<{ readonly bucket: number, readonly token: number, readonly validUntil: number }> {
-    const now = this.#clock.now()
     return [...this.#grants]
-      .filter(([, grant]) => !grant.revoked && grant.validUntil > now)
+      .filter(([, grant]) => !grant.revoked)
       .map(([bucket, { token, validUntil }]) => ({ bucket, token, validUntil }))
   }
 
