--- a/packages/integration/src/bed/failure-run.ts
+++ b/packages/integration/src/bed/failure-run.ts
@@ -5,8 +5,8 @@
 import { Traffic, type CallerTrace } from './traffic.js'
 import type { EndpointRecordData } from './stand-in-data.js'
 
-// Processes that have just started need about a second of traffic until their code is compiled.
-const warmUpMilliseconds = 1_500
+const startWarmUpMilliseconds = 1_500
+const warmUpMilliseconds = 1_000
 const probedKeys = 12
 const probeIntervalMilliseconds = 120
 const mixedRequestsPerSecond = 50
@@ -128,9 +128,18 @@
   await delay(vmsKnownMilliseconds)
   await Promise.all(plan.endpoints.map(async endpoint => await deployment.startEndpoint(endpoint)))
   await deployment.waitUntilServing()
+  await warmUp(deployment)
   return deployment
 }
 
+/** Processes that have just started answer slowly until their code is compiled, which would count as part of a failure. */
+async function warmUp (deployment: Deployment): Promise<void> {
+  const probe = new KeyProbe(deployment, { prefix: 'warm-up', keyCount: probedKeys, intervalMilliseconds: probeIntervalMilliseconds, vms: () => [...deployment.vms.keys()] })
+  probe.start()
+  await delay(startWarmUpMilliseconds)
+  await probe.stop()
+}
+
 interface WitnessState {
   readonly control: { readonly witnesses: { readonly vms: readonly string[], readonly pending?: { readonly vms: readonly string[] } } }
 }
