--- a/packages/daemon/src/control/balancer.ts
+++ b/packages/daemon/src/control/balancer.ts
@@ -115,6 +115,8 @@
     const { id, pool } = session.description
     const state = this.#follower.state.pools.get(pool)?.buckets[hot.bucket]
     if (state === undefined || state.owner !== id || state.pendingFrom !== undefined) return []
+    // The bucket would be pending, and its keys refused, until the long job ends.
+    if (session.running.hasLong(hot.bucket)) return []
     const last = this.#lastMoves.get(`${pool} ${hot.bucket}`)
     return [{ bucket: hot.bucket, endpoint: id, share: hot.share, requestsPerSecond: session.load.requestsPerSecond * hot.share, hotSince: hot.since, movedAt: last?.at, movedFrom: last?.from }]
   }
--- a/packages/daemon/src/coordinator/coordinator.ts
+++ b/packages/daemon/src/coordinator/coordinator.ts
@@ -1,17 +1,16 @@
 import { randomUUID } from 'node:crypto'
 import type { LifeCycle, Clock, Random } from '@briarsaddle/common'
 import { describeError, Logger } from '@briarsaddle/common'
-import { bucketsHeldFor, bucketsLeaving, noVersion, type BucketState, type ControlState, type EndpointState, type ReadRecord } from '@briarsaddle/ownership'
+import { noVersion, type ControlState, type EndpointState, type ReadRecord } from '@briarsaddle/ownership'
 import type { Answer, FetchJournalRequest, FetchJournalResponse, Forward, Journal, JournalAcknowledgement } from '@briarsaddle/protocol'
 import type { QueuePolicy } from '@briarsaddle/scheduling'
 import type { Settings } from '@briarsaddle/settings'
 import { ForwardHandler, type ControlView } from '../contracts.js'
 import { notRun } from './answers.js'
-import type { BucketGrant } from './endpoint-client.js'
-import type { SessionObserver } from './endpoint-session.js'
-import { EndpointSession, EndpointView } from './endpoint-session.js'
+import { EndpointSession, type SessionObserver } from './endpoint-session.js'
 import { JournalCopies, type JournalSink } from './journal.js'
 import type { RightSource } from './right-source.js'
+import { StateEndpointView } from './state-endpoint-view.js'
 
 const logger = new Logger('coordinator')
 
@@ -271,35 +270,3 @@
     await lifeCycle.close()
   }
 }
-
-/** Reads the control state for one endpoint. */
-class StateEndpointView extends EndpointView {
-  readonly #view: ControlView
-  readonly #endpoint: string
-  readonly #pool: string
-  readonly #takeoverEffective: () => boolean
-
-  constructor (view: ControlView, endpoint: string, pool: string, takeoverEffective: () => boolean) {
-    super()
-    this.#view = view
-    this.#endpoint = endpoint
-    this.#pool = pool
-    this.#takeoverEffective = takeoverEffective
-  }
-
-  override owned (): readonly BucketGrant[] {
-    return bucketsHeldFor(this.#view.state, this.#endpoint)
-  }
-
-  override leaving (): readonly number[] {
-    return bucketsLeaving(this.#view.state, this.#endpoint).map(({ bucket }) => bucket)
-  }
-
-  override bucket (bucket: number): BucketState | undefined {
-    return this.#view.state.pools.get(this.#pool)?.buckets[bucket]
-  }
-
-  override takeoverEffective (): boolean {
-    return this.#takeoverEffective()
-  }
-}
--- a/packages/daemon/src/coordinator/endpoint-session.ts
+++ b/packages/daemon/src/coordinator/endpoint-session.ts
@@ -1,6 +1,6 @@
 import { Logger, type Clock, type LifeCycle, type Random } from '@briarsaddle/common'
 import type { BucketState, EndpointDescription } from '@briarsaddle/ownership'
-import { JournalStage, Outcome, type Answer, type Forward } from '@briarsaddle/protocol'
+import { JournalStage, Outcome, ServiceClass, type Answer, type Forward } from '@briarsaddle/protocol'
 import { EndpointQueue, type JobDescription, type QueuePolicy } from '@briarsaddle/scheduling'
 import { answerForRejection, notRun, notRunError, unknown, type Reason } from './answers.js'
 import { EndpointClient, type BucketGrant, type CoordinatorToken, type RenewAnswer } from './endpoint-client.js'
@@ -8,6 +8,7 @@
 import { IdempotencyJournal, requestFingerprint, type JournalSink } from './journal.js'
 import { RequestSender } from './request-sender.js'
 import type { RightSource } from './right-source.js'
+import { RunningWork } from './running-work.js'
 import { serviceClassOf } from './service-class.js'
 import { SessionLoad } from './session-load.js'
 import type { SessionState } from './session-state.js'
@@ -61,10 +62,10 @@
   readonly journal: IdempotencyJournal
   readonly queue: EndpointQueue
   readonly load: SessionLoad
+  readonly running = new RunningWork()
   readonly #options: SessionOptions
   readonly #client: EndpointClient
   readonly #sender: RequestSender
-  readonly #running = new Map<number, number>()
   readonly #lifeCycle: LifeCycle
   #provisionalGrants: ReadonlySet<number> | undefined
   #activeWaiters: Array<() => void> = []
@@ -92,9 +93,7 @@
 
   /** Requests that are at the endpoint now. */
   get inFlight (): number {
-    let sum = 0
-    for (const count of this.#running.values()) sum += count
-    return sum
+    return this.running.total
   }
 
   /** Adopts a newer coordinator record that names this VM again. */
@@ -138,7 +137,7 @@
     const stillRunning: BucketGrant[] = []
     for (const bucket of this.#options.view.leaving()) {
       const token = this.grants.grantedToken(bucket)
-      if (token !== undefined && (this.#running.get(bucket) ?? 0) > 0) stillRunning.push({ bucket, token })
+      if (token !== undefined && this.running.has(bucket)) stillRunning.push({ bucket, token })
     }
     return [...this.#options.view.owned(), ...stillRunning]
   }
@@ -253,17 +252,16 @@
     // The bucket may have been taken away while the request was queued.
     if (this.#bucketToken(forward.bucket) !== bucketToken) return notRun('not_owner', 50)
     const bucket = forward.bucket
-    this.#running.set(bucket, (this.#running.get(bucket) ?? 0) + 1)
+    const long = forward.serviceClass === ServiceClass.SERVICE_CLASS_LONG
+    this.running.start(bucket, long)
     const startedAt = this.#options.clock.now()
     try {
       const lost = this.#lost.signal
       const answer = await this.#sender.send(forward, bucketToken, deadlineAt, AbortSignal.any([signal, lost]))
       return answer.reason === 'cancelled' && lost.aborted ? { ...answer, reason: 'endpoint_lost' } : answer
     } finally {
-      const left = (this.#running.get(bucket) ?? 1) - 1
-      if (left === 0) this.#running.delete(bucket)
-      else this.#running.set(bucket, left)
-      this.load.workDone(bucket, this.#options.clock.now() - startedAt)
+      this.running.end(bucket, long)
+      this.load.workDone(bucket, this.#options.clock.now() - startedAt, long)
     }
   }
 
--- /dev/null
+++ b/packages/daemon/src/coordinator/running-work.test.ts
@@ -0,0 +1,14 @@
+import { expect } from 'chai'
+import { RunningWork } from './running-work.js'
+
+describe('RunningWork', () => {
+  it('knows of long work until its end, so that a bucket is not moved while a long job would keep it pending', () => {
+    const work = new RunningWork()
+    work.start(7, true)
+    work.start(7, false)
+    work.end(7, false)
+    expect([work.total, work.has(7), work.hasLong(7), work.hasLong(8)]).to.deep.equal([1, true, true, false])
+    work.end(7, true)
+    expect([work.total, work.has(7), work.hasLong(7)]).to.deep.equal([0, false, false])
+  })
+})
--- /dev/null
+++ b/packages/daemon/src/coordinator/running-work.ts
@@ -0,0 +1,40 @@
+/** Requests that run at an endpoint now, by bucket. */
+export class RunningWork {
+  readonly #all = new Map<number, number>()
+  readonly #long = new Map<number, number>()
+
+  /** Number of running requests. */
+  get total (): number {
+    let sum = 0
+    for (const count of this.#all.values()) sum += count
+    return sum
+  }
+
+  /** True while a request runs for the bucket. */
+  has (bucket: number): boolean {
+    return this.#all.has(bucket)
+  }
+
+  /** True while a long request runs for the bucket: the bucket could not move before its end. */
+  hasLong (bucket: number): boolean {
+    return this.#long.has(bucket)
+  }
+
+  /** Counts a request that starts. */
+  start (bucket: number, long: boolean): void {
+    add(this.#all, bucket, 1)
+    if (long) add(this.#long, bucket, 1)
+  }
+
+  /** Counts a request that has ended. */
+  end (bucket: number, long: boolean): void {
+    add(this.#all, bucket, -1)
+    if (long) add(this.#long, bucket, -1)
+  }
+}
+
+function add (counts: Map<number, number>, bucket: number, change: number): void {
+  const count = (counts.get(bucket) ?? 0) + change
+  if (count === 0) counts.delete(bucket)
+  else counts.set(bucket, count)
+}
--- a/packages/daemon/src/coordinator/session-load.ts
+++ b/packages/daemon/src/coordinator/session-load.ts
@@ -25,11 +25,11 @@
   /** Requests that ended per second, over the last window. */
   get requestsPerSecond (): number { return this.#requestsPerSecond }
 
-  /** Records a request that ended. */
-  workDone (bucket: number, milliseconds: number): void {
+  /** Records a request that ended. One long job does not make its bucket hot. */
+  workDone (bucket: number, milliseconds: number, long: boolean): void {
     this.#busyMilliseconds += milliseconds
     this.#requests += 1
-    if (bucket >= 0) this.hotBuckets.record(bucket, milliseconds)
+    if (bucket >= 0 && !long) this.hotBuckets.record(bucket, milliseconds)
   }
 
   /** Samples the queue, and closes the window when it is over. */
