Send the measures of service at a peak and of waits behind long work

Both metrics were defined but never sent, so two of the five measures that users named could not be seen in operation. Service at a peak is the share of requests answered in windows with at least 80 % of the highest recent demand; the wait is that of a request that arrived while long work held a slot.

--- a/packages/daemon/src/control-plane.ts
+++ b/packages/daemon/src/control-plane.ts
@@ -20,6 +20,7 @@
 import { Coordinator, FormerRights } from './coordinator/coordinator.js'
 import { SessionObserver, type EndpointSession } from './coordinator/endpoint-session.js'
 import type { SessionState } from './coordinator/session-state.js'
+import type { Metrics } from './metrics.js'
 
 const logger = new Logger('daemon')
 const reviewMilliseconds = 50
@@ -48,7 +49,7 @@
   readonly #loops: LifeCycle
   #innerPort = 0
 
-  private constructor (settings: Settings, hasher: KeyHasher, lifeCycle: LifeCycle) {
+  private constructor (settings: Settings, hasher: KeyHasher, metrics: Metrics, lifeCycle: LifeCycle) {
     const self = settings.vm.id
     const { timing, platform } = settings
     const rightOptions: RightOptions = { rightDuration: timing.rightMilliseconds, margin: timing.clockMarginPercent / 100 }
@@ -85,7 +86,7 @@
       journalSink: new PoolJournals(this.peers),
       journalSource: new PoolJournalSource(this.peers),
       formerRights: new WitnessedFormerRights(takeAway, this.#loops),
-      observer: new SessionEvents(this),
+      observer: new SessionEvents(this, metrics),
       createPolicy: () => createPolicy(settings),
       lifeCycle: this.#loops
     })
@@ -108,8 +109,8 @@
   }
 
   /** Creates the control plane and listens for other VMs. Throws `listen_failed`. */
-  static async start (settings: Settings, lifeCycle: LifeCycle): Promise<ControlPlane> {
-    const control = new ControlPlane(settings, await KeyHasher.create(), lifeCycle)
+  static async start (settings: Settings, metrics: Metrics, lifeCycle: LifeCycle): Promise<ControlPlane> {
+    const control = new ControlPlane(settings, await KeyHasher.create(), metrics, lifeCycle)
     const port = await control.#innerServer.listen()
     control.#innerPort = port
     lifeCycle.own('inner server', async () => await control.#innerServer.stop(settings.timing.shutdownMilliseconds))
@@ -193,10 +194,12 @@
 
 class SessionEvents extends SessionObserver {
   readonly #control: ControlPlane
+  readonly #metrics: Metrics
 
-  constructor (control: ControlPlane) {
+  constructor (control: ControlPlane, metrics: Metrics) {
     super()
     this.#control = control
+    this.#metrics = metrics
   }
 
   override stateChanged (_session: EndpointSession, state: SessionState): void {
@@ -206,6 +209,10 @@
   override bucketsRevoked (session: EndpointSession, buckets: readonly number[]): void {
     this.#control.revoked(session, buckets)
   }
+
+  override waitedBehindLong (session: EndpointSession, serviceClass: string, milliseconds: number): void {
+    this.#metrics.blockedBehindLong(session.description.pool, serviceClass, milliseconds)
+  }
 }
 
 class WitnessedFormerRights extends FormerRights {
--- a/packages/daemon/src/coordinator/endpoint-session.ts
+++ b/packages/daemon/src/coordinator/endpoint-session.ts
@@ -32,6 +32,8 @@
   abstract stateChanged (session: EndpointSession, state: SessionState): void
   /** The endpoint acknowledged that it no longer holds these buckets. */
   abstract bucketsRevoked (session: EndpointSession, buckets: readonly number[]): void
+  /** A request that is not long waited in the queue while long work held a slot. */
+  abstract waitedBehindLong (session: EndpointSession, serviceClass: string, milliseconds: number): void
 }
 
 /** What a session needs from the daemon. */
@@ -228,11 +230,14 @@
   /** Queues the request; `prepare` runs while it waits and must succeed before it is sent. */
   async #enqueue (forward: Forward, bucketToken: number, deadlineAt: number, signal: AbortSignal, prepare: () => Promise<boolean>): Promise<Answer> {
     let rejected = false
+    const submittedAt = this.#options.clock.now()
+    const behindLong = this.running.anyLong
     const prepared = Promise.resolve().then(async () => rejected || await prepare())
     const submitted = this.queue.submit<Answer>({
       ...describeJob(forward, deadlineAt, signal),
       measured: answer => answer.outcome === Outcome.OUTCOME_ANSWERED,
       run: async runSignal => {
+        if (behindLong) this.#reportWait(forward, this.#options.clock.now() - submittedAt)
         if (!await prepared) throw notRunError(notRun('journal_unavailable'))
         return await this.#run(forward, bucketToken, deadlineAt, runSignal)
       }
@@ -248,6 +253,11 @@
     }
   }
 
+  #reportWait (forward: Forward, milliseconds: number): void {
+    const serviceClass = serviceClassOf(forward.serviceClass)
+    if (serviceClass !== 'long') this.#options.observer.waitedBehindLong(this, serviceClass, milliseconds)
+  }
+
   async #run (forward: Forward, bucketToken: number, deadlineAt: number, signal: AbortSignal): Promise<Answer> {
     // The bucket may have been taken away while the request was queued.
     if (this.#bucketToken(forward.bucket) !== bucketToken) return notRun('not_owner', 50)
--- a/packages/daemon/src/coordinator/running-work.ts
+++ b/packages/daemon/src/coordinator/running-work.ts
@@ -10,6 +10,11 @@
     return sum
   }
 
+  /** True while a long request runs for any bucket. */
+  get anyLong (): boolean {
+    return this.#long.size > 0
+  }
+
   /** True while a request runs for the bucket. */
   has (bucket: number): boolean {
     return this.#all.has(bucket)
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -35,7 +35,7 @@
     const { listen, limits, vm, metrics: metricsSettings } = this.#settings
     const metrics = new Metrics({ ...metricsSettings, vm: vm.id })
     this.#lifeCycle.own('metrics', async () => await metrics.close())
-    const control = await ControlPlane.start(this.#settings, this.#lifeCycle)
+    const control = await ControlPlane.start(this.#settings, metrics, this.#lifeCycle)
     this.#control = control
     const router = this.#createRouter(control, metrics)
     const entry = new EntryServer({ ...listen.callers, ...limits, clock: control.clock, random: control.random }, router)
--- a/packages/daemon/src/measure-reporter.ts
+++ b/packages/daemon/src/measure-reporter.ts
@@ -4,7 +4,7 @@
 
 const reportMilliseconds = 5000
 
-/** Sends the measures that come from control state: load imbalance, churn of ownership and unavailable time. */
+/** Sends the measures that are taken at intervals: load imbalance, churn, unavailable time and service at a peak. */
 export class MeasureReporter {
   readonly #control: ControlPlane
   readonly #metrics: Metrics
@@ -22,6 +22,7 @@
   }
 
   #report (): void {
+    this.#metrics.peakService()
     for (const [pool, { buckets }] of this.#control.follower.state.pools) {
       const owners = buckets.map(bucket => bucket?.owner)
       const former = this.#lastVersions.get(pool)
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -1,5 +1,6 @@
 import { StatsD } from 'hot-shots'
 import { Logger, describeError } from '@briarsaddle/common'
+import { PeakService } from './peak-service.js'
 
 const logger = new Logger('metrics')
 
@@ -32,6 +33,7 @@
 /** Sends measurements over StatsD. No method throws; errors are counted. */
 export class Metrics {
   readonly #client: StatsD
+  readonly #peaks = new PeakService()
   #errors = 0
 
   constructor (options: MetricsOptions) {
@@ -59,6 +61,7 @@
 
   /** Counts and times one request of a caller. */
   request ({ pool, serviceClass, outcome, reason, milliseconds }: RequestMetric): void {
+    this.#peaks.record(pool, outcome === 'answered')
     this.#send(() => {
       this.#client.increment('requests', 1, { pool, class: serviceClass, outcome, reason: reason === '' ? 'none' : reason })
       this.#client.timing('request_milliseconds', milliseconds, { pool, class: serviceClass, outcome })
@@ -85,9 +88,14 @@
     this.#send(() => this.#client.timing('unavailable_milliseconds', milliseconds, { pool }))
   }
 
-  /** Service at the peak of a demand swing: share of the offered requests that were answered in time, from 0 to 1. */
-  peakService (pool: string, answeredShare: number): void {
-    this.#send(() => this.#client.gauge('peak_service', answeredShare, { pool }))
+  /**
+   * Service at the peak of a demand swing: share of the offered requests that were answered, from 0 to 1. Closes the
+   * window in which requests were counted and reports the pools that were near their highest demand in it.
+   */
+  peakService (): void {
+    for (const { pool, answeredShare } of this.#peaks.closeWindow()) {
+      this.#send(() => this.#client.gauge('peak_service', answeredShare, { pool }))
+    }
   }
 
   /** Head-of-line blocking: time that a request waited in the queue while long work held the slots. */
--- /dev/null
+++ b/packages/daemon/src/peak-service.test.ts
@@ -0,0 +1,16 @@
+import { expect } from 'chai'
+import { PeakService } from './peak-service.js'
+
+describe('PeakService', () => {
+  it('reports only windows near the highest demand, so that quiet hours do not hide bad service at the peak', () => {
+    const service = new PeakService()
+    const window = (offered: number, answered: number): unknown => {
+      for (let index = 0; index < offered; index++) service.record('ponds', index < answered)
+      return service.closeWindow()
+    }
+    expect(window(100, 75)).to.deep.equal([{ pool: 'ponds', answeredShare: 0.75 }])
+    expect(window(10, 10)).to.deep.equal([])
+    expect(window(0, 0)).to.deep.equal([])
+    expect(window(90, 90)).to.deep.equal([{ pool: 'ponds', answeredShare: 1 }])
+  })
+})
