--- a/packages/daemon/src/administration/administration.test.ts
+++ b/packages/daemon/src/administration/administration.test.ts
@@ -13,7 +13,7 @@
     rules: { version: 3, text: rulesText, author: 'Anja' },
     witnesses: { version: noVersion, vms: [], pending: undefined },
     endpoints: new Map(),
-    pools: new Map([['ponds', { version: 1, buckets: Array.from({ length: 1024 }, () => ({ owner: 'e1', token: 1, pendingFrom: undefined })) }]]),
+    pools: new Map([['ponds', { version: 1, buckets: Array.from({ length: 1024 }, () => ({ owner: 'e1', token: 1, pendingFrom: undefined, former: undefined })) }]]),
     recentIds: []
   }
 
--- a/packages/daemon/src/control/assignments.ts
+++ b/packages/daemon/src/control/assignments.ts
@@ -50,20 +50,20 @@
   /** Looks at every endpoint of this VM once. */
   review (): void {
     if (!this.#follower.caughtUp) return
-    const keyed = keyedPools(this.#follower.rules)
+    const withBuckets = poolsWithBuckets(this.#follower.rules)
     for (const session of this.#coordinator.sessions) {
       if (session.grants.state === 'closed') continue
       this.#recordLeaving(session)
-      if (keyed.has(session.description.pool)) this.#reviewEndpoint(session)
+      if (withBuckets.has(session.description.pool)) this.#reviewEndpoint(session)
       if (session.grants.state === 'lost') void this.#releaseLost(session)
       this.#removeGone(session)
     }
   }
 
-  /** Pools partitioned by key in which some bucket has no owner that may be granted it. */
+  /** Pools in which some bucket has no owner that may be granted it. */
   unassignedPools (): readonly string[] {
     const { state, rules } = this.#follower
-    return [...keyedPools(rules)].filter(pool => {
+    return [...poolsWithBuckets(rules)].filter(pool => {
       const buckets = state.pools.get(pool)?.buckets
       return buckets === undefined || buckets.some(bucket => bucket === undefined || bucket.pendingFrom !== undefined)
     })
@@ -203,8 +203,12 @@
   }
 }
 
-function keyedPools (rules: RuleFile): ReadonlySet<string> {
-  return new Set(rules.rules.filter(rule => rule.key !== undefined).map(rule => rule.pool))
+/**
+ * Pools whose buckets have owners: those partitioned by key, and those with requests that must run at most once, where
+ * the owner's coordinator remembers the idempotency keys of the bucket.
+ */
+function poolsWithBuckets (rules: RuleFile): ReadonlySet<string> {
+  return new Set(rules.rules.filter(rule => rule.key !== undefined || !rule.idempotent).map(rule => rule.pool))
 }
 
 function owns (state: ControlState, pool: string, endpoint: string): boolean {
--- a/packages/daemon/src/control/inner-adapters.ts
+++ b/packages/daemon/src/control/inner-adapters.ts
@@ -145,7 +145,7 @@
   }
 
   override async fetchJournal (request: FetchJournalRequest): Promise<FetchJournalResponse> {
-    return this.#coordinator.fetchJournal(request)
+    return await this.#coordinator.fetchJournal(request)
   }
 
   override async fetchLoads (request: FetchLoadsRequest): Promise<FetchLoadsResponse> {
--- a/packages/daemon/src/coordinator/coordinator.ts
+++ b/packages/daemon/src/coordinator/coordinator.ts
@@ -9,7 +9,8 @@
 import { notRun } from './answers.js'
 import { EndpointSession, type SessionObserver } from './endpoint-session.js'
 import { JournalCopies } from './journal-copies.js'
-import { emptyJournal, unknownJournal, type IdempotencyJournal, type JournalSink } from './journal.js'
+import { FormerHolderJournals } from './journal-imports.js'
+import { emptyJournal, journalRetentionMilliseconds, unknownJournal, type IdempotencyJournal, type JournalSink } from './journal.js'
 import type { RightSource } from './right-source.js'
 import { StateEndpointView } from './state-endpoint-view.js'
 
@@ -27,6 +28,35 @@
   abstract expiry (endpoint: string, token: number): Promise<number | undefined>
 }
 
+/** Runs a request at any endpoint of a pool that is not partitioned by key. */
+export abstract class PoolRunner {
+  /** Always resolves, as a `ForwardHandler` does. */
+  abstract run (forward: Forward, signal: AbortSignal): Promise<Answer>
+}
+
+/** Asks the coordinator that the control state names for an endpoint. */
+class StateFormerHolderJournals extends FormerHolderJournals {
+  readonly #coordinatorOf: (endpoint: string) => string | undefined
+  readonly #ask: (vm: string, request: FetchJournalRequest) => Promise<FetchJournalResponse | undefined>
+
+  constructor (coordinatorOf: (endpoint: string) => string | undefined, ask: (vm: string, request: FetchJournalRequest) => Promise<FetchJournalResponse | undefined>) {
+    super()
+    this.#coordinatorOf = coordinatorOf
+    this.#ask = ask
+  }
+
+  override async fetch (request: FetchJournalRequest): Promise<FetchJournalResponse | undefined> {
+    const vm = this.#coordinatorOf(request.endpoint)
+    const response = vm === undefined ? undefined : await this.#ask(vm, request)
+    return response?.notReady === true ? undefined : response
+  }
+}
+
+interface EndedJournal {
+  readonly journal: IdempotencyJournal
+  readonly endedAt: number
+}
+
 interface FormerCoordinator {
   readonly vm: string
   readonly standby: string | undefined
@@ -73,8 +103,12 @@
   readonly #coordinated = new Map<string, Coordinated>()
   /** Coordinators by endpoint and token, to find the journal of the one before. */
   readonly #history = new Map<string, Map<number, FormerCoordinator>>()
-  /** Journals of the last provisional session of each endpoint, for a successor that did not know of it. */
-  readonly #provisionalJournals = new Map<string, IdempotencyJournal>()
+  /** Journals of ended sessions: of a provisional one for a successor that did not know of it, of any for its buckets. */
+  readonly #endedJournals = new Map<string, EndedJournal>()
+  readonly #formerHolders: FormerHolderJournals
+  /** When endpoints left the control state. */
+  readonly #goneSince = new Map<string, number>()
+  #poolRunner: PoolRunner | undefined
   #startPosition: number | undefined
 
   constructor (options: CoordinatorOptions) {
@@ -83,6 +117,12 @@
     this.#self = options.settings.vm.id
     this.#name = `${this.#self}/${randomUUID().slice(0, 8)}`
     this.#copies = new JournalCopies(options.clock)
+    this.#formerHolders = new StateFormerHolderJournals(endpoint => this.#lastCoordinator(endpoint), async (vm, request) => vm === this.#self ? await this.fetchJournal(request) : await options.journalSource.fetch(vm, request))
+  }
+
+  /** Sets what runs requests at any endpoint of a pool. */
+  usePoolRunner (poolRunner: PoolRunner): void {
+    this.#poolRunner = poolRunner
   }
 
   /** Sessions of all endpoints that this VM coordinates. */
@@ -132,6 +172,7 @@
       this.#follow(endpoint)
     }
     for (const id of this.#coordinated.keys()) if (!state.endpoints.has(id)) this.#end(id)
+    this.#forgetOld(state)
     this.#copies.keepOnly(new Set([...state.endpoints.values()].filter(({ coordinator }) => coordinator.standby === this.#self || coordinator.vm === this.#self).map(({ description }) => description.id)))
   }
 
@@ -151,14 +192,50 @@
     return this.#copies.receive(journal)
   }
 
-  /** Ends the journal of a former coordinator and hands it to the successor. */
-  fetchJournal ({ endpoint, token }: FetchJournalRequest): FetchJournalResponse {
+  /** Hands a journal to the successor of a coordinator, or the keys of buckets to the endpoint that holds them now. */
+  async fetchJournal ({ endpoint, token, buckets, position }: FetchJournalRequest): Promise<FetchJournalResponse> {
+    if (buckets.length > 0) return await this.#exportBuckets(endpoint, buckets, position)
     const copy = this.#copies.end(endpoint, token)
     // A provisional coordinator writes under the token of the lost one, and has more than the copy it began with.
-    const own = [this.#coordinated.get(endpoint)?.session.journal, this.#provisionalJournals.get(endpoint)]
+    const own = [this.#coordinated.get(endpoint)?.session.journal, this.#endedJournals.get(endpoint)?.journal]
     return own.find(journal => journal?.token === token)?.end() ?? copy
   }
 
+  async #exportBuckets (endpoint: string, buckets: readonly number[], position: number): Promise<FetchJournalResponse> {
+    const { state } = this.#options.view
+    const notReady = { ...unknownJournal, notReady: true }
+    if (state.position < position) return notReady
+    const coordinated = this.#coordinated.get(endpoint)
+    if (coordinated !== undefined) {
+      await coordinated.journalLoaded
+      return coordinated.session.journal.export(buckets)
+    }
+    // The coordinator on record has the journal of the endpoint, or is about to fetch it.
+    if (state.endpoints.has(endpoint)) return notReady
+    return this.#endedJournals.get(endpoint)?.journal.export(buckets) ?? unknownJournal
+  }
+
+  #lastCoordinator (endpoint: string): string | undefined {
+    const current = this.#options.view.state.endpoints.get(endpoint)?.coordinator.vm
+    if (current !== undefined) return current
+    const former = this.#history.get(endpoint)
+    return former?.get(Math.max(...former.keys()))?.vm
+  }
+
+  /** Forgets endpoints that left so long ago that no idempotency key of them is remembered. */
+  #forgetOld (state: ControlState): void {
+    const now = this.#options.clock.now()
+    for (const [endpoint, { endedAt }] of this.#endedJournals) if (now - endedAt > journalRetentionMilliseconds) this.#endedJournals.delete(endpoint)
+    for (const endpoint of this.#history.keys()) {
+      if (state.endpoints.has(endpoint)) this.#goneSince.delete(endpoint)
+      else if (!this.#goneSince.has(endpoint)) this.#goneSince.set(endpoint, now)
+      else if (now - (this.#goneSince.get(endpoint) ?? now) > journalRetentionMilliseconds) {
+        this.#history.delete(endpoint)
+        this.#goneSince.delete(endpoint)
+      }
+    }
+  }
+
   #remember (endpoint: string, coordinator: FormerCoordinator): void {
     const byToken = this.#history.get(endpoint) ?? new Map<number, FormerCoordinator>()
     if (!byToken.has(coordinator.token)) byToken.set(coordinator.token, coordinator)
@@ -180,7 +257,10 @@
     if (coordinated === undefined) return this.#begin(endpoint, false, this.#former(id, token))
     if (coordinated.token === token && !coordinated.provisional) {
       // Buckets may have come or gone.
-      if (coordinated.version !== endpoint.version) coordinated.session.grants.wake()
+      if (coordinated.version !== endpoint.version) {
+        coordinated.session.grants.wake()
+        void coordinated.journalLoaded.then(() => coordinated.session.reviewImports())
+      }
       coordinated.version = endpoint.version
       return
     }
@@ -202,6 +282,8 @@
     const first = this.#history.get(description.id)?.get(token)?.base === noVersion && !provisional
     const session = new EndpointSession({
       ...this.#options,
+      formerHolders: this.#formerHolders,
+      poolRunner: () => this.#poolRunner,
       coordinatorName: this.#name,
       description,
       token: { offset: token, provisional: provisional ? 1 : 0 },
@@ -244,15 +326,17 @@
   async #loadJournal (session: EndpointSession, endpoint: string, former: FormerCoordinator | undefined, first: boolean): Promise<void> {
     session.journal.load(first ? emptyJournal : await this.#fetchFormerJournal(endpoint, former))
     await session.journal.copyAll()
+    session.reviewImports()
   }
 
   async #fetchFormerJournal (endpoint: string, former: FormerCoordinator | undefined): Promise<FetchJournalResponse> {
     if (former === undefined) return unknownJournal
     const { token, standby } = former
+    const request = { endpoint, token, buckets: [], position: 0 }
     // The standby alone has every key: it may have coordinated provisionally after the former coordinator was lost.
-    if (standby === undefined || standby === this.#self) return this.fetchJournal({ endpoint, token })
+    if (standby === undefined || standby === this.#self) return await this.fetchJournal(request)
     try {
-      return await this.#options.journalSource.fetch(standby, { endpoint, token }) ?? unknownJournal
+      return await this.#options.journalSource.fetch(standby, request) ?? unknownJournal
     } catch (error) {
       logger.warning('journal of the former coordinator cannot be fetched', { endpoint, standby, reason: describeError(error) })
       return unknownJournal
@@ -264,7 +348,7 @@
     const coordinated = this.#coordinated.get(id)
     if (coordinated === undefined) return
     this.#coordinated.delete(id)
-    if (coordinated.provisional) this.#provisionalJournals.set(id, coordinated.session.journal)
+    this.#endedJournals.set(id, { journal: coordinated.session.journal, endedAt: this.#options.clock.now() })
     logger.info('session ends', { endpoint: id, inFlight: coordinated.session.inFlight })
     coordinated.session.stopNewWork('not_coordinator')
     void this.#closeWhenIdle(coordinated)
--- a/packages/daemon/src/coordinator/endpoint-session.ts
+++ b/packages/daemon/src/coordinator/endpoint-session.ts
@@ -1,11 +1,13 @@
-import { Logger, type Clock, type LifeCycle, type Random } from '@briarsaddle/common'
-import type { BucketState, EndpointDescription } from '@briarsaddle/ownership'
+import { delay, Logger, type Clock, type LifeCycle, type Random } from '@briarsaddle/common'
+import type { BucketState, EndpointDescription, FormerHolder } from '@briarsaddle/ownership'
 import { JournalStage, Outcome, ServiceClass, type Answer, type Forward } from '@briarsaddle/protocol'
 import { EndpointQueue, type JobDescription, type QueuePolicy } from '@briarsaddle/scheduling'
 import { answerForRejection, notRun, notRunError, unknown, type Reason } from './answers.js'
 import { EndpointClient, type BucketGrant, type CoordinatorToken, type RenewAnswer } from './endpoint-client.js'
 import { GrantKeeper, GrantOwner, type GrantTiming } from './grant-keeper.js'
-import { IdempotencyJournal, requestFingerprint, type JournalSink } from './journal.js'
+import type { PoolRunner } from './coordinator.js'
+import { JournalImports, type FormerHolderJournals, type HandedOverBucket } from './journal-imports.js'
+import { IdempotencyJournal, requestFingerprint, type JournalKey, type JournalSink } from './journal.js'
 import { RequestSender } from './request-sender.js'
 import type { RightSource } from './right-source.js'
 import { RunningWork } from './running-work.js'
@@ -21,6 +23,8 @@
   abstract owned (): readonly BucketGrant[]
   /** Buckets that were taken from the endpoint and have not been released. */
   abstract leaving (): readonly number[]
+  /** Owned buckets that another endpoint held before. */
+  abstract handedOver (): readonly HandedOverBucket[]
   /** The bucket of the endpoint's pool. */
   abstract bucket (bucket: number): BucketState | undefined
   /** False while a former coordinator of an endpoint that does not check may still act. */
@@ -50,6 +54,9 @@
   readonly view: EndpointView
   readonly observer: SessionObserver
   readonly journalSink: JournalSink
+  readonly formerHolders: FormerHolderJournals
+  /** Undefined while the VM starts. */
+  readonly poolRunner: () => PoolRunner | undefined
   readonly policy: QueuePolicy
   readonly admission: boolean
   readonly maximumQueued: number
@@ -68,6 +75,7 @@
   readonly #options: SessionOptions
   readonly #client: EndpointClient
   readonly #sender: RequestSender
+  readonly #imports: JournalImports
   readonly #lifeCycle: LifeCycle
   #provisionalGrants: ReadonlySet<number> | undefined
   #activeWaiters: Array<() => void> = []
@@ -82,6 +90,7 @@
     this.description = options.description
     this.#client = new EndpointClient(options.description, { coordinatorName: options.coordinatorName, maximumConnections: options.maximumConnections, maximumAnswerBytes: options.maximumAnswerBytes })
     this.journal = new IdempotencyJournal({ endpoint: options.description.id, token: options.token.offset, standby: options.standby, clock: options.clock, sink: options.journalSink })
+    this.#imports = new JournalImports({ endpoint: options.description.id, journal: this.journal, journals: options.formerHolders, clock: options.clock, lifeCycle })
     this.queue = new EndpointQueue({ slots: 1, maximumQueued: options.maximumQueued, clock: options.clock, random: options.random, policy: options.policy, admission: options.admission })
     this.grants = new GrantKeeper({ ...options, client: this.#client, owner: this })
     this.#sender = new RequestSender({ client: this.#client, grants: this.grants, clock: options.clock, coordinatorName: options.coordinatorName })
@@ -106,6 +115,11 @@
     void this.journal.copyAll()
   }
 
+  /** Fetches the idempotency keys of buckets that came from other endpoints. */
+  reviewImports (): void {
+    this.#imports.review(this.#options.view.handedOver())
+  }
+
   /** Samples the queue for the load averages. */
   sampleLoad (): void {
     this.load.sample(this.queue.queued, this.queue.slots)
@@ -203,23 +217,56 @@
   }
 
   async #handleOnce (forward: Forward, bucketToken: number, deadlineAt: number, signal: AbortSignal): Promise<Answer> {
-    const key = forward.idempotencyKey
-    const fingerprint = requestFingerprint(forward)
-    const finding = this.journal.find(key, fingerprint)
+    const { bucket, idempotencyKey } = forward
+    await this.#importSettled(bucket, deadlineAt, signal)
+    // The bucket may have moved meanwhile; from here until the key is in the journal nothing is awaited.
+    if (this.#bucketToken(bucket) !== bucketToken) return notRun('not_owner', 50)
+    const key: JournalKey = { key: idempotencyKey, fingerprint: requestFingerprint(forward), bucket, former: this.#formerHolder(bucket) }
+    const known = this.#answerFromJournal(key)
+    if (known !== undefined) return known
+    const refused = forward.anyEndpoint ? undefined : this.#refuse(forward, deadlineAt, signal)
+    if (refused !== undefined) return refused
+    const refusal = this.journal.begin(key)
+    if (refusal !== undefined) return notRun(refusal === 'full' ? 'journal_full' : 'not_coordinator', refusal === 'full' ? journalFullRetryMilliseconds : 50)
+    const answer = forward.anyEndpoint
+      ? await this.#runAnywhere(forward, signal)
+      : await this.#enqueue(forward, bucketToken, deadlineAt, signal, async () => await this.journal.replicate(idempotencyKey))
+    this.journal.finish(idempotencyKey, stageOf(answer), answer)
+    return answer
+  }
+
+  #answerFromJournal (key: JournalKey): Answer | undefined {
+    const finding = this.journal.find(key)
     switch (finding.kind) {
       case 'answered': return finding.answer
       case 'different_request': return notRun('idempotency_key_reused')
       case 'running': return unknown('repeat_in_progress')
       case 'unknown': return unknown('repeat_unknown')
       case 'incomplete': return unknown('journal_incomplete')
+      case 'new': return undefined
     }
-    const refused = this.#refuse(forward, deadlineAt, signal)
-    if (refused !== undefined) return refused
-    const refusal = this.journal.begin(key, fingerprint)
-    if (refusal !== undefined) return notRun(refusal === 'full' ? 'journal_full' : 'not_coordinator', refusal === 'full' ? journalFullRetryMilliseconds : 50)
-    const answer = await this.#enqueue(forward, bucketToken, deadlineAt, signal, async () => await this.journal.replicate(key))
-    this.journal.finish(key, stageOf(answer), answer)
-    return answer
+  }
+
+  #formerHolder (bucket: number): FormerHolder | undefined {
+    const former = this.#options.view.bucket(bucket)?.former
+    return former?.endpoint === this.description.id ? undefined : former
+  }
+
+  async #importSettled (bucket: number, deadlineAt: number, signal: AbortSignal): Promise<void> {
+    const settled = this.#imports.running(bucket)
+    if (settled === undefined) return
+    const wait = new AbortController()
+    const longest = delay(Math.min(maximumImportWaitMilliseconds, deadlineAt - this.#options.clock.now()), AbortSignal.any([signal, wait.signal]))
+    await Promise.race([settled, longest])
+    wait.abort()
+  }
+
+  /** Runs a request whose key this journal has at any endpoint of the pool. */
+  async #runAnywhere (forward: Forward, signal: AbortSignal): Promise<Answer> {
+    const runner = this.#options.poolRunner()
+    if (runner === undefined) return notRun('endpoint_unavailable')
+    if (!await this.journal.replicate(forward.idempotencyKey)) return notRun('journal_unavailable')
+    return await runner.run(forward, signal)
   }
 
   /** Refuses before any work is done for the request; a rejection by `submit` costs about 20 times as much. */
@@ -299,6 +346,7 @@
 }
 
 const maximumActivationWaitMilliseconds = 1000
+const maximumImportWaitMilliseconds = 1000
 /** A full journal gets room only as its oldest keys expire. */
 const journalFullRetryMilliseconds = 5000
 
--- a/packages/daemon/src/coordinator/journal-copies.ts
+++ b/packages/daemon/src/coordinator/journal-copies.ts
@@ -1,5 +1,5 @@
 import { type Clock } from '@briarsaddle/common'
-import { JournalStage, type FetchJournalResponse, type Journal, type JournalAcknowledgement, type JournalEntry } from '@briarsaddle/protocol'
+import { JournalStage, type BucketImport, type FetchJournalResponse, type Journal, type JournalAcknowledgement, type JournalEntry } from '@briarsaddle/protocol'
 import { journalRetentionMilliseconds, unknownJournal } from './journal.js'
 
 /** A successor may ask for a copy shortly after another record has named another standby. */
@@ -11,6 +11,7 @@
   /** Since when the copy has every key; undefined until a full copy has arrived. */
   knownSince: number | undefined
   readonly entries: Map<string, { readonly entry: JournalEntry, readonly receivedAt: number }>
+  imports: { readonly buckets: readonly BucketImport[], readonly receivedAt: number }
 }
 
 /** Copies of the journals for which this VM is the standby. */
@@ -27,13 +28,13 @@
 
   /** Applies a change. A gap in the sequence makes the coordinator send everything again. */
   receive (journal: Journal): JournalAcknowledgement {
-    const { id, endpoint, token, sequence, entry, knownMilliseconds } = journal
+    const { id, endpoint, token, sequence, entry, knownMilliseconds, imports } = journal
     const existing = this.#copies.get(endpoint)
     // A key added after the successor fetched the copy could run a second time there.
     if (token <= (this.#ended.get(endpoint) ?? -1) || (existing !== undefined && existing.token > token)) return { id, complete: false }
     let copy = existing
     if (sequence === 1) {
-      copy = { token, nextSequence: 1, knownSince: undefined, entries: new Map() }
+      copy = { token, nextSequence: 1, knownSince: undefined, entries: new Map(), imports: { buckets: [], receivedAt: 0 } }
       this.#copies.set(endpoint, copy)
     }
     if (copy === undefined || copy.token !== token || copy.nextSequence !== sequence) {
@@ -42,6 +43,7 @@
     }
     copy.nextSequence += 1
     if (entry !== undefined) this.#apply(copy, entry)
+    if (imports.length > 0) copy.imports = { buckets: imports, receivedAt: this.#clock.now() }
     if (knownMilliseconds > 0) copy.knownSince ??= this.#clock.now() - knownMilliseconds
     return { id, complete: true }
   }
@@ -53,7 +55,8 @@
     if (copy === undefined || copy.token !== token) return unknownJournal
     const now = this.#clock.now()
     const entries = [...copy.entries.values()].map(({ entry, receivedAt }) => ({ ...entry, ageMilliseconds: entry.ageMilliseconds + now - receivedAt }))
-    return { knownMilliseconds: copy.knownSince === undefined ? 0 : now - copy.knownSince, entries }
+    const imports = copy.imports.buckets.map(bucket => ({ ...bucket, knownMilliseconds: bucket.knownMilliseconds + now - copy.imports.receivedAt }))
+    return { knownMilliseconds: copy.knownSince === undefined ? 0 : now - copy.knownSince, entries, imports, notReady: false }
   }
 
   /** Drops copies of endpoints for which this VM has not been the standby for some time. */
--- a/packages/daemon/src/coordinator/journal.test.ts
+++ b/packages/daemon/src/coordinator/journal.test.ts
@@ -1,8 +1,9 @@
 import { expect } from 'chai'
 import { ManualClock } from '@briarsaddle/common'
+import type { FormerHolder } from '@briarsaddle/ownership'
 import { JournalStage, type Journal, type JournalAcknowledgement } from '@briarsaddle/protocol'
 import { JournalCopies } from './journal-copies.js'
-import { emptyJournal, IdempotencyJournal, journalRetentionMilliseconds, JournalSink, unknownJournal } from './journal.js'
+import { emptyJournal, IdempotencyJournal, journalRetentionMilliseconds, JournalSink, unknownJournal, type JournalKey } from './journal.js'
 
 /** Hands changes to the copies of one standby, as long as it is connected. */
 class DirectSink extends JournalSink {
@@ -30,6 +31,10 @@
     sink = new DirectSink(copies)
   })
 
+  function key (name: string, bucket = 1, former?: FormerHolder): JournalKey {
+    return { key: name, fingerprint: 'print', bucket, former }
+  }
+
   function journal (token: number): IdempotencyJournal {
     return new IdempotencyJournal({ endpoint: 'ponds-1', token, standby: 'vm-2', clock, sink })
   }
@@ -43,16 +48,16 @@
 
   it('gives the successor the answer of a request that ran, and "unknown" for one that may have run', async () => {
     const former = await firstJournal()
-    for (const key of ['answered', 'running']) {
-      former.begin(key, 'print')
-      expect(await former.replicate(key)).to.equal(true)
+    for (const name of ['answered', 'running']) {
+      former.begin(key(name))
+      expect(await former.replicate(name)).to.equal(true)
     }
     former.finish('answered', JournalStage.JOURNAL_STAGE_ANSWERED, { id: 0, outcome: 1, status: 200, headers: [], body: Buffer.from('done'), reason: '', retryAfterMilliseconds: 0, outstanding: 0, serviceMilliseconds: 0, position: 0 })
     const successor = journal(5)
     successor.load(copies.end('ponds-1', 1))
-    expect(successor.find('answered', 'print').kind).to.equal('answered')
-    expect(successor.find('running', 'print').kind).to.equal('unknown')
-    expect(successor.find('other', 'print').kind).to.equal('new')
+    expect(successor.find(key('answered')).kind).to.equal('answered')
+    expect(successor.find(key('running')).kind).to.equal('unknown')
+    expect(successor.find(key('other')).kind).to.equal('new')
   })
 
   it('passes on that keys are missing, or the second successor would run a request again', async () => {
@@ -61,15 +66,15 @@
     await incomplete.copyAll()
     const successor = journal(9)
     successor.load(copies.end('ponds-1', 5))
-    expect(successor.find('lost', 'print').kind).to.equal('incomplete')
+    expect(successor.find(key('lost')).kind).to.equal('incomplete')
     clock.advance(journalRetentionMilliseconds)
-    expect(successor.find('lost', 'print').kind).to.equal('new')
+    expect(successor.find(key('lost')).kind).to.equal('new')
   })
 
   it('does not take a full copy that was cut short for complete', async () => {
     const former = await firstJournal()
-    former.begin('first', 'print')
-    former.begin('second', 'print')
+    former.begin(key('first'))
+    former.begin(key('second'))
     const send = sink.send.bind(sink)
     let sent = 0
     sink.send = async (vm, change) => ++sent > 1 ? undefined : await send(vm, change)
@@ -77,28 +82,28 @@
     expect(await former.copyAll()).to.equal(false)
     const successor = journal(5)
     successor.load(copies.end('ponds-1', 2))
-    expect(successor.find('second', 'print').kind).to.equal('incomplete')
+    expect(successor.find(key('second')).kind).to.equal('incomplete')
   })
 
   it('adds no key after the successor fetched the copy, or both would run the request', async () => {
     const former = await firstJournal()
     copies.end('ponds-1', 1)
-    former.begin('late', 'print')
+    former.begin(key('late'))
     expect(await former.replicate('late')).to.equal(false)
     expect(copies.end('ponds-1', 1).entries).to.deep.equal([])
   })
 
   it('begins no key after it was handed to the successor', async () => {
     const former = await firstJournal()
-    former.begin('early', 'print')
+    former.begin(key('early'))
     expect(former.end().entries.map(({ idempotencyKey }) => idempotencyKey)).to.deep.equal(['early'])
-    expect(former.begin('late', 'print')).to.equal('ended')
+    expect(former.begin(key('late'))).to.equal('ended')
     expect(await former.replicate('early')).to.equal(false)
   })
 
   it('keeps a copy for a while after another standby was named, for a successor that reads the records late', async () => {
     const former = await firstJournal()
-    former.begin('kept', 'print')
+    former.begin(key('kept'))
     await former.replicate('kept')
     copies.keepOnly(new Set())
     clock.advance(10_000)
@@ -112,19 +117,62 @@
   it('sends everything again after the standby missed a change', async () => {
     const former = await firstJournal()
     sink.connected = false
-    former.begin('missed', 'print')
+    former.begin(key('missed'))
     expect(await former.replicate('missed')).to.equal(false)
     sink.connected = true
-    former.begin('next', 'print')
+    former.begin(key('next'))
     expect(await former.replicate('next')).to.equal(true)
     expect(copies.end('ponds-1', 1).entries.map(({ idempotencyKey }) => idempotencyKey)).to.deep.equal(['missed', 'next'])
   })
 
+  describe('of a bucket that another endpoint held before', () => {
+    const formerHolder = { endpoint: 'ponds-2', releasedAt: 7 }
+
+    it('says "unknown" until the keys of the former holder are there, or their requests would run again', async () => {
+      const holder = await firstJournal()
+      expect(holder.find(key('moved', 3, formerHolder)).kind).to.equal('incomplete')
+      expect(holder.find(key('own', 4)).kind).to.equal('new')
+      const from = new IdempotencyJournal({ endpoint: 'ponds-2', token: 2, standby: undefined, clock, sink })
+      from.load(emptyJournal)
+      from.begin(key('moved', 3))
+      from.begin(key('stays', 5))
+      await holder.import(new Map([[3, 7]]), from.export([3]))
+      expect(holder.find(key('moved', 3, formerHolder)).kind).to.equal('unknown')
+      expect(holder.find(key('fresh', 3, formerHolder)).kind).to.equal('new')
+      expect(holder.size).to.equal(1)
+    })
+
+    it('passes imported keys on to the successor, and asks again after a further move', async () => {
+      const holder = await firstJournal()
+      await holder.import(new Map([[3, 7]]), { ...emptyJournal, entries: [] })
+      const successor = journal(5)
+      successor.load(copies.end('ponds-1', 1))
+      expect(successor.hasImported(3, 7)).to.equal(true)
+      expect(successor.find(key('fresh', 3, formerHolder)).kind).to.equal('new')
+      expect(successor.find(key('fresh', 3, { endpoint: 'ponds-2', releasedAt: 8 })).kind).to.equal('incomplete')
+    })
+
+    it('does not pass on a bucket as known whose own import is still missing', async () => {
+      const holder = await firstJournal()
+      holder.expectImport(3)
+      expect(holder.export([3]).knownMilliseconds).to.equal(0)
+      expect(holder.export([4]).knownMilliseconds).to.be.at.least(journalRetentionMilliseconds)
+    })
+
+    it('treats a bucket whose keys are lost as unknown for as long as keys are remembered', async () => {
+      const holder = await firstJournal()
+      await holder.import(new Map([[3, 7]]), unknownJournal)
+      expect(holder.find(key('fresh', 3, formerHolder)).kind).to.equal('incomplete')
+      clock.advance(journalRetentionMilliseconds)
+      expect(holder.find(key('fresh', 3, formerHolder)).kind).to.equal('new')
+    })
+  })
+
   it('refuses a key rather than forget one early', async () => {
     const former = await firstJournal()
-    for (let number = 0; number < 100_000; number++) former.begin(`key-${number}`, 'print')
-    expect(former.begin('one-more', 'print')).to.equal('full')
+    for (let number = 0; number < 100_000; number++) former.begin(key(`key-${number}`))
+    expect(former.begin(key('one-more'))).to.equal('full')
     clock.advance(journalRetentionMilliseconds)
-    expect(former.begin('one-more', 'print')).to.equal(undefined)
+    expect(former.begin(key('one-more'))).to.equal(undefined)
   })
 })
--- a/packages/daemon/src/coordinator/state-endpoint-view.ts
+++ b/packages/daemon/src/coordinator/state-endpoint-view.ts
@@ -2,6 +2,7 @@
 import type { ControlView } from '../contracts.js'
 import type { BucketGrant } from './endpoint-client.js'
 import { EndpointView } from './endpoint-session.js'
+import type { HandedOverBucket } from './journal-imports.js'
 
 /** Reads the control state for one endpoint. */
 export class StateEndpointView extends EndpointView {
@@ -35,6 +36,13 @@
     return this.#view.state.pools.get(this.#pool)?.buckets[bucket]
   }
 
+  override handedOver (): readonly HandedOverBucket[] {
+    return this.owned().flatMap(({ bucket }) => {
+      const former = this.bucket(bucket)?.former
+      return former === undefined || former.endpoint === this.#endpoint ? [] : [{ bucket, from: former.endpoint, releasedAt: former.releasedAt }]
+    })
+  }
+
   override takeoverEffective (): boolean {
     return this.#takeoverEffective()
   }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,9 +1,11 @@
 import { LifeCycle } from '@briarsaddle/common'
+import type { Answer, Forward } from '@briarsaddle/protocol'
 import { RandomChoice, TwoChoices } from '@briarsaddle/scheduling'
 import { administrationToken, type Address, type Settings } from '@briarsaddle/settings'
 import { AdministrationServer, LogOperations, StateDump } from './administration/index.js'
 import { ControlPlane } from './control-plane.js'
 import { PoolForwarder } from './control/inner-adapters.js'
+import { PoolRunner } from './coordinator/coordinator.js'
 import { EntryServer, RequestRouter } from './entry/index.js'
 import { MeasureReporter } from './measure-reporter.js'
 import { Metrics } from './metrics.js'
@@ -38,6 +40,7 @@
     const control = await ControlPlane.start(this.#settings, metrics, this.#lifeCycle)
     this.#control = control
     const router = this.#createRouter(control, metrics)
+    control.coordinator.usePoolRunner(new RouterPoolRunner(router))
     const entry = new EntryServer({ ...listen.callers, ...limits, clock: control.clock, random: control.random }, router)
     this.#entry = entry
     const callersPort = await entry.listen()
@@ -96,6 +99,19 @@
   }
 }
 
+class RouterPoolRunner extends PoolRunner {
+  readonly #router: RequestRouter
+
+  constructor (router: RequestRouter) {
+    super()
+    this.#router = router
+  }
+
+  override async run (forward: Forward, signal: AbortSignal): Promise<Answer> {
+    return await this.#router.runAnywhere(forward, signal)
+  }
+}
+
 class DaemonDump extends StateDump {
   readonly #control: ControlPlane
   readonly #router: RequestRouter
--- a/packages/daemon/src/entry/entry.test.ts
+++ b/packages/daemon/src/entry/entry.test.ts
@@ -16,7 +16,7 @@
     rules: { version: 1, text: '', author: 'a' },
     witnesses: { version: noVersion, vms: [], pending: undefined },
     endpoints: new Map([['e1', endpoint('e1', 'ponds', 'vm2')], ['c1', endpoint('c1', 'crews', 'vm2')], ['c2', endpoint('c2', 'crews', 'vm3')]]),
-    pools: new Map([['ponds', { version: 1, buckets: buckets({ owner: 'e1', token: 1, pendingFrom: undefined }) }]]),
+    pools: new Map([['ponds', { version: 1, buckets: buckets({ owner: 'e1', token: 1, pendingFrom: undefined, former: undefined }) }]]),
     recentIds: []
   }
 
@@ -227,14 +227,32 @@
   })
 
   it('waits for a pending bucket, but only with a bounded number of requests (a queue without limit)', async () => {
-    control.change({ pools: new Map([['ponds', { version: 1, buckets: buckets({ owner: 'e1', token: 2, pendingFrom: 'e2' }) }]]) })
+    control.change({ pools: new Map([['ponds', { version: 1, buckets: buckets({ owner: 'e1', token: 2, pendingFrom: 'e2', former: undefined }) }]]) })
     const waiting = [call('GET', '/ponds/1'), call('GET', '/ponds/2')]
     while (router.waiting < 2) await delay(5)
     expectRefusal(await call('GET', '/ponds/3'), 503, 'bucket_pending')
-    control.change({ pools: new Map([['ponds', { version: 1, buckets: buckets({ owner: 'e1', token: 2, pendingFrom: undefined }) }]]) })
+    control.change({ pools: new Map([['ponds', { version: 1, buckets: buckets({ owner: 'e1', token: 2, pendingFrom: undefined, former: undefined }) }]]) })
     expect((await Promise.all(waiting)).map(reply => reply.body)).to.deep.equal(['1', '2'])
   })
 
+  it('sends a keyless request with an idempotency key to the coordinator that remembers the key, or a repeat would run at another endpoint', async () => {
+    control.change({ pools: new Map([['crews', { version: 1, buckets: buckets({ owner: 'c2', token: 1, pendingFrom: undefined, former: undefined }) }]]) })
+    for (let index = 0; index < 4; index++) expect((await call('POST', '/crews', { 'Idempotency-Key': 'crew-1' })).status).to.equal(200)
+    expect(peers.sent.map(({ vm, forward: { endpoint, anyEndpoint, bucket } }) => ({ vm, endpoint, anyEndpoint, bucket }))).to.deep.equal(
+      Array.from({ length: 4 }, () => ({ vm: 'vm3', endpoint: 'c2', anyEndpoint: true, bucket: hasher.bucketOf('crew-1', bucketsPerPool) })))
+  })
+
+  it('runs a request for such a coordinator at any endpoint, as one that nothing else remembers', async () => {
+    await call('POST', '/crews', { 'Idempotency-Key': 'crew-1' }, 'body')
+    control.change({ pools: new Map([['crews', { version: 1, buckets: buckets({ owner: 'c2', token: 1, pendingFrom: undefined, former: undefined }) }]]) })
+    await call('POST', '/crews', { 'Idempotency-Key': 'crew-1' }, 'body')
+    const remembered = peers.sent.splice(0).at(-1)?.forward
+    if (remembered === undefined) throw new Error('nothing was sent')
+    expect((await router.runAnywhere(remembered, new AbortController().signal)).outcome).to.equal(Outcome.OUTCOME_ANSWERED)
+    expect(peers.sent[0]?.forward).to.include({ bucket: -1, anyEndpoint: false, idempotencyKey: '' })
+    expect(peers.sent[0]?.forward.headers).to.deep.include({ name: 'Idempotency-Key', value: 'crew-1' })
+  })
+
   it('tries another endpoint of a pool without keys when one refuses (a crew dispatch that one full endpoint stops)', async () => {
     peers.script = forward => forward.endpoint === 'c1' ? notRunAnswer('queue_full') : Answer.create({ outcome: Outcome.OUTCOME_ANSWERED, status: 200 })
     for (let index = 0; index < 4; index++) expect((await call('POST', '/crews')).status).to.equal(200)
--- a/packages/daemon/src/entry/request-router.ts
+++ b/packages/daemon/src/entry/request-router.ts
@@ -51,14 +51,14 @@
   long: ServiceClass.SERVICE_CLASS_LONG
 }
 
+/** A request without what depends on the place and time of sending. */
+type RequestTemplate = Omit<Forward, 'id' | 'endpoint' | 'deadlineMilliseconds' | 'position'>
+
 /** Progress of one request. */
 interface Attempt {
-  readonly accepted: AcceptedRequest
-  readonly body: Buffer
+  readonly template: RequestTemplate
+  readonly deadlineAt: number
   readonly signal: AbortSignal
-  readonly requestId: string
-  readonly headers: Forward['headers']
-  readonly bucket: number
   /** Endpoints that refused the request since the last wait. */
   readonly excluded: Set<string>
   backoffMilliseconds: number
@@ -120,19 +120,8 @@
 
   /** Routes an accepted request. Always resolves to the final answer; an abort ends it truthfully at once. */
   async route (accepted: AcceptedRequest, body: Buffer, signal: AbortSignal): Promise<CallerAnswer> {
-    const { request, rule, key } = accepted
-    const answer = await this.#run({
-      accepted,
-      body,
-      signal,
-      requestId: randomUUID(),
-      headers: endpointHeaders(request.rawHeaders, request.remoteAddress),
-      bucket: key === undefined ? noBucket : this.#options.hasher.bucketOf(key, bucketsPerPool),
-      excluded: new Set(),
-      backoffMilliseconds: firstBackoffMilliseconds,
-      relocationEndsAt: undefined,
-      mayHaveRun: false
-    })
+    const { request, rule, deadlineAt } = accepted
+    const answer = await this.#run(this.#createTemplate(accepted, body), deadlineAt, signal)
     const final = callerAnswer(answer, request.method, this.#options.random)
     this.#options.metrics.request({
       pool: rule.pool,
@@ -155,7 +144,15 @@
     return this.#matcher.match({ method: request.method, path, query: queryAt < 0 ? undefined : request.target.slice(queryAt), headers: request.headers })
   }
 
-  async #run (attempt: Attempt): Promise<Answer> {
+  /** Runs a request at any endpoint of its pool, for the coordinator that remembers its idempotency key. */
+  async runAnywhere (forward: Forward, signal: AbortSignal): Promise<Answer> {
+    const headers = [...forward.headers, { name: 'Idempotency-Key', value: forward.idempotencyKey }]
+    const template = { ...forward, headers, bucket: noBucket, anyEndpoint: false, idempotencyKey: '' }
+    return await this.#run(template, this.#clock.now() + forward.deadlineMilliseconds, signal)
+  }
+
+  async #run (template: RequestTemplate, deadlineAt: number, signal: AbortSignal): Promise<Answer> {
+    const attempt: Attempt = { template, deadlineAt, signal, excluded: new Set(), backoffMilliseconds: firstBackoffMilliseconds, relocationEndsAt: undefined, mayHaveRun: false }
     const answer = await this.#sendUntilFinal(attempt)
     if (attempt.mayHaveRun && answer.outcome === Outcome.OUTCOME_NOT_RUN) return { ...answer, outcome: Outcome.OUTCOME_UNKNOWN }
     return answer
@@ -185,10 +182,10 @@
     }
   }
 
-  #locate ({ accepted: { rule }, bucket, excluded }: Attempt): Place | NoPlace {
+  #locate ({ template: { pool, bucket }, excluded }: Attempt): Place | NoPlace {
     const { state } = this.#options.control
-    if (bucket !== noBucket) return placeOfBucket(state, rule.pool, bucket)
-    const chosen = this.#chooser(rule.pool).choose(this.#members.of(state, rule.pool), excluded)
+    if (bucket !== noBucket) return placeOfBucket(state, pool, bucket)
+    const chosen = this.#chooser(pool).choose(this.#members.of(state, pool), excluded)
     const endpoint = chosen === undefined ? undefined : state.endpoints.get(chosen)
     return endpoint === undefined ? 'no_endpoint' : placeOfEndpoint(endpoint)
   }
@@ -218,39 +215,48 @@
   }
 
   async #send (attempt: Attempt, place: Place, vm: string): Promise<Sent> {
-    const { accepted: { rule }, bucket } = attempt
+    const { pool, bucket, idempotent } = attempt.template
     const keyed = bucket !== noBucket
-    const chooser = keyed ? undefined : this.#chooser(rule.pool)
+    const chooser = keyed ? undefined : this.#chooser(pool)
     const startedAt = this.#clock.now()
     chooser?.started(place.endpoint)
     const answer = await this.#forward(vm, this.#createForward(attempt, place), attempt.signal)
     const reported = answer.outcome === Outcome.OUTCOME_ANSWERED ? answer.outstanding : undefined
     chooser?.finished(place.endpoint, { outstanding: reported, milliseconds: this.#clock.now() - startedAt, failed: showsFailure(answer) })
-    const verdict = judge(answer, rule.idempotent, keyed)
+    const verdict = judge(answer, idempotent, keyed)
     const budget = this.#budget(attempt, place)
     if (answer.outcome === Outcome.OUTCOME_ANSWERED) budget.succeeded()
     else if (verdict === 'refused' || verdict === 'broken') budget.failed()
     return { answer, verdict }
   }
 
-  #createForward (attempt: Attempt, place: Place): Forward {
-    const { accepted: { request, rule, key, idempotencyKey }, requestId, headers, body, bucket } = attempt
+  #createTemplate ({ request, rule, key, idempotencyKey }: AcceptedRequest, body: Buffer): RequestTemplate {
+    // Without a partition by key, the bucket of the idempotency key decides which coordinator remembers it.
+    const anyEndpoint = key === undefined && idempotencyKey !== '' && !rule.idempotent
+    const bucketKey = anyEndpoint ? idempotencyKey : key
     return {
-      id: 0,
-      requestId,
-      endpoint: place.endpoint,
+      requestId: randomUUID(),
       pool: rule.pool,
-      bucket,
+      bucket: bucketKey === undefined ? noBucket : this.#options.hasher.bucketOf(bucketKey, bucketsPerPool),
+      anyEndpoint,
       key: key ?? '',
       serviceClass: serviceClasses[rule.serviceClass],
       idempotent: rule.idempotent,
       idempotencyKey,
       rule: rule.line,
-      deadlineMilliseconds: Math.max(1, this.#remaining(attempt) - deadlineReserveMilliseconds),
       method: request.method,
       target: request.target,
-      headers,
-      body,
+      headers: endpointHeaders(request.rawHeaders, request.remoteAddress),
+      body
+    }
+  }
+
+  #createForward (attempt: Attempt, place: Place): Forward {
+    return {
+      ...attempt.template,
+      id: 0,
+      endpoint: place.endpoint,
+      deadlineMilliseconds: Math.max(1, this.#remaining(attempt) - deadlineReserveMilliseconds),
       position: Math.max(0, this.#options.control.state.position)
     }
   }
@@ -296,9 +302,9 @@
 
   /** Excludes an endpoint of a pool without keys. Returns true when another one is left to try at once. */
   #excludeEndpoint (attempt: Attempt, place: Place): boolean {
-    if (attempt.bucket !== noBucket) return false
+    if (attempt.template.bucket !== noBucket) return false
     attempt.excluded.add(place.endpoint)
-    const members = this.#members.of(this.#options.control.state, attempt.accepted.rule.pool)
+    const members = this.#members.of(this.#options.control.state, attempt.template.pool)
     if (members.some(member => !attempt.excluded.has(member))) return true
     attempt.excluded.clear()
     return false
@@ -338,7 +344,7 @@
   /** Waits until the place has changed or the time has come. Returns false when the request must end. */
   async #waitForMove (attempt: Attempt, place: Place, until: number): Promise<boolean> {
     const { control } = this.#options
-    const endsAt = Math.min(until, attempt.accepted.deadlineAt)
+    const endsAt = Math.min(until, attempt.deadlineAt)
     while (!this.#hasMoved(attempt, place)) {
       const left = endsAt - this.#clock.now()
       if (left <= 0) break
@@ -351,8 +357,8 @@
 
   #hasMoved (attempt: Attempt, place: Place): boolean {
     const { state } = this.#options.control
-    if (attempt.bucket !== noBucket) {
-      const now = placeOfBucket(state, attempt.accepted.rule.pool, attempt.bucket)
+    if (attempt.template.bucket !== noBucket) {
+      const now = placeOfBucket(state, attempt.template.pool, attempt.template.bucket)
       return typeof now === 'string' || now.version !== place.version
     }
     const endpoint = state.endpoints.get(place.endpoint)
@@ -379,8 +385,8 @@
     }
   }
 
-  #remaining ({ accepted }: Attempt): number {
-    return accepted.deadlineAt - this.#clock.now()
+  #remaining ({ deadlineAt }: Attempt): number {
+    return deadlineAt - this.#clock.now()
   }
 
   #refuse (reason: string): CallerAnswer {
@@ -396,8 +402,8 @@
   }
 
   /** One budget for each keyed endpoint and for each pool without keys, so that one lost endpoint stops no other's retries. */
-  #budget ({ bucket, accepted: { rule } }: Attempt, place: Place): RetryBudget {
-    const name = bucket === noBucket ? `pool ${rule.pool}` : `endpoint ${place.endpoint}`
+  #budget ({ template: { bucket, pool } }: Attempt, place: Place): RetryBudget {
+    const name = bucket === noBucket ? `pool ${pool}` : `endpoint ${place.endpoint}`
     let budget = this.#budgets.get(name)
     if (budget !== undefined) return budget
     if (this.#budgets.size >= maximumBudgets) this.#budgets.clear()
--- a/packages/integration/src/capacity/state-builder.ts
+++ b/packages/integration/src/capacity/state-builder.ts
@@ -38,5 +38,5 @@
 
 /** Owners alternate from bucket to bucket as the first assignment leaves them, so that no two neighbours are equal. */
 function owned (bucket: number, owners: readonly string[], firstToken: number): BucketState {
-  return { owner: owners[bucket % owners.length] ?? '', token: firstToken + bucket % tokens, pendingFrom: undefined }
+  return { owner: owners[bucket % owners.length] ?? '', token: firstToken + bucket % tokens, pendingFrom: undefined, former: undefined }
 }
--- a/packages/integration/src/scenarios/at-most-once.test.ts
+++ b/packages/integration/src/scenarios/at-most-once.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
-import { collectRecords, Deployment, sendTraced, smallAtlas, Traffic, vmPlans, waitFor, type CallerTrace } from '../bed/index.js'
-import { breachesOf, countTexts, observeEndpoints, observeOwners, pause, printedSeed, summarizeTraces, trafficKeys, type ObservedEndpoint } from '../bed/observation.js'
+import { administrationToken, collectRecords, Deployment, runCli, sendTraced, smallAtlas, Traffic, vmPlans, waitFor, type CallerTrace, type Records, type RequestKind } from '../bed/index.js'
+import { breachesOf, countTexts, joinRecords, observeEndpoints, observeOwners, pause, printedSeed, summarizeTraces, trafficKeys, type ObservedEndpoint } from '../bed/observation.js'
 
 const runningMilliseconds = 2500
 const promptMilliseconds = 1000
@@ -27,9 +27,9 @@
     await deployment.stop()
   })
 
-  /** Sends an order under its own id as the key. */
-  async function order (id: string, key: string, vm: string, serviceMilliseconds = 5): Promise<CallerTrace> {
-    const trace = await sendTraced(deployment, { id, kind: 'order', key, vm }, { 'idempotency-key': `key-${id}`, 'x-service-milliseconds': String(serviceMilliseconds) })
+  /** Sends an order or dispatch under its own id as the key. */
+  async function order (id: string, key: string, vm: string, serviceMilliseconds = 5, kind: RequestKind = 'order'): Promise<CallerTrace> {
+    const trace = await sendTraced(deployment, { id, kind, key, vm }, { 'idempotency-key': `key-${id}`, 'x-service-milliseconds': String(serviceMilliseconds) })
     sent.push(trace)
     return trace
   }
@@ -39,8 +39,13 @@
     return { vm, standby, others: [...deployment.vms.keys()].filter(other => other !== vm && other !== standby) }
   }
 
-  async function effectsOf (id: string): Promise<number> {
-    return [...(await collectRecords(deployment)).values()].flatMap(({ requests }) => requests).filter(({ testRequest, result }) => testRequest === id && result === 'completed').length
+  async function effectsOf (id: string, records?: Records): Promise<number> {
+    return [...(records ?? await collectRecords(deployment)).values()].flatMap(({ requests }) => requests).filter(({ testRequest, result }) => testRequest === id && result === 'completed').length
+  }
+
+  async function drain (endpoint: string): Promise<void> {
+    const { host, port } = deployment.vms.get('vm-1')?.administration ?? { host: '', port: 0 }
+    expect(await runCli(['drain', endpoint, '--author', 'test', '--address', `http://${host}:${port}`], { environment: { BRIARSADDLE_TOKEN: administrationToken } })).to.include({ code: 0 })
   }
 
   function describeAnswer ({ answer, startedAt, endedAt }: CallerTrace): string {
@@ -112,4 +117,57 @@
       await waitFor('a new order is answered again', 10_000, async () => (await sendTraced(deployment, { id: `new-${Date.now()}`, kind: 'order', key, vm: through })).answer?.outcome === 'answered')
     })
   }
+
+  for (const cause of ['drains', 'was killed'] as const) {
+    it(`has no second effect after its endpoint ${cause} and another one has the key`, async () => {
+      const vms = [...deployment.vms.keys()]
+      const key = trafficKeys[0] ?? ''
+      const owner = (await observeOwners(deployment, 'vm-1')).get(key)?.owner ?? ''
+      const first = await order('moved', key, 'vm-1')
+      expect(first.answer?.outcome, describeAnswer(first)).to.equal('answered')
+      const before = await collectRecords(deployment, [owner])
+      if (cause === 'drains') await drain(owner)
+      else await deployment.endpoints.get(owner)?.process.kill()
+      const repeats: CallerTrace[] = []
+      let moved = false
+      await waitFor('another endpoint owns the key', 10_000, async () => {
+        moved = (await observeOwners(deployment, 'vm-1')).get(key)?.owner !== owner
+        repeats.push(await order('moved', key, vms[repeats.length % vms.length] ?? ''))
+        return moved
+      })
+      for (const vm of vms) repeats.push(await order('moved', key, vm))
+      console.log(`      ${countTexts(repeats.map(repeat => describeAnswer(repeat).replace(/ after .*/, '')))}`)
+      for (const { answer } of repeats) if (answer?.outcome === 'answered') expect(answer.body).to.equal(first.answer?.body)
+      expect(repeats.at(-1)?.answer?.body, 'the new owner has the answer').to.equal(first.answer?.body)
+      const others = [...deployment.endpoints.keys()].filter(id => id !== owner)
+      const records = cause === 'drains' ? await collectRecords(deployment) : joinRecords(before, await collectRecords(deployment, others))
+      expect(await effectsOf('moved', records)).to.equal(1)
+      expect(breachesOf(records, sent)).to.deep.equal([])
+      const fresh = await order('fresh', key, 'vm-1')
+      expect(fresh.answer?.outcome, describeAnswer(fresh)).to.equal('answered')
+    })
+  }
+
+  it('runs a dispatch once in a pool without keys, through any VM and after an endpoint of the pool was killed', async () => {
+    const vms = [...deployment.vms.keys()]
+    const ids = Array.from({ length: 8 }, (_, index) => `dispatch-${index}`)
+    const dispatch = async (id: string, vm: string): Promise<CallerTrace> => await order(id, 'pond-1', vm, 5, 'dispatch')
+    const first = await Promise.all(ids.map(async (id, index) => await dispatch(id, vms[index % vms.length] ?? '')))
+    for (const trace of first) expect(trace.answer?.outcome, describeAnswer(trace)).to.equal('answered')
+    const expectSame = async (): Promise<void> => {
+      for (const [index, id] of ids.entries()) {
+        const repeat = await dispatch(id, vms[(index + 1) % vms.length] ?? '')
+        expect(repeat.answer?.body, describeAnswer(repeat)).to.equal(first[index]?.answer?.body)
+      }
+    }
+    await expectSame()
+    const before = await collectRecords(deployment, ['dispatch-1'])
+    await deployment.endpoints.get('dispatch-1')?.process.kill()
+    await waitFor('the other endpoint has every bucket', 10_000, async () => (await dispatch(`new-${Date.now()}`, 'vm-1')).answer?.outcome === 'answered')
+    await pause(1000)
+    await expectSame()
+    const records = joinRecords(before, await collectRecords(deployment, ['ponds-1', 'ponds-2', 'ponds-3', 'dispatch-2']))
+    for (const id of ids) expect(await effectsOf(id, records), id).to.equal(1)
+    expect(breachesOf(records, sent)).to.deep.equal([])
+  })
 })
--- a/packages/ownership/src/checkpoint.ts
+++ b/packages/ownership/src/checkpoint.ts
@@ -10,11 +10,11 @@
 /** Index into `names`, or -1 for none. */
 const nameIndex = z.number().int().min(-1)
 
-/** Equal neighbouring buckets as [length, owner, token, pendingFrom]; owner -1 means never assigned. */
-const runSchema = z.tuple([count.min(1), nameIndex, version, nameIndex])
+/** Equal neighbouring buckets as [length, owner, token, pendingFrom, former endpoint, releasedAt]; owner -1 means never assigned. */
+const runSchema = z.tuple([count.min(1), nameIndex, version, nameIndex, nameIndex, version])
 
 const encodedStateSchema = z.strictObject({
-  format: z.literal(1),
+  format: z.literal(2),
   position: version,
   rules: z.strictObject({ version, text: z.string(), author: z.string() }),
   witnesses: z.strictObject({ version, vms: names, pending: z.strictObject({ offset: version, vms: names }).optional() }),
@@ -46,7 +46,7 @@
   const pools = [...state.pools].map(([id, pool]) => ({ id, version: pool.version, runs: encodeRuns(pool.buckets, indexOf) }))
   const { rules, witnesses } = state
   const encoded: EncodedState = {
-    format: 1,
+    format: 2,
     position: state.position,
     rules: { version: rules.version, text: rules.text, author: rules.author },
     witnesses: {
@@ -72,8 +72,8 @@
       continue
     }
     previous = bucket
-    const run: Run = [1, indexOf(bucket?.owner), bucket?.token ?? noVersion, indexOf(bucket?.pendingFrom)]
-    if (last !== undefined && last[1] === run[1] && last[2] === run[2] && last[3] === run[3]) last[0]++
+    const run: Run = [1, indexOf(bucket?.owner), bucket?.token ?? noVersion, indexOf(bucket?.pendingFrom), indexOf(bucket?.former?.endpoint), bucket?.former?.releasedAt ?? noVersion]
+    if (last !== undefined && last.every((value, index) => index === 0 || value === run[index])) last[0]++
     else runs.push(run)
   }
   return runs
@@ -110,8 +110,9 @@
     return name
   }
   const buckets: Array<BucketState | undefined> = []
-  for (const [length, owner, token, pendingFrom] of runs) {
-    const bucket = owner === -1 ? undefined : { owner: nameAt(owner), token, pendingFrom: pendingFrom === -1 ? undefined : nameAt(pendingFrom) }
+  for (const [length, owner, token, pendingFrom, formerEndpoint, releasedAt] of runs) {
+    const former = formerEndpoint === -1 ? undefined : { endpoint: nameAt(formerEndpoint), releasedAt }
+    const bucket = owner === -1 ? undefined : { owner: nameAt(owner), token, pendingFrom: pendingFrom === -1 ? undefined : nameAt(pendingFrom), former }
     for (let index = 0; index < length; index++) buckets.push(bucket)
   }
   return buckets
--- a/packages/ownership/src/control-reader.test.ts
+++ b/packages/ownership/src/control-reader.test.ts
@@ -26,7 +26,14 @@
   it('round-trips exactly, with pending buckets, lists and ids', () => {
     const state = readAll()
     expect(decodeState(encodeState(state))).to.deep.equal(state)
-    expect(state.pools.get('p')?.buckets[0]).to.deep.equal({ owner: 'b', token: 6, pendingFrom: 'a' })
+    expect(state.pools.get('p')?.buckets[0]).to.deep.equal({ owner: 'b', token: 6, pendingFrom: 'a', former: undefined })
+  })
+
+  it('keeps the former holder of a bucket, or a new VM would not know where its idempotency keys are', () => {
+    const released = JSON.stringify({ kind: 'released', id: '00000000-0000-4000-8000-999999999999', pool: 'p', assignment: 6, buckets: [0] })
+    const state = readAll([...bodies, released])
+    expect(state.pools.get('p')?.buckets[0]).to.deep.equal({ owner: 'b', token: 6, pendingFrom: undefined, former: { endpoint: 'a', releasedAt: 7 } })
+    expect(decodeState(encodeState(state))).to.deep.equal(state)
   })
 
   it('rejects a text whose runs do not fill the pool, before it allocates them', () => {
--- a/packages/ownership/src/control-state.ts
+++ b/packages/ownership/src/control-state.ts
@@ -37,6 +37,15 @@
   readonly token: number
   /** The former owner, until a `released` record for this token is read. The owner may not be granted the bucket before. */
   readonly pendingFrom: string | undefined
+  /** Who held the bucket before the owner; undefined while it has had one holder only. */
+  readonly former: FormerHolder | undefined
+}
+
+/** The holder of a bucket before its present one. */
+export interface FormerHolder {
+  readonly endpoint: string
+  /** Offset of the `released` record by which it ceased to hold the bucket. */
+  readonly releasedAt: number
 }
 
 /** Buckets of one pool. */
--- a/packages/ownership/src/reducer.test.ts
+++ b/packages/ownership/src/reducer.test.ts
@@ -49,7 +49,7 @@
     expect(bucketsHeldFor(log.state, 'a')).to.deep.equal([{ bucket: 0, token: 3 }, { bucket: 1, token: 3 }])
     log.assign('b', 0)
     log.assign('c', 0)
-    expect(log.state.pools.get(pool)?.buckets[0]).to.deep.equal({ owner: 'c', token: 5, pendingFrom: 'a' })
+    expect(log.state.pools.get(pool)?.buckets[0]).to.deep.equal({ owner: 'c', token: 5, pendingFrom: 'a', former: undefined })
     expect(bucketsLeaving(log.state, 'a')).to.deep.equal([{ bucket: 0, token: 5 }])
     expect(bucketsHeldFor(log.state, 'c')).to.deep.equal([])
     expect(log.release(4, 0), 'a release for the older assignment').to.equal('not_pending')
@@ -57,6 +57,19 @@
     expect(bucketsHeldFor(log.state, 'c')).to.deep.equal([{ bucket: 0, token: 5 }])
   })
 
+  it('names the endpoint that held a bucket before, not one that was never granted it, so that its idempotency keys are found', () => {
+    const log = withEndpoints()
+    log.assign('a', 0)
+    log.assign('b', 0)
+    log.assign('c', 0)
+    log.release(5, 0)
+    const former = { endpoint: 'a', releasedAt: 6 }
+    expect(log.state.pools.get(pool)?.buckets[0]?.former).to.deep.equal(former)
+    log.assign('b', 0)
+    log.assign('c', 0)
+    expect(log.state.pools.get(pool)?.buckets[0]?.former, 'the bucket came back before it was released').to.deep.equal(former)
+  })
+
   it('leaves nothing pending when a bucket returns to the endpoint that still holds it', () => {
     const log = withEndpoints()
     log.assign('a', 0)
--- a/packages/ownership/src/reducer.ts
+++ b/packages/ownership/src/reducer.ts
@@ -161,7 +161,7 @@
   for (const { bucket, to } of record.moves) {
     const old = former[bucket]
     for (const endpoint of [old?.owner, old?.pendingFrom, to]) if (endpoint !== undefined) touched.add(endpoint)
-    buckets[bucket] = { owner: to, token: offset, pendingFrom: pendingAfterMove(old, to) }
+    buckets[bucket] = { owner: to, token: offset, pendingFrom: pendingAfterMove(old, to), former: old?.former }
   }
   return { pools: new Map(state.pools).set(record.pool, { version: offset, buckets }), endpoints: touch(state, offset, touched) }
 }
@@ -196,7 +196,7 @@
     const old = buckets[bucket]
     if (old === undefined || old.token !== record.assignment || old.pendingFrom === undefined) continue
     touched.add(old.owner).add(old.pendingFrom)
-    buckets[bucket] = { ...old, pendingFrom: undefined }
+    buckets[bucket] = { ...old, pendingFrom: undefined, former: { endpoint: old.pendingFrom, releasedAt: offset } }
   }
   if (touched.size === 0) return 'not_pending'
   return { pools: new Map(state.pools).set(record.pool, { ...pool, buckets }), endpoints: touch(state, offset, touched) }
--- a/packages/protocol/src/exchange.test.ts
+++ b/packages/protocol/src/exchange.test.ts
@@ -29,7 +29,7 @@
 
   async confirm (): Promise<ConfirmResponse> { return { ready: true, position: 7, outdated: [], quietMilliseconds: [] } }
   async fetchState (): Promise<FetchStateResponse> { throw new Error('no state yet') }
-  async fetchJournal (): Promise<FetchJournalResponse> { return { knownMilliseconds: 0, entries: [] } }
+  async fetchJournal (): Promise<FetchJournalResponse> { return { knownMilliseconds: 0, entries: [], imports: [], notReady: false } }
   async fetchLoads (): Promise<FetchLoadsResponse> { return { loads: [] } }
 }
 
@@ -208,7 +208,7 @@
 
   it('distinguishes acknowledged, unacknowledged and unsent journal entries (a lost entry taken for a stored one)', async () => {
     const client = await connectClient()
-    const journal = { id: 5, endpoint: 'e', token: 1, sequence: 1, entry: undefined, knownMilliseconds: 0 }
+    const journal = { id: 5, endpoint: 'e', token: 1, sequence: 1, entry: undefined, knownMilliseconds: 0, imports: [] }
     expect(await client.journal(journal, 1_000)).to.deep.equal({ id: 5, complete: true })
     const unacknowledged = await client.journal({ ...journal, endpoint: 'broken' }, 50).catch((thrown: unknown) => thrown)
     expect(unacknowledged).to.include({ code: 'journal_unacknowledged' })
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,7 +1,7 @@
 export {
   Answer, Cancel, ConfirmRequest, ConfirmResponse, EndpointVersion, EndpointLoad, FetchJournalRequest, FetchJournalResponse, FetchLoadsRequest, FetchLoadsResponse, FetchStateRequest,
   FetchStateResponse, Forward, Frame, GoingAway, Header, HeartbeatRequest, HeartbeatResponse, Journal, JournalAcknowledgement,
-  JournalEntry, JournalStage, Outcome, ServiceClass
+  BucketImport, JournalEntry, JournalStage, Outcome, ServiceClass
 } from './generated/inner.js'
 export { answerBytes, forwardBytes, notRunAnswer, peerReasons, unknownAnswer } from './answers.js'
 export { ControlHandler, FrameHandler } from './handlers.js'
