--- a/packages/daemon/src/control/inner-adapters.ts
+++ b/packages/daemon/src/control/inner-adapters.ts
@@ -5,7 +5,8 @@
   type Forward, type HeartbeatRequest, type HeartbeatResponse, type Journal, type JournalAcknowledgement
 } from '@briarsaddle/protocol'
 import { PeerForwarder } from '../contracts.js'
-import { JournalSource, type Coordinator } from '../coordinator/coordinator.js'
+import type { Coordinator } from '../coordinator/coordinator.js'
+import { JournalSource } from '../coordinator/journal-transfer.js'
 import { JournalSink } from '../coordinator/journal.js'
 import type { EndpointLoad } from '@briarsaddle/scheduling'
 import { LoadSource, type Balancer } from './balancer.js'
@@ -110,7 +111,7 @@
   }
 
   override async journal (journal: Journal): Promise<JournalAcknowledgement> {
-    return this.#coordinator.receiveJournal(journal)
+    return this.#coordinator.journals.receive(journal)
   }
 }
 
@@ -145,7 +146,7 @@
   }
 
   override async fetchJournal (request: FetchJournalRequest): Promise<FetchJournalResponse> {
-    return await this.#coordinator.fetchJournal(request)
+    return await this.#coordinator.journals.answer(request)
   }
 
   override async fetchLoads (request: FetchLoadsRequest): Promise<FetchLoadsResponse> {
--- /dev/null
+++ b/packages/daemon/src/coordinator/coordinator-history.ts
@@ -0,0 +1,77 @@
+import type { Clock } from '@briarsaddle/common'
+import { noVersion, type ControlState, type ReadRecord } from '@briarsaddle/ownership'
+import { journalRetentionMilliseconds } from './journal.js'
+
+/** Only the last few coordinators of an endpoint are ever asked for. */
+const maximumTokens = 8
+
+/** A coordinator of an endpoint, as its record names it. */
+export interface FormerCoordinator {
+  readonly vm: string
+  readonly standby: string | undefined
+  readonly token: number
+  /** Token of the coordinator before; undefined when the record was not read. */
+  readonly base?: number
+}
+
+/** Remembers the last coordinators of each endpoint, so that the journal of the one before is found. */
+export class CoordinatorHistory {
+  readonly #clock: Clock
+  readonly #endpoints = new Map<string, Map<number, FormerCoordinator>>()
+  /** When endpoints left the control state. */
+  readonly #goneSince = new Map<string, number>()
+
+  constructor (clock: Clock) {
+    this.#clock = clock
+  }
+
+  /** Takes the coordinators from what was read. */
+  update (state: ControlState, read: readonly ReadRecord[]): void {
+    for (const { offset, record, voidReason } of read) {
+      if (record.kind !== 'coordinator' || voidReason !== undefined) continue
+      this.#remember(record.endpoint.id, { vm: record.vm, standby: record.standby, token: offset, base: record.base })
+    }
+    for (const { description, coordinator } of state.endpoints.values()) this.#remember(description.id, coordinator)
+    this.#forgetGone(state)
+  }
+
+  /** True when the token is that of the endpoint's first coordinator. */
+  isFirst (endpoint: string, token: number): boolean {
+    return this.#endpoints.get(endpoint)?.get(token)?.base === noVersion
+  }
+
+  /** The coordinator before the one with this token; undefined when its record was not read. */
+  former (endpoint: string, token: number): FormerCoordinator | undefined {
+    const coordinators = this.#endpoints.get(endpoint)
+    const base = coordinators?.get(token)?.base
+    return base === undefined ? undefined : coordinators?.get(base)
+  }
+
+  /** The newest coordinator of an endpoint, also of one that has left the state. */
+  last (endpoint: string): FormerCoordinator | undefined {
+    const coordinators = this.#endpoints.get(endpoint)
+    return coordinators?.get(Math.max(...coordinators.keys()))
+  }
+
+  #remember (endpoint: string, coordinator: FormerCoordinator): void {
+    const coordinators = this.#endpoints.get(endpoint) ?? new Map<number, FormerCoordinator>()
+    if (!coordinators.has(coordinator.token)) coordinators.set(coordinator.token, coordinator)
+    if (coordinators.size > maximumTokens) coordinators.delete(Math.min(...coordinators.keys()))
+    this.#endpoints.set(endpoint, coordinators)
+  }
+
+  #forgetGone (state: ControlState): void {
+    const now = this.#clock.now()
+    for (const endpoint of this.#endpoints.keys()) {
+      if (state.endpoints.has(endpoint)) {
+        this.#goneSince.delete(endpoint)
+        continue
+      }
+      const since = this.#goneSince.get(endpoint) ?? now
+      this.#goneSince.set(endpoint, since)
+      if (now - since <= journalRetentionMilliseconds) continue
+      this.#endpoints.delete(endpoint)
+      this.#goneSince.delete(endpoint)
+    }
+  }
+}
