Report churn and unavailable time only for pools with keys

Buckets of pools without keys now have owners that remember idempotency keys; their moves keep no key from being served, so they must not count in these measures.

--- a/packages/daemon/src/measure-reporter.ts
+++ b/packages/daemon/src/measure-reporter.ts
@@ -23,7 +23,10 @@
 
   #report (): void {
     this.#metrics.peakService()
+    // Buckets of other pools only remember idempotency keys; their moves keep no key from being served.
+    const keyed = new Set(this.#control.follower.rules.rules.filter(({ key }) => key !== undefined).map(({ pool }) => pool))
     for (const [pool, { buckets }] of this.#control.follower.state.pools) {
+      if (!keyed.has(pool)) continue
       const owners = buckets.map(bucket => bucket?.owner)
       const former = this.#lastVersions.get(pool)
       if (former !== undefined) this.#metrics.bucketsMoved(pool, owners.filter((owner, index) => owner !== former[index]).length, 'all')
