Carry heartbeats as frames of the streams

Each VM asked about four others ten times a second and was asked as often, so it took part in 80 unary gRPC calls a second. Each call opens and ends an HTTP/2 stream with its headers on both sides; in a profile of one idle daemon (8 VMs, 20 endpoints, 6 s) grpc-js and the HTTP/2 stack below it were the largest part of the time spent in JavaScript.

A heartbeat is now a frame of the Exchange stream that is open anyway, with the id of the VM that asks; the answer says whether the asked VM leaves. Frames leave out the process id and the log position, which nobody read. A call is used when the stream is not open or has left a heartbeat unanswered, for 10 s: a peer of an earlier version ignores the frame, and a stream may be held up by large bodies. The check over a fresh connection is unchanged.

Ruled out: counting the peer's own questions in place of answers. The question is also what notices that this VM's stream has gone silent, so each stream is still exercised at every interval. For the same reason a heartbeat is not left out when other frames arrived, and the answer carries the news that a VM leaves. Any frame of a VM now counts as a sign of life when it would be suspected.

--- a/packages/daemon/src/control/membership.ts
+++ b/packages/daemon/src/control/membership.ts
@@ -169,8 +169,7 @@
     this.#lastBeat = now
     for (const [vm, watched] of this.#watched) {
       if (!watched.asking) void this.#ask(vm, watched)
-      const silent = now - watched.lastHeard
-      if (silent > this.#timing.suspectMilliseconds && !watched.checking && !this.#suspectedSince.has(vm)) void this.#check(vm, watched)
+      if (this.#silence(vm, watched) > this.#timing.suspectMilliseconds && !watched.checking && !this.#suspectedSince.has(vm)) void this.#check(vm, watched)
     }
   }
 
@@ -195,7 +194,7 @@
       await this.#peers.get(vm)?.freshHeartbeat(this.#request(), freshHeartbeatTimeoutMilliseconds)
       this.#heard(vm)
     } catch (error) {
-      if (this.#clock.now() - watched.lastHeard <= this.#timing.suspectMilliseconds) return
+      if (this.#silence(vm, watched) <= this.#timing.suspectMilliseconds) return
       this.#suspectedSince.set(vm, this.#clock.now())
       logger.warning('VM suspected', { vm, reason: describeError(error) })
       this.#rebuild()
@@ -204,6 +203,11 @@
     }
   }
 
+  /** Any frame of the VM shows that it lives, also while the answer to a heartbeat waits behind long answers. */
+  #silence (vm: string, watched: Watched): number {
+    return Math.min(this.#clock.now() - watched.lastHeard, this.#peers.get(vm)?.silentMilliseconds ?? Infinity)
+  }
+
   #heard (vm: string): void {
     const watched = this.#watched.get(vm)
     if (watched !== undefined) watched.lastHeard = this.#clock.now()
--- a/packages/protocol/src/exchange.test.ts
+++ b/packages/protocol/src/exchange.test.ts
@@ -23,7 +23,13 @@
 }
 
 class TestControl extends ControlHandler {
+  /** Heartbeats by the way they came: frames do not carry the instance. */
+  readonly heartbeats = { frames: 0, calls: 0 }
+  answersFrames = true
+
   async heartbeat (request: HeartbeatRequest): Promise<HeartbeatResponse> {
+    this.heartbeats[request.instance === '' ? 'frames' : 'calls'] += 1
+    if (request.instance === '' && !this.answersFrames) throw new Error('this test leaves frames unanswered')
     return { vm: 'server', instance: request.instance, position: 7, leaving: false }
   }
 
@@ -72,6 +78,7 @@
 
 describe('Exchange', () => {
   let frames: TestFrames
+  let control: TestControl
   let server: InnerServer
   let relay: Relay
   let relayPort: number
@@ -80,7 +87,8 @@
   beforeEach(async () => {
     clients = []
     frames = new TestFrames()
-    server = new InnerServer({ host: '127.0.0.1', port: 0, maximumMessageBytes: 50_000 }, frames, new TestControl())
+    control = new TestControl()
+    server = new InnerServer({ host: '127.0.0.1', port: 0, maximumMessageBytes: 50_000 }, frames, control)
     relay = new Relay(await server.listen())
     relayPort = await relay.listen()
   })
@@ -168,6 +176,39 @@
     expect(await client.freshHeartbeat(request, 1_000)).to.deep.include({ vm: 'server', instance: 'i' })
   })
 
+  it('sends heartbeats as frames and calls only when the stream leaves one unanswered (a call per heartbeat; a lost peer that only lacks the frame)', async () => {
+    const client = await connectClient()
+    const request = { vm: 'client', instance: 'i', position: 1 }
+    for (let count = 0; count < 3; count++) expect(await client.heartbeat(request, 1_000)).to.include({ leaving: false })
+    expect(control.heartbeats).to.deep.equal({ frames: 3, calls: 0 })
+    control.answersFrames = false
+    expect(await client.heartbeat(request, 50).catch((thrown: unknown) => thrown)).to.include({ code: 'peer_timeout', step: 'heartbeat' })
+    expect(await client.heartbeat(request, 1_000)).to.include({ leaving: false })
+    expect(control.heartbeats).to.deep.equal({ frames: 4, calls: 1 })
+  })
+
+  it('answers heartbeats on the stream while it finishes requests (a VM that drains taken for a lost one)', async () => {
+    const client = await connectClient()
+    const running = client.forward(forward({ target: '150' }))
+    await waitUntil(() => frames.started === 2)
+    const heartbeat = client.heartbeat({ vm: 'client', instance: 'i', position: 1 }, 1_000)
+    const stopped = server.stop(5_000)
+    expect(await heartbeat).to.include({ leaving: false })
+    await running
+    await stopped
+  })
+
+  it('counts the time since the last frame only while the stream is open (a lost peer that seems to live)', async () => {
+    const client = await connectClient()
+    await delay(30)
+    const before = client.silentMilliseconds
+    expect(before).to.be.greaterThan(20)
+    await client.heartbeat({ vm: 'client', instance: 'i', position: 1 }, 1_000)
+    expect(client.silentMilliseconds).to.be.lessThan(before)
+    client.close()
+    expect(client.silentMilliseconds).to.equal(Infinity)
+  })
+
   it('refuses beyond the bound of waiting frames without writing them (unbounded memory)', async () => {
     const client = await connectClient({ maximumWaitingFrames: 10 })
     const answers = await Promise.all(Array.from({ length: 500 }, async () => await client.forward(forward({ target: '20' }))))
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,6 +1,6 @@
 export {
   Answer, Cancel, ConfirmRequest, ConfirmResponse, EndpointVersion, EndpointLoad, FetchJournalRequest, FetchJournalResponse, FetchLoadsRequest, FetchLoadsResponse, FetchStateRequest,
-  FetchStateResponse, Forward, Frame, GoingAway, Header, HeartbeatRequest, HeartbeatResponse, Journal, JournalAcknowledgement,
+  FetchStateResponse, Forward, Frame, GoingAway, Header, Heartbeat, HeartbeatAnswer, HeartbeatRequest, HeartbeatResponse, Journal, JournalAcknowledgement,
   JournalEntry, JournalStage, Outcome, ServiceClass
 } from './generated/inner.js'
 export { answerBytes, forwardBytes, notRunAnswer, peerReasons, unknownAnswer } from './answers.js'
--- a/packages/protocol/src/inner-server.ts
+++ b/packages/protocol/src/inner-server.ts
@@ -19,6 +19,7 @@
 export class InnerServer {
   readonly #options: InnerServerOptions
   readonly #frames: FrameHandler
+  readonly #control: ControlHandler
   readonly #server: Server
   readonly #streams = new Set<ServerStream>()
   #port: number | undefined
@@ -28,6 +29,7 @@
   constructor (options: InnerServerOptions, frames: FrameHandler, control: ControlHandler) {
     this.#options = options
     this.#frames = frames
+    this.#control = control
     this.#server = new Server(channelOptions(options))
     this.#server.addService(InnerService, this.#implementation(control))
   }
@@ -83,7 +85,7 @@
       call.emit('error', { code: status.UNAVAILABLE, details: 'the server is stopping' })
       return
     }
-    const stream = new ServerStream(call, this.#frames, this.#options.maximumMessageBytes ?? defaultMaximumMessageBytes, () => {
+    const stream = new ServerStream(call, this.#frames, this.#control, this.#options.maximumMessageBytes ?? defaultMaximumMessageBytes, () => {
       this.#streams.delete(stream)
       if (this.#streams.size === 0) this.#onIdle?.()
     })
--- a/packages/protocol/src/peer-client.ts
+++ b/packages/protocol/src/peer-client.ts
@@ -36,6 +36,9 @@
 const deadlineReserveFraction = 0.05
 const maximumDeadlineReserveMilliseconds = 10
 const journalOverheadBytes = 1_024
+const heartbeatBytes = 128
+// A peer of an earlier version answers heartbeats only as calls, and a stream may be held up by large bodies.
+const callsInsteadMilliseconds = 10_000
 
 type UnaryCall<Response> = (client: InnerClient, deadline: Date, callback: (error: ServiceError | null, response: Response) => void) => void
 
@@ -50,6 +53,8 @@
   readonly #leavingLinks = new Set<PeerLink>()
   #link: PeerLink | undefined
   #backoffTimer: NodeJS.Timeout | undefined
+  /** The link whose stream left a heartbeat unanswered, and until when heartbeats go as calls. */
+  #callsInstead: { readonly link: PeerLink, readonly until: number } | undefined
   #failures = 0
   #closed = false
 
@@ -110,8 +115,18 @@
     throw this.#error(code, 'send journal entry', `the entry was not acknowledged (${reply.kind})`)
   }
 
-  /** Sends a heartbeat over the connection of the stream. Throws `peer_unreachable`, `peer_timeout` or `peer_refused`. */
-  async heartbeat (request: HeartbeatRequest, timeoutMilliseconds: number): Promise<HeartbeatResponse> {
+  /** Milliseconds since the last frame of the peer on the open stream; infinite when no stream is open. */
+  get silentMilliseconds (): number {
+    return this.#link?.open === true ? this.#link.silentMilliseconds : Infinity
+  }
+
+  /**
+   * Sends a heartbeat as a frame of the stream, or as a call on the same connection when the stream is not open or left
+   * the last one unanswered. Throws `peer_unreachable`, `peer_timeout` or `peer_refused`.
+   */
+  async heartbeat (request: HeartbeatRequest, timeoutMilliseconds: number): Promise<Pick<HeartbeatResponse, 'leaving'>> {
+    const link = this.#link
+    if (link?.open === true && !this.#usesCalls(link)) return await this.#streamHeartbeat(link, request.vm, timeoutMilliseconds)
     return await this.#unary('heartbeat', timeoutMilliseconds, (client, deadline, callback) => client.heartbeat(request, new Metadata(), { deadline }, callback))
   }
 
@@ -160,6 +175,23 @@
     for (const link of [...this.#leavingLinks]) link.close()
   }
 
+  #usesCalls (link: PeerLink): boolean {
+    return this.#callsInstead?.link === link && this.#clock.now() < this.#callsInstead.until
+  }
+
+  async #streamHeartbeat (link: PeerLink, vm: string, timeoutMilliseconds: number): Promise<Pick<HeartbeatResponse, 'leaving'>> {
+    const reply = await link.request({
+      frame: id => ({ $case: 'heartbeat', value: { id, vm } }),
+      bytes: heartbeatBytes,
+      timeoutMilliseconds,
+      cancellable: false
+    })
+    if (reply.kind === 'reply' && reply.body.$case === 'heartbeatAnswer') return { leaving: reply.body.value.leaving }
+    if (reply.kind === 'closed') throw this.#error('peer_unreachable', 'heartbeat', 'the stream broke')
+    this.#callsInstead = { link, until: this.#clock.now() + callsInsteadMilliseconds }
+    throw this.#error('peer_timeout', 'heartbeat', `the stream did not answer (${reply.kind})`)
+  }
+
   /** Returns the link unless it is known not to work at the moment. */
   #usableLink (): PeerLink | undefined {
     if (this.#closed) return undefined
--- a/packages/protocol/src/peer-link.ts
+++ b/packages/protocol/src/peer-link.ts
@@ -92,6 +92,11 @@
     return this.#state === 'open'
   }
 
+  /** Milliseconds since anything arrived over this connection; since the attempt to connect when nothing has. */
+  get silentMilliseconds (): number {
+    return this.#clock.now() - this.#lastFrameAt
+  }
+
   /** Sends a request and waits for the reply with the same id. Never rejects. */
   async request (request: LinkRequest): Promise<LinkReply> {
     if (this.#state === 'leaving' || this.#state === 'closed') return { kind: 'closed', written: false }
@@ -143,7 +148,7 @@
   }
 
   #isSilent (): boolean {
-    return this.#clock.now() - this.#lastFrameAt >= this.#options.silenceMilliseconds
+    return this.silentMilliseconds >= this.#options.silenceMilliseconds
   }
 
   #isCongested (bytes: number): boolean {
@@ -220,6 +225,7 @@
       case 'goingAway': return this.finish()
       case 'answer':
       case 'journalAcknowledgement':
+      case 'heartbeatAnswer':
         // An id that is not pending belongs to a request that has ended; its late reply is dropped.
         this.#pending.get(body.value.id)?.settle({ kind: 'reply', body })
         this.#closeWhenIdle()
--- a/packages/protocol/src/server-stream.ts
+++ b/packages/protocol/src/server-stream.ts
@@ -2,8 +2,8 @@
 import { Metadata, status } from '@grpc/grpc-js'
 import { Logger, describeError } from '@briarsaddle/common'
 import { answerBytes, notRunAnswer, peerReasons, unknownAnswer } from './answers.js'
-import type { Answer, Forward, Frame, Journal } from './generated/inner.js'
-import type { FrameHandler } from './handlers.js'
+import type { Answer, Forward, Frame, Heartbeat, Journal } from './generated/inner.js'
+import type { ControlHandler, FrameHandler } from './handlers.js'
 import { WriteBuffer } from './write-buffer.js'
 
 const logger = new Logger('protocol')
@@ -13,6 +13,7 @@
   readonly #call: ServerDuplexStream<Frame, Frame>
   readonly #buffer: WriteBuffer
   readonly #handler: FrameHandler
+  readonly #control: Pick<ControlHandler, 'heartbeat'>
   readonly #maximumMessageBytes: number
   readonly #running = new Map<number, AbortController>()
   readonly #onClosed: () => void
@@ -21,10 +22,11 @@
   #halfClosed = false
   #closed = false
 
-  constructor (call: ServerDuplexStream<Frame, Frame>, handler: FrameHandler, maximumMessageBytes: number, onClosed: () => void) {
+  constructor (call: ServerDuplexStream<Frame, Frame>, handler: FrameHandler, control: Pick<ControlHandler, 'heartbeat'>, maximumMessageBytes: number, onClosed: () => void) {
     this.#call = call
     this.#buffer = new WriteBuffer(call)
     this.#handler = handler
+    this.#control = control
     this.#maximumMessageBytes = maximumMessageBytes
     this.#onClosed = onClosed
     call.on('data', (frame: Frame) => this.#receive(frame))
@@ -61,6 +63,7 @@
     if (body?.$case === 'forward') this.#forward(body.value)
     else if (body?.$case === 'journal') this.#journal(body.value)
     else if (body?.$case === 'cancel') this.#cancel(body.value.id)
+    else if (body?.$case === 'heartbeat') this.#heartbeat(body.value)
   }
 
   async #forward (forward: Forward): Promise<void> {
@@ -93,6 +96,16 @@
     this.#endWhenIdle()
   }
 
+  /** Also answered while the server stops, so that a VM that drains is not taken for a lost one. */
+  async #heartbeat ({ id, vm }: Heartbeat): Promise<void> {
+    try {
+      const { leaving } = await this.#control.heartbeat({ vm, instance: '', position: 0 })
+      this.#write({ $case: 'heartbeatAnswer', value: { id, leaving } })
+    } catch (error) {
+      logger.error('frame handler failed', { step: 'heartbeat', error: describeError(error) })
+    }
+  }
+
   #cancel (id: number): void {
     const controller = this.#running.get(id)
     this.#running.delete(id)
