Run periodic tasks of a process on a common grid

An idle daemon woke up for each of its timers on its own: the heartbeats, the witness check, the reviews, the renewals of each endpoint, and once more 200 ms after each renewal for the timer of AbortSignal.timeout, which cannot be cleared.

LifeCycle.every and the renewals now use one ticker, which calls tasks at multiples of their intervals, so that all renewals, heartbeats and checks of 100 ms share one wake-up. The control calls to endpoints clear their timers. A renewal still starts at most one interval after the start of the last one: a renewal that was brought forward is followed by one at the next multiple, which comes sooner than before, and a call that lasts longer than the interval is followed by the next at once. Offers and retries keep their own pauses. No right, grant or margin changes.

Ruled out: a grid common to all VMs by the time of day. Heartbeats would then arrive while a VM is awake anyway, but all VMs and endpoints would work at the same instants.

--- a/packages/common/src/life-cycle.ts
+++ b/packages/common/src/life-cycle.ts
@@ -1,4 +1,5 @@
 import { BriarsaddleError } from './errors.js'
+import { processTicker } from './ticker.js'
 
 type CleanUp = () => void | Promise<void>
 
@@ -40,17 +41,17 @@
   }
 
   /**
-   * Runs `task` every `intervalMilliseconds`; a run that is still in progress is not overlapped.
+   * Runs `task` at every multiple of `intervalMilliseconds` on the grid of the process; a run that is still in progress is not overlapped.
    * An error of one run goes to `onError` and does not stop the next.
    */
   every (name: string, intervalMilliseconds: number, task: () => void | Promise<void>, onError: (error: unknown) => void): void {
     let running = false
-    const timer = setInterval(() => {
+    const end = processTicker.every(intervalMilliseconds, () => {
       if (running) return
       running = true
       Promise.resolve().then(task).catch(onError).finally(() => { running = false })
-    }, intervalMilliseconds)
-    this.own(name, () => clearInterval(timer))
+    })
+    this.own(name, end)
   }
 
   /** Releases everything. Throws `clean_up_failed` with all causes after every step has run. */
--- a/packages/daemon/src/coordinator/endpoint-client.ts
+++ b/packages/daemon/src/coordinator/endpoint-client.ts
@@ -168,13 +168,16 @@
 
   async #call (step: 'hello' | 'renew', body: unknown, timeoutMilliseconds: number): Promise<unknown> {
     const peer = this.#description.id
+    // AbortSignal.timeout cannot be cleared: its timer would wake the process long after the answer.
+    const timeout = new AbortController()
+    const timer = setTimeout(() => timeout.abort(new Error(`no answer within ${timeoutMilliseconds} ms`)), timeoutMilliseconds)
     try {
       const response = await this.#control.request({
         method: 'POST',
         path: `/.grants/${step}`,
         headers: { 'content-type': 'application/json' },
         body: JSON.stringify(body),
-        signal: AbortSignal.timeout(timeoutMilliseconds)
+        signal: timeout.signal
       })
       const text = await response.body.text()
       if (response.statusCode === 200) return JSON.parse(text)
@@ -185,6 +188,8 @@
     } catch (error) {
       if (error instanceof BriarsaddleError) throw error
       throw new BriarsaddleError(`endpoint ${peer} did not answer ${step}: ${describeError(error)}`, { code: 'endpoint_unreachable', step, peer })
+    } finally {
+      clearTimeout(timer)
     }
   }
 
--- a/packages/daemon/src/coordinator/grant-keeper.ts
+++ b/packages/daemon/src/coordinator/grant-keeper.ts
@@ -1,4 +1,4 @@
-import { BriarsaddleError, delay, describeError, errorCode, Logger, type Clock, type LifeCycle } from '@briarsaddle/common'
+import { BriarsaddleError, delay, describeError, errorCode, Logger, processTicker, type Clock, type LifeCycle } from '@briarsaddle/common'
 import { EndpointClock, type EndpointDescription } from '@briarsaddle/ownership'
 import type { BucketGrant, CoordinatorToken, EndpointClient, HelloAnswer, RenewAnswer } from './endpoint-client.js'
 import type { RightSource } from './right-source.js'
@@ -135,16 +135,19 @@
     while (!lifeCycle.closed && this.#state !== 'closed') {
       const startedAt = this.#clock.now()
       await this.#step(lifeCycle)
-      const pause = this.#pause()
-      await delay(Math.max(1, pause - (this.#clock.now() - startedAt)), AbortSignal.any([lifeCycle.signal, this.#wakeUp.signal]))
+      await this.#pause(startedAt, AbortSignal.any([lifeCycle.signal, this.#wakeUp.signal]))
       if (this.#wakeUp.signal.aborted) this.#wakeUp = new AbortController()
     }
     this.#change('closed')
   }
 
-  #pause (): number {
-    if (this.#state === 'lost' || this.#state === 'fenced') return lostRetryMilliseconds
-    return this.#hello === undefined ? offerMilliseconds : this.#timing.renewMilliseconds
+  /** Renewals of all endpoints share a wake-up; the next is due at most one interval after the start of the last. */
+  async #pause (startedAt: number, signal: AbortSignal): Promise<void> {
+    const elapsed = this.#clock.now() - startedAt
+    if (this.#state === 'lost' || this.#state === 'fenced') return await delay(Math.max(1, lostRetryMilliseconds - elapsed), signal)
+    if (this.#hello === undefined) return await delay(Math.max(1, offerMilliseconds - elapsed), signal)
+    // A call that lasted longer than the interval is followed by the next one at once.
+    if (elapsed < this.#timing.renewMilliseconds) await processTicker.wait(this.#timing.renewMilliseconds, signal)
   }
 
   async #step (lifeCycle: LifeCycle): Promise<void> {
