Review quickly after a change and slowly when idle

The reviews of coordinators and assignments ran every 50 ms, looked at all endpoints and the whole VM list each time, and woke the process for it. They now run at that pace for 5 s after a change of the control state, the VM list, a suspicion or a session, and as long as the log is silent for longer than a right, a VM is suspected or a session is not active. Otherwise they run every 250 ms, which covers what depends on time alone. A loss is a change, so its detection and what follows keep the pace of 50 ms.

The VM list is parsed, and the ring rebuilt, only when its text has changed. A checkpoint is no longer repeated every 30 s when no record has followed the last one, but every 10 min, since the log keeps records for a limited time; one is still published at once when the log discards the start that the last checkpoint gave.

--- a/packages/daemon/src/control-plane.ts
+++ b/packages/daemon/src/control-plane.ts
@@ -12,6 +12,7 @@
 import { FollowerObserver, LogFollower } from './control/log-follower.js'
 import { Membership } from './control/membership.js'
 import { RecordWriter } from './control/record-writer.js'
+import { ReviewLoop } from './control/review-loop.js'
 import { RightKeeper } from './control/right-keeper.js'
 import { TakeAwayWait } from './control/take-away.js'
 import { Upkeep } from './control/upkeep.js'
@@ -23,7 +24,6 @@
 import type { Metrics } from './metrics.js'
 
 const logger = new Logger('daemon')
-const reviewMilliseconds = 50
 const upkeepMilliseconds = 250
 const balanceMilliseconds = 250
 const handOverMilliseconds = 5000
@@ -46,6 +46,7 @@
   readonly #upkeep: Upkeep
   readonly #balancer: Balancer
   readonly #innerServer: InnerServer
+  readonly #reviews: ReviewLoop
   readonly #loops: LifeCycle
   #innerPort = 0
 
@@ -64,7 +65,7 @@
     this.#loops = lifeCycle.child('control loops')
     this.follower = new LogFollower({ log, clock, maximumRuleFileBytes: settings.limits.maximumRuleFileBytes })
     this.writer = new RecordWriter(log, this.follower, clock)
-    this.membership = new Membership({ self: settings.vm, list, peers: this.peers, hasher, clock, timing, position: () => this.follower.state.position })
+    this.membership = new Membership({ self: settings.vm, list, peers: this.peers, hasher, clock, timing, position: () => this.follower.state.position, changed: () => this.#reviews.changed() })
     const witness = new Witness(this.follower, clock)
     const poll = new WitnessPoll({ self, witness, peers: this.peers })
     const takeAway = new TakeAwayWait({ follower: this.follower, poll, clock, rightOptions })
@@ -105,7 +106,13 @@
     this.#upkeep = new Upkeep({ self, follower: this.follower, membership: this.membership, writer: this.writer, poll, clock, lifeCycle: this.#loops })
     this.#balancer = new Balancer({ self, follower: this.follower, coordinator: this.coordinator, writer: this.writer, loads: new PoolLoads(this.peers), clock, random: this.random, lifeCycle: this.#loops })
     this.#innerServer = new InnerServer(settings.listen.inner, new InnerFrames(this.coordinator), new InnerControl({ membership: this.membership, witness, follower: this.follower, coordinator: this.coordinator, balancer: this.#balancer }))
-    this.follower.observe(new StateEvents(this.coordinator, this.rights, this.#balancer))
+    this.#reviews = new ReviewLoop({
+      clock,
+      review: () => this.review(),
+      unsettled: () => this.#isUnsettled(),
+      onError: error => logger.error('task failed', { task: 'review', reason: describeError(error) })
+    })
+    this.follower.observe(new StateEvents(this.coordinator, this.rights, this.#balancer, this.#reviews))
   }
 
   /** Creates the control plane and listens for other VMs. Throws `listen_failed`. */
@@ -127,7 +134,12 @@
     this.#assignments.revoked(session, buckets)
   }
 
-  /** Looks at coordinators and assignments once; called by a timer and whenever something changed. */
+  /** A session of this VM has changed its state. */
+  sessionChanged (): void {
+    this.#reviews.changed()
+  }
+
+  /** Looks at coordinators and assignments once; called by a timer and when an endpoint was lost. */
   review (): void {
     this.#coordination.review()
     this.#assignments.review()
@@ -158,12 +170,18 @@
     }
   }
 
+  /** True while something waits for the log, a peer or an endpoint, so that its return is acted on without delay. */
+  #isUnsettled (): boolean {
+    const logIsDown = this.follower.silentMilliseconds > this.settings.timing.rightMilliseconds
+    return logIsDown || this.membership.suspected.size > 0 || this.coordinator.sessions.some(({ grants }) => grants.state !== 'active')
+  }
+
   async #startLoops (): Promise<void> {
     const report = (task: string) => (error: unknown): void => logger.error('task failed', { task, reason: describeError(error) })
     await this.membership.start(this.#loops)
     this.rights.start(this.#loops)
     void this.follower.run(this.#loops, new PoolStates(this.peers)).catch(report('log follower'))
-    this.#loops.every('review', reviewMilliseconds, () => this.review(), report('review'))
+    this.#reviews.start(this.#loops)
     this.#loops.every('balance', balanceMilliseconds, async () => await this.#balancer.review(), report('balance'))
     this.#loops.every('upkeep', upkeepMilliseconds, async () => await this.#upkeep.review(), report('upkeep'))
   }
@@ -173,17 +191,20 @@
   readonly #coordinator: Coordinator
   readonly #rights: RightKeeper
   readonly #balancer: Balancer
+  readonly #reviews: ReviewLoop
 
-  constructor (coordinator: Coordinator, rights: RightKeeper, balancer: Balancer) {
+  constructor (coordinator: Coordinator, rights: RightKeeper, balancer: Balancer, reviews: ReviewLoop) {
     super()
     this.#coordinator = coordinator
     this.#rights = rights
     this.#balancer = balancer
+    this.#reviews = reviews
   }
 
   override stateChanged (state: ControlState, read: readonly ReadRecord[]): void {
     this.#balancer.recordsRead(read)
     this.#coordinator.stateChanged(state, read)
+    this.#reviews.changed()
   }
 
   override readToEnd (startedAt: number): void {
@@ -203,6 +224,7 @@
   }
 
   override stateChanged (_session: EndpointSession, state: SessionState): void {
+    this.#control.sessionChanged()
     if (state === 'lost') this.#control.review()
   }
 
--- a/packages/daemon/src/control/membership.ts
+++ b/packages/daemon/src/control/membership.ts
@@ -32,6 +32,7 @@
   readonly #clock: Clock
   readonly #timing: MembershipTiming
   readonly #position: () => number
+  readonly #changed: () => void
   readonly #instance = randomUUID()
   readonly #watched = new Map<string, Watched>()
   readonly #suspectedSince = new Map<string, number>()
@@ -51,6 +52,8 @@
     readonly clock: Clock
     readonly timing: MembershipTiming
     readonly position: () => number
+    /** Called when the list, a suspicion or the knowledge of a leaving VM has changed. */
+    readonly changed: () => void
   }) {
     this.#self = options.self
     this.#list = options.list
@@ -59,6 +62,7 @@
     this.#clock = options.clock
     this.#timing = options.timing
     this.#position = options.position
+    this.#changed = options.changed
     this.#lastBeat = options.clock.now()
     this.#ring = new MembershipRing(options.hasher, [options.self])
   }
@@ -137,6 +141,7 @@
   }
 
   async #refresh (): Promise<void> {
+    const former = this.#listed
     try {
       this.#listed = await this.#list.fetch()
     } catch (error) {
@@ -144,7 +149,10 @@
     }
     this.#listAge = this.#clock.now()
     for (const { id } of this.#listed) this.#lastListed.set(id, this.#clock.now())
-    for (const id of this.#suspectedSince.keys()) if (!this.#listed.some(vm => vm.id === id)) this.#suspectedSince.delete(id)
+    const unlisted = [...this.#suspectedSince.keys()].filter(id => !this.#listed.some(vm => vm.id === id))
+    for (const id of unlisted) this.#suspectedSince.delete(id)
+    // The client returns the same list as long as its text is the same.
+    if (this.#listed === former && unlisted.length === 0) return
     this.#peers.update(this.#listed
       .filter(vm => vm.role === 'entry' && vm.id !== this.#self.id)
       .map(({ id, host, port }) => ({ vm: id, host, port })))
@@ -153,6 +161,7 @@
 
   #rebuild (): void {
     this.#ring = new MembershipRing(this.#hasher, this.vms, this.suspected)
+    this.#changed()
     const now = this.#clock.now()
     // A suspected VM stays watched, so that its return is noticed.
     const wanted = new Set([...this.#ring.watchedFrom(this.#self.id).map(({ id }) => id), ...this.#suspectedSince.keys()])
--- a/packages/daemon/src/control/upkeep.ts
+++ b/packages/daemon/src/control/upkeep.ts
@@ -10,6 +10,8 @@
 const maximumWitnesses = 9
 const checkpointRecords = 100
 const checkpointMilliseconds = 30_000
+/** A checkpoint with no record after it is repeated only so that the log, which keeps records for a limited time, has one. */
+const unchangedCheckpointMilliseconds = 600_000
 /** How long a change must be due before this VM acts, by its place among the live VMs: usually only the first one does. */
 const placeStepMilliseconds = 500
 const goneMilliseconds = 5000
@@ -117,7 +119,8 @@
       this.#lastCheckpointAt = this.#clock.now()
     }
     if (state.position - (lastCheckpoint ?? noVersion) > checkpointRecords) return true
-    return this.#clock.now() - this.#lastCheckpointAt > checkpointMilliseconds
+    const unchanged = state.position === lastCheckpoint
+    return this.#clock.now() - this.#lastCheckpointAt > (unchanged ? unchangedCheckpointMilliseconds : checkpointMilliseconds)
   }
 
   async #publishCheckpoint (): Promise<void> {
--- a/packages/platform/src/http-vm-list-client.test.ts
+++ b/packages/platform/src/http-vm-list-client.test.ts
@@ -22,4 +22,18 @@
       await new Promise(resolve => server.close(resolve))
     })
   }
+
+  it('returns the same list until the text changes, then the new one (work for every poll; a change that is missed)', async () => {
+    let listed = [vm]
+    const server = createServer((_request, response) => response.end(JSON.stringify(listed)))
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const client = new HttpVmListClient({ origin: `http://127.0.0.1:${(server.address() as AddressInfo).port}` })
+    const first = await client.fetch()
+    expect(await client.fetch()).to.equal(first)
+    listed = [{ ...vm, state: 'leaving' }]
+    expect((await client.fetch()).map(({ state }) => state)).to.deep.equal(['leaving'])
+    await client.close()
+    server.closeAllConnections()
+    await new Promise(resolve => server.close(resolve))
+  })
 })
--- a/packages/platform/src/http-vm-list-client.ts
+++ b/packages/platform/src/http-vm-list-client.ts
@@ -26,6 +26,8 @@
 export class HttpVmListClient extends VmListClient {
   readonly #options: HttpVmListClientOptions & typeof defaults
   readonly #channel: HttpChannel
+  /** The list changes seldom, and parsing it costs more than comparing its text. */
+  #last: { readonly text: string, readonly vms: readonly ListedVm[] } | undefined
 
   constructor (options: HttpVmListClientOptions) {
     super()
@@ -38,8 +40,12 @@
     const result = await this.#channel.call({ method: 'GET', path: '/vms', timeoutMilliseconds, signal })
     if ('failure' in result) throw this.#unavailable(result.failure.reason)
     if (result.answer.status !== 200) throw this.#unavailable(`status ${result.answer.status}`)
+    const text = result.answer.body
+    if (this.#last?.text === text) return this.#last.vms
     try {
-      return parseAnswer(listSchema, result.answer, step, origin)
+      const vms = parseAnswer(listSchema, result.answer, step, origin)
+      this.#last = { text, vms }
+      return vms
     } catch (error) {
       throw this.#unavailable(describeError(error))
     }
--- a/packages/platform/src/vm-list-client.ts
+++ b/packages/platform/src/vm-list-client.ts
@@ -20,6 +20,6 @@
 
 /** Client of the platform's lagging list of VMs. */
 export abstract class VmListClient {
-  /** Returns the current list. Throws `vm_list_unavailable`. */
+  /** Returns the current list: the same object as before while it has not changed. Throws `vm_list_unavailable`. */
   abstract fetch (signal?: AbortSignal): Promise<readonly ListedVm[]>
 }
