Make small HTTP calls by undici's dispatch

An idle VM makes 35 small HTTP calls a second at 8 VMs and 20 endpoints: 25 renewals and 10 reads of the log. undici's request builds a readable stream, an abort signal and several promises for each, and reads of the log and the VM list also composed a dispatcher for each call. They now share one function over dispatch, which collects the answer itself and clears its timer. The rule which requests surely were not written is unchanged: a request counts as written from the moment undici starts to write it.

The buckets that leave an endpoint are selected again only when the pool has changed, as those it holds already were.

The program idle-control polls the VM list each second, which is the daemon's default; 200 ms is a setting of the tests.

--- a/packages/daemon/src/coordinator/endpoint-client.ts
+++ b/packages/daemon/src/coordinator/endpoint-client.ts
@@ -1,5 +1,6 @@
 import { BriarsaddleError, describeError, errorCode } from '@briarsaddle/common'
 import type { EndpointDescription } from '@briarsaddle/ownership'
+import { httpExchange } from '@briarsaddle/platform'
 import { Pool } from 'undici'
 import { z } from 'zod'
 
@@ -168,28 +169,22 @@
 
   async #call (step: 'hello' | 'renew', body: unknown, timeoutMilliseconds: number): Promise<unknown> {
     const peer = this.#description.id
-    // AbortSignal.timeout cannot be cleared: its timer would wake the process long after the answer.
-    const timeout = new AbortController()
-    const timer = setTimeout(() => timeout.abort(new Error(`no answer within ${timeoutMilliseconds} ms`)), timeoutMilliseconds)
     try {
-      const response = await this.#control.request({
+      const { status, headers, body: text } = await httpExchange(this.#control, {
         method: 'POST',
         path: `/.grants/${step}`,
         headers: { 'content-type': 'application/json' },
         body: JSON.stringify(body),
-        signal: timeout.signal
+        timeoutMilliseconds
       })
-      const text = await response.body.text()
-      if (response.statusCode === 200) return JSON.parse(text)
+      if (status === 200) return JSON.parse(text)
       // An endpoint that has just started takes no offer yet: rights from before its start may still run.
-      if (response.statusCode === 503) throw new BriarsaddleError(`endpoint ${peer} is not ready for ${step}`, { code: 'endpoint_unreachable', step, peer })
-      const code = response.headers['briarsaddle-not-run'] === 'list-unknown' ? 'list_unknown' : 'token_refused'
+      if (status === 503) throw new BriarsaddleError(`endpoint ${peer} is not ready for ${step}`, { code: 'endpoint_unreachable', step, peer })
+      const code = headers['briarsaddle-not-run'] === 'list-unknown' ? 'list_unknown' : 'token_refused'
       throw new BriarsaddleError(`endpoint ${peer} refused ${step}: ${text.slice(0, 200)}`, { code, step, peer })
     } catch (error) {
       if (error instanceof BriarsaddleError) throw error
       throw new BriarsaddleError(`endpoint ${peer} did not answer ${step}: ${describeError(error)}`, { code: 'endpoint_unreachable', step, peer })
-    } finally {
-      clearTimeout(timer)
     }
   }
 
--- a/packages/daemon/src/coordinator/state-endpoint-view.ts
+++ b/packages/daemon/src/coordinator/state-endpoint-view.ts
@@ -3,14 +3,20 @@
 import type { BucketGrant } from './endpoint-client.js'
 import { EndpointView } from './endpoint-session.js'
 
+interface SelectedBuckets {
+  readonly pool: PoolState | undefined
+  readonly held: readonly BucketGrant[]
+  readonly leaving: readonly number[]
+}
+
 /** Reads the control state for one endpoint. */
 export class StateEndpointView extends EndpointView {
   readonly #view: ControlView
   readonly #endpoint: string
   readonly #pool: string
   readonly #takeoverEffective: () => boolean
-  /** Held buckets of the pool state for which they were last selected: renewals ask ten times a second. */
-  #held: { readonly pool: PoolState | undefined, readonly buckets: readonly BucketGrant[] } | undefined
+  /** Buckets of the pool state for which they were last selected: renewals ask ten times a second. */
+  #selected: SelectedBuckets | undefined
 
   constructor (view: ControlView, endpoint: string, pool: string, takeoverEffective: () => boolean) {
     super()
@@ -21,14 +27,11 @@
   }
 
   override owned (): readonly BucketGrant[] {
-    const { state } = this.#view
-    const pool = state.pools.get(this.#pool)
-    if (this.#held === undefined || this.#held.pool !== pool) this.#held = { pool, buckets: bucketsHeldFor(state, this.#endpoint) }
-    return this.#held.buckets
+    return this.#select().held
   }
 
   override leaving (): readonly number[] {
-    return bucketsLeaving(this.#view.state, this.#endpoint).map(({ bucket }) => bucket)
+    return this.#select().leaving
   }
 
   override bucket (bucket: number): BucketState | undefined {
@@ -38,4 +41,14 @@
   override takeoverEffective (): boolean {
     return this.#takeoverEffective()
   }
+
+  #select (): SelectedBuckets {
+    const { state } = this.#view
+    const pool = state.pools.get(this.#pool)
+    if (this.#selected === undefined || this.#selected.pool !== pool) {
+      const leaving = bucketsLeaving(state, this.#endpoint).map(({ bucket }) => bucket)
+      this.#selected = { pool, held: bucketsHeldFor(state, this.#endpoint), leaving }
+    }
+    return this.#selected
+  }
 }
--- a/packages/integration/src/bed/deployment.ts
+++ b/packages/integration/src/bed/deployment.ts
@@ -42,6 +42,8 @@
   readonly proxies?: boolean
   readonly retainRecords?: number
   readonly vmListLagMilliseconds?: number
+  /** Time between polls of the VM list by each VM. Default 200, so that tests do not wait for the list. */
+  readonly vmListMilliseconds?: number
   /** Further TOML for every VM, for example `[experiments]`. */
   readonly extraSettings?: string
   /** Log namespaces of the VMs. */
@@ -284,7 +286,7 @@
 logUrl = "${url(log)}"
 vmListUrl = "${url(this.#list)}"
 [timing]
-vmListMilliseconds = 200
+vmListMilliseconds = ${this.plan.vmListMilliseconds ?? 200}
 ${this.plan.extraSettings ?? ''}
 `
   }
--- a/packages/integration/src/capacity/idle-control.ts
+++ b/packages/integration/src/capacity/idle-control.ts
@@ -4,8 +4,9 @@
 import { atlasPlan, withDeployment, type MeasuredDeployment } from './measured-deployment.js'
 import { fitSlope, mean, type Slope } from './slope.js'
 
-const settleMilliseconds = 3000
 const outageSettleMilliseconds = 1000
+/** Default of the daemon; other programs poll more often, which would be part of the figures. */
+const vmListMilliseconds = 1000
 
 interface Window {
   readonly processorPercent: number
@@ -24,13 +25,14 @@
 
   readonly sizes = Option.String('--sizes', '1x0,3x20,3x60,8x20,8x60,16x20,16x60,16x120', { description: 'VMs x endpoints; 1x0 is the zero' })
   readonly seconds = Option.String('--seconds', '10')
+  readonly settle = Option.String('--settle', '3', { description: 'Seconds before the measurement; the processes still compile their code in the first minute' })
   readonly #points: Array<{ readonly endpointsPerVm: number, readonly idle: Window }> = []
 
   protected override async measure (): Promise<void> {
     for (const size of this.sizes.split(',')) {
       const [vms = 1, endpoints = 0] = size.split('x').map(Number)
       try {
-        await withDeployment(atlasPlan(vms, endpoints, { proxies: true }), async deployment => await this.#measureSize(deployment, vms, endpoints))
+        await withDeployment(atlasPlan(vms, endpoints, { proxies: true, vmListMilliseconds }), async deployment => await this.#measureSize(deployment, vms, endpoints))
       } catch (error) {
         // One size that does not come up must not lose the measurements of the others.
         this.report({ vms, endpoints, failed: String(error).split('\n')[0] ?? '' })
@@ -42,7 +44,7 @@
   }
 
   async #measureSize (deployment: MeasuredDeployment, vms: number, endpoints: number): Promise<void> {
-    await delay(settleMilliseconds)
+    await delay(Number(this.settle) * 1000)
     const idle = await this.#window(deployment, vms)
     this.report({ phase: 'idle', vms, endpoints, ...idle })
     this.#points.push({ endpointsPerVm: endpoints / vms, idle })
--- a/packages/platform/src/http-channel.ts
+++ b/packages/platform/src/http-channel.ts
@@ -1,5 +1,6 @@
-import { Pool, type Dispatcher } from 'undici'
+import { Pool } from 'undici'
 import { BriarsaddleError, describeError } from '@briarsaddle/common'
+import { httpExchange } from './http-exchange.js'
 
 /** Limits of the connections to one service. */
 export interface HttpChannelOptions {
@@ -39,20 +40,6 @@
 /** Result of a call: an answer with any status, or the reason why there is none. */
 export type HttpResult = { readonly answer: HttpAnswer } | { readonly failure: HttpFailure }
 
-/** Calls `onWrite` when undici begins to write a request. Until then the request is only queued. */
-function observeWrite (onWrite: () => void): Dispatcher.DispatcherComposeInterceptor {
-  return dispatch => (options, handler) => dispatch(options, {
-    onRequestStart: (controller, context) => {
-      onWrite()
-      handler.onRequestStart?.(controller, context)
-    },
-    onResponseStart: (...values) => handler.onResponseStart?.(...values),
-    onResponseData: (...values) => handler.onResponseData?.(...values),
-    onResponseEnd: (...values) => handler.onResponseEnd?.(...values),
-    onResponseError: (...values) => handler.onResponseError?.(...values)
-  })
-}
-
 /**
  * Connections to one service. A call that fails or times out closes its connection, and all other connections
  * are replaced: connections that were opened at the same time may have gone silent together.
@@ -73,23 +60,13 @@
   /** Always resolves. */
   async call (call: HttpCall): Promise<HttpResult> {
     const pool = this.#pool
-    const abortController = new AbortController()
-    const { signal } = abortController
-    const abort = (): void => abortController.abort(call.signal?.reason)
-    const timer = setTimeout(() => abortController.abort(new Error(`no answer within ${call.timeoutMilliseconds} ms`)), call.timeoutMilliseconds)
     let written = false
-    // A request that was aborted while it was queued is never written: its handler rejects the connection.
-    const dispatcher = pool.compose(observeWrite(() => { written ||= !signal.aborted }))
     try {
-      if (call.signal?.aborted === true) abort()
-      call.signal?.addEventListener('abort', abort)
-      return { answer: await untilAborted(exchange(dispatcher, call, signal), signal) }
+      const headers = call.body === undefined ? {} : { 'content-type': 'application/json' }
+      return { answer: await httpExchange(pool, { ...call, headers, onWrite: () => { written = true } }) }
     } catch (error) {
       if (call.signal?.aborted !== true) this.#replace(pool)
-      return { failure: { mayHaveBeenWritten: written, reason: describeError(signal.reason ?? error) } }
-    } finally {
-      clearTimeout(timer)
-      call.signal?.removeEventListener('abort', abort)
+      return { failure: { mayHaveBeenWritten: written, reason: describeError(error) } }
     }
   }
 
@@ -126,26 +103,6 @@
   }
 }
 
-async function exchange (dispatcher: Dispatcher, call: HttpCall, signal: AbortSignal): Promise<HttpAnswer> {
-  const response = await dispatcher.request({
-    method: call.method,
-    path: call.path,
-    body: call.body ?? null,
-    ...(call.body !== undefined && { headers: { 'content-type': 'application/json' } }),
-    signal
-  })
-  return { status: response.statusCode, body: await response.body.text() }
-}
-
-/** Rejects as soon as the signal aborts: undici settles a queued request only when it gets a connection. */
-async function untilAborted<Value> (promise: Promise<Value>, signal: AbortSignal): Promise<Value> {
-  return await new Promise<Value>((resolve, reject) => {
-    if (signal.aborted) reject(signal.reason)
-    signal.addEventListener('abort', () => reject(signal.reason))
-    promise.then(resolve, reject)
-  })
-}
-
 /** Parses the body of an answer. Throws `invalid_answer`. */
 export function parseAnswer<Value> (schema: { parse: (value: unknown) => Value }, answer: HttpAnswer, step: string, peer: string): Value {
   try {
--- /dev/null
+++ b/packages/platform/src/http-exchange.ts
@@ -0,0 +1,75 @@
+import type { Dispatcher } from 'undici'
+
+/** One HTTP request with a small answer. */
+export interface HttpExchange {
+  readonly method: 'GET' | 'POST'
+  readonly path: string
+  readonly headers?: Readonly<Record<string, string>>
+  readonly body?: string
+  /** Limit of the whole exchange, the wait for a connection included, in milliseconds. */
+  readonly timeoutMilliseconds: number
+  readonly signal?: AbortSignal | undefined
+  /** Called when undici begins to write the request. Until then it is only queued and surely not sent. */
+  readonly onWrite?: () => void
+}
+
+/** A complete answer. */
+export interface HttpReply {
+  readonly status: number
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>
+  readonly body: string
+}
+
+/**
+ * Sends a request and reads the answer as text. Rejects with the error of undici, with the reason of the signal, or after
+ * the timeout; the connection is then closed. A request that still waits for a connection is never written after that.
+ *
+ * It uses `dispatch`: the stream, the abort signal and the timer that `request` needs for each call were a large part of
+ * the cost of an idle VM, which makes some 35 such calls a second.
+ */
+export async function httpExchange (dispatcher: Dispatcher, exchange: HttpExchange): Promise<HttpReply> {
+  const { method, path, headers = {}, body = null, timeoutMilliseconds, signal, onWrite } = exchange
+  return await new Promise((resolve, reject) => {
+    let controller: Dispatcher.DispatchController | undefined
+    let failure: { readonly reason: unknown } | undefined
+    let status = 0
+    let answerHeaders: HttpReply['headers'] = {}
+    const chunks: Buffer[] = []
+    const settle = (): void => {
+      clearTimeout(timer)
+      signal?.removeEventListener('abort', onAbort)
+    }
+    const fail = (reason: unknown): void => {
+      if (failure !== undefined) return
+      failure = { reason }
+      settle()
+      reject(reason)
+      controller?.abort(asError(reason))
+    }
+    const onAbort = (): void => fail(signal?.reason)
+    const timer = setTimeout(() => fail(new Error(`no answer within ${timeoutMilliseconds} ms`)), timeoutMilliseconds)
+    if (signal?.aborted === true) return onAbort()
+    signal?.addEventListener('abort', onAbort)
+    dispatcher.dispatch({ method, path, headers, body }, {
+      onRequestStart: started => {
+        controller = started
+        if (failure !== undefined) return started.abort(asError(failure.reason))
+        onWrite?.()
+      },
+      onResponseStart: (_controller, statusCode, received) => {
+        status = statusCode
+        answerHeaders = received
+      },
+      onResponseData: (_controller, chunk) => { chunks.push(chunk) },
+      onResponseEnd: () => {
+        settle()
+        resolve({ status, headers: answerHeaders, body: Buffer.concat(chunks).toString('utf8') })
+      },
+      onResponseError: (_controller, error) => fail(error)
+    })
+  })
+}
+
+function asError (reason: unknown): Error {
+  return reason instanceof Error ? reason : new Error(String(reason))
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,5 +1,6 @@
 export { LogClient, type LogPage, type LogRecord, type ReadOptions } from './log-client.js'
 export { LogForgottenError } from './log-forgotten-error.js'
+export { httpExchange, type HttpExchange, type HttpReply } from './http-exchange.js'
 export { HttpLogClient, type HttpLogClientOptions } from './http-log-client.js'
 export { AppendRateLimit, defaultAppendRateLimit, type AppendRateLimitOptions } from './append-rate-limit.js'
 export { appendSettled, type SettledAppend } from './append-settled.js'
