Record where the slot time of each pool goes during a run

The useful share of slot time was measured, but not what the rest was used for. The load tool now splits it, from the endpoints' records: useful, useful but ended after the run, wasted (cut off, cancelled, failed, too late), between two requests, idle for longer while a request waited, idle with an empty queue. The existing shares and checks are unchanged.

--- a/packages/load/src/report.ts
+++ b/packages/load/src/report.ts
@@ -1,4 +1,5 @@
 import type { RunResult } from './result.js'
+import type { SlotTime } from './slot-time.js'
 
 /** A result with the name under which the report shows it. */
 export interface NamedResult {
@@ -11,6 +12,13 @@
   readonly value: (result: RunResult) => number | undefined
 }
 
+const slotUses: ReadonlyArray<{ readonly label: string, readonly use: keyof SlotTime }> = [
+  { label: 'useful after the end', use: 'usefulAtEnd' },
+  { label: 'wasted', use: 'wasted' },
+  { label: 'between requests', use: 'handOver' },
+  { label: 'idle while queued', use: 'idleWhileQueued' },
+  { label: 'idle, queue empty', use: 'idleWithEmptyQueue' }
+]
 const latestSendMilliseconds = 20
 const bars = ' ▁▂▃▄▅▆▇█'
 const sum = (counts: Readonly<Record<string, number>>): number => Object.values(counts).reduce((total, count) => total + count, 0)
@@ -56,7 +64,8 @@
     ]),
     ...names(result => result.pools).flatMap((pool): Row[] => [
       { label: `useful share ${pool}`, value: ({ pools }) => pools[pool]?.usefulShare },
-      { label: `useful share ${pool}, recorded`, value: ({ pools }) => pools[pool]?.recordedUsefulShare }
+      { label: `useful share ${pool}, recorded`, value: ({ pools }) => pools[pool]?.recordedUsefulShare },
+      ...slotUses.map(({ label, use }): Row => ({ label: `  slot time ${pool}: ${label}`, value: ({ pools }) => pools[pool]?.slotTime?.[use] }))
     ]),
     { label: 'short waiting p99 in window ms', value: ({ measures }) => measures.headOfLineBlocking.p99InWindow },
     { label: 'short waiting p99 outside ms', value: ({ measures }) => measures.headOfLineBlocking.p99Outside },
--- a/packages/load/src/result.ts
+++ b/packages/load/src/result.ts
@@ -53,7 +53,21 @@
     /** By the planned service times. */
     usefulShare: z.number(),
     /** By the times that the endpoints recorded, which include their own overhead; -1 without records. */
-    recordedUsefulShare: z.number()
+    recordedUsefulShare: z.number(),
+    /** Where the slot time went, as shares that add up to 1; undefined without records. */
+    slotTime: z.object({
+      /** Requests answered in time and before the end of the run. */
+      useful: z.number(),
+      /** The part within the run of requests that were answered in time, but after the end of the run. */
+      usefulAtEnd: z.number(),
+      /** Requests that were cut off, cancelled, failed or answered too late. */
+      wasted: z.number(),
+      /** Idle between two requests while one waited, for no longer than the ways between the processes explain. */
+      handOver: z.number(),
+      /** Idle for longer while a request waited that was later run by the endpoint. */
+      idleWhileQueued: z.number(),
+      idleWithEmptyQueue: z.number()
+    }).readonly().optional()
   }).readonly()),
   refusals: countsSchema,
   /** Time until a refusal arrived, in milliseconds. */
--- a/packages/load/src/summarize-run.ts
+++ b/packages/load/src/summarize-run.ts
@@ -4,6 +4,7 @@
 import type { ClassResult, RunResult } from './result.js'
 import type { FinishedRequest } from './run-plan.js'
 import type { Phase, Scenario } from './scenario.js'
+import { slotTimes } from './slot-time.js'
 
 /** Everything that goes into a result. */
 export interface RunInput {
@@ -44,7 +45,7 @@
       ...perGroup(inWindow, ({ planned }) => planned.kind.serviceClass),
       ...perGroup(inWindow.filter(({ planned }) => planned.kind.serviceClass !== 'long'), () => 'short')
     },
-    pools: usefulShares({ scenario, finished, records, durationSeconds, startedAt }),
+    pools: poolResults(input),
     refusals: countReasons(refused),
     refusalLatency: summarize(refused.map(({ latencyMilliseconds }) => latencyMilliseconds)),
     refusalsWithoutRetryAfter: [...refused, ...unknown].filter(({ status, retryAfter }) => (status === 503 || status === 504) && !retryAfter).length,
@@ -59,6 +60,13 @@
   }
 }
 
+function poolResults (input: RunInput): RunResult['pools'] {
+  const shares = usefulShares(input)
+  if (input.records.length === 0) return shares
+  const times = slotTimes(input)
+  return Object.fromEntries(Object.entries(shares).map(([pool, share]) => [pool, { ...share, ...(times[pool] === undefined ? {} : { slotTime: times[pool] }) }]))
+}
+
 /** A miss is a final answer of any kind after the deadline; a prompt refusal is not one. */
 function isDeadlineMiss ({ latencyMilliseconds, planned }: FinishedRequest): boolean {
   return latencyMilliseconds > planned.kind.deadlineMilliseconds
