Do not send again what an endpoint refused because its deadline had passed

Cause: an endpoint that ends a request at its deadline answers `deadline-past`, and the sender treated that like a refusal that passes within milliseconds. It sent the request again with 1 or 2 ms left, where the time-out of the HTTP client could fire before the own timer: a request that surely did not run ended as unknown, `connection_broken`. That they come from here was concluded from the code and not traced.

Change: such a refusal is final, not run, reason `deadline_passed`.

--- a/packages/daemon/src/coordinator/request-sender.ts
+++ b/packages/daemon/src/coordinator/request-sender.ts
@@ -113,6 +113,8 @@
       return answered({ status: answer.status, headers, body: Buffer.from(answer.body), serviceMilliseconds })
     }
     if (refusal === 'effect-refused') return notRun('effect_refused')
+    // Sent again with the milliseconds that are left, it would be cut off and its outcome would be unknown.
+    if (refusal === 'deadline-past') return notRun('deadline_passed')
     if (refusal === 'shed') return notRun('endpoint_shed')
     if (!passingRefusals.has(refusal)) logger.debug('endpoint refused a request', { refusal, instance: this.#grants.instance })
     return notRun('endpoint_refused')
