Answer queued requests when the coordinator's right is overdue

Cause: a queued request was checked against the right only when its turn came. With all slots busy, for example with a long job, it waited up to its deadline for a refusal that was certain earlier. The same holds for requests queued at an endpoint that knows a newer coordinator.

Change: once the grants have been expired for longer than an interval of renewals and a control call (300 ms with the defaults), queued and new requests are refused as `right_expired` with Retry-After. The time counts from when the process noticed, so a process that was paused first gets the chance to renew. A refused token answers the queue with `not_coordinator` at once.

--- /dev/null
+++ b/packages/daemon/src/coordinator/endpoint-session.test.ts
@@ -0,0 +1,141 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { delay, LifeCycle, MonotonicClock, Random } from '@briarsaddle/common'
+import { Forward, Outcome, type Answer } from '@briarsaddle/protocol'
+import { ClassPolicy } from '@briarsaddle/scheduling'
+import { expect } from 'chai'
+import { EndpointSession, EndpointView, SessionObserver } from './endpoint-session.js'
+import { JournalSink } from './journal.js'
+import { RightSource } from './right-source.js'
+
+class TestRights extends RightSource {
+  until = Infinity
+  override rightUntil (): number { return this.until }
+}
+
+class NoBuckets extends EndpointView {
+  override owned (): readonly never[] { return [] }
+  override leaving (): readonly number[] { return [] }
+  override bucket (): undefined { return undefined }
+  override takeoverEffective (): boolean { return true }
+}
+
+class NoObserver extends SessionObserver {
+  override stateChanged (): void {}
+  override bucketsRevoked (): void {}
+  override waitedBehindLong (): void {}
+}
+
+class NoJournal extends JournalSink {
+  override async send (): Promise<never> { throw new Error('no standby') }
+}
+
+/** An endpoint with one slot whose requests end when the test says so. */
+class HeldEndpoint {
+  readonly #held: ServerResponse[] = []
+  readonly server: Server = createServer((request, response) => this.#answer(request, response))
+  fenced = false
+
+  get running (): number { return this.#held.length }
+
+  finishAll (): void {
+    for (const response of this.#held.splice(0)) response.writeHead(200).end('done')
+  }
+
+  #answer (request: IncomingMessage, response: ServerResponse): void {
+    request.resume()
+    if (request.url?.startsWith('/.grants/') !== true) {
+      this.#held.push(response)
+      return
+    }
+    response.writeHead(this.fenced ? 409 : 200, { 'content-type': 'application/json' })
+    response.end(JSON.stringify({ instance: 'i', clock: performance.now(), slots: 1, checks: true, load: 0, draining: false, running: this.running }))
+  }
+}
+
+describe('EndpointSession', () => {
+  let endpoint: HeldEndpoint
+  let rights: TestRights
+  let lifeCycle: LifeCycle
+  let session: EndpointSession
+
+  beforeEach(async () => {
+    endpoint = new HeldEndpoint()
+    rights = new TestRights()
+    lifeCycle = new LifeCycle('test')
+    await new Promise<void>(resolve => endpoint.server.listen(0, '127.0.0.1', resolve))
+    const { port } = endpoint.server.address() as AddressInfo
+    session = new EndpointSession({
+      coordinatorName: 'vm1/1',
+      description: { id: 'e1', pool: 'dispatch', dataCentre: 'a', host: '127.0.0.1', port, checks: true },
+      token: { offset: 1, provisional: 0 },
+      standby: undefined,
+      clock: new MonotonicClock(),
+      random: new Random(1),
+      rights,
+      timing: { grantMilliseconds: 400, renewMilliseconds: 50, suspectMilliseconds: 250, clockMarginPercent: 2 },
+      view: new NoBuckets(),
+      observer: new NoObserver(),
+      journalSink: new NoJournal(),
+      policy: new ClassPolicy(),
+      admission: true,
+      maximumQueued: 10,
+      maximumConnections: 5,
+      maximumAnswerBytes: 1_000
+    }, lifeCycle)
+    session.start()
+    while (session.grants.state !== 'active') await delay(5)
+  })
+
+  afterEach(async () => {
+    endpoint.finishAll()
+    await lifeCycle.close()
+    endpoint.server.closeAllConnections()
+    await new Promise(resolve => endpoint.server.close(resolve))
+  })
+
+  async function send (requestId: string): Promise<Answer> {
+    const forward = Forward.create({ requestId, method: 'POST', target: '/dispatches', bucket: -1, rule: 1, deadlineMilliseconds: 60_000 })
+    return await session.handle(forward, new AbortController().signal)
+  }
+
+  async function sendTwo (): Promise<{ readonly running: Promise<Answer>, readonly queued: Promise<Answer> }> {
+    const running = send('running')
+    while (endpoint.running === 0) await delay(5)
+    const queued = send('queued')
+    while (session.queue.queued === 0) await delay(5)
+    return { running, queued }
+  }
+
+  // Behind a job of two minutes, such a request used to get its refusal only at the end of that job.
+  it('answers queued requests while the job before them still runs, once the right is overdue', async () => {
+    const { running, queued } = await sendTwo()
+    rights.until = performance.now()
+    expect(await queued).to.include({ outcome: Outcome.OUTCOME_NOT_RUN, reason: 'right_expired', retryAfterMilliseconds: 1_000 })
+    expect(await send('later')).to.include({ outcome: Outcome.OUTCOME_NOT_RUN, reason: 'right_expired' })
+    expect(endpoint.running).to.equal(1)
+    endpoint.finishAll()
+    expect(await running).to.include({ outcome: Outcome.OUTCOME_ANSWERED })
+  })
+
+  it('keeps queued requests over a short gap in the right, which a renewal usually ends', async () => {
+    const { running, queued } = await sendTwo()
+    rights.until = performance.now()
+    await delay(100)
+    rights.until = Infinity
+    while (!session.grants.holds(-1, -1)) await delay(5)
+    expect(session.queue.queued).to.equal(1)
+    endpoint.finishAll()
+    await running
+    while (endpoint.running === 0) await delay(5)
+    endpoint.finishAll()
+    expect(await queued).to.include({ outcome: Outcome.OUTCOME_ANSWERED })
+  })
+
+  it('answers queued requests at once when the endpoint knows a newer coordinator (callers that wait for nothing)', async () => {
+    const { queued } = await sendTwo()
+    endpoint.fenced = true
+    expect(await queued).to.include({ outcome: Outcome.OUTCOME_NOT_RUN, reason: 'not_coordinator' })
+    expect(endpoint.running).to.equal(1)
+  })
+})
--- a/packages/daemon/src/coordinator/endpoint-session.ts
+++ b/packages/daemon/src/coordinator/endpoint-session.ts
@@ -2,7 +2,7 @@
 import type { BucketState, EndpointDescription } from '@briarsaddle/ownership'
 import { JournalStage, Outcome, ServiceClass, type Answer, type Forward } from '@briarsaddle/protocol'
 import { EndpointQueue, type JobDescription, type QueuePolicy } from '@briarsaddle/scheduling'
-import { answerForRejection, notRun, notRunError, unknown, type Reason } from './answers.js'
+import { answerForRejection, defaultRetryAfterMilliseconds, notRun, notRunError, unknown, type Reason } from './answers.js'
 import { EndpointClient, type BucketGrant, type CoordinatorToken, type RenewAnswer } from './endpoint-client.js'
 import { GrantKeeper, GrantOwner, type GrantTiming } from './grant-keeper.js'
 import { IdempotencyJournal, requestFingerprint, type JournalSink } from './journal.js'
@@ -113,7 +113,9 @@
 
   /** Stops new work: queued requests surely did not run and are answered at once, running ones go on. */
   stopNewWork (reason: Reason): void {
-    this.queue.remove(() => notRunError(notRun(reason, 50)))
+    // A lost right comes back with the log or the witnesses, a moved endpoint as soon as callers know its new place.
+    const retryAfterMilliseconds = reason === 'right_expired' ? defaultRetryAfterMilliseconds : movedRetryMilliseconds
+    this.queue.remove(() => notRunError(notRun(reason, retryAfterMilliseconds)))
   }
 
   /** Runs a request. Always resolves. */
@@ -148,6 +150,7 @@
     if (state === 'active') {
       for (const wake of this.#activeWaiters.splice(0)) wake()
     }
+    if (state === 'fenced') this.stopNewWork('not_coordinator')
     if (state === 'lost') {
       this.stopNewWork('endpoint_lost')
       // Running requests get their final answer at once; an endpoint that checks refuses what ends after its grant.
@@ -157,6 +160,11 @@
     this.#options.observer.stateChanged(this, state)
   }
 
+  override renewalOverdue (): void {
+    // Otherwise a queued request learns of it only when its turn comes, which may be after a long job.
+    this.stopNewWork('right_expired')
+  }
+
   override reconnected (running: number, since: number): void {
     this.#sender.giveUpSilent(running, since)
   }
@@ -223,6 +231,7 @@
 
   /** Refuses before any work is done for the request; a rejection by `submit` costs about 20 times as much. */
   #refuse (forward: Forward, deadlineAt: number, signal: AbortSignal): Answer | undefined {
+    if (this.grants.renewalIsOverdue) return notRun('right_expired')
     const refusal = this.queue.refuse(describeJob(forward, deadlineAt, signal))
     return refusal === undefined ? undefined : notRun(refusal.code, refusal.retryAfterMilliseconds)
   }
@@ -298,6 +307,7 @@
 }
 
 const maximumActivationWaitMilliseconds = 1000
+const movedRetryMilliseconds = 50
 
 function describeJob (forward: Forward, deadlineAt: number, signal: AbortSignal): JobDescription {
   return { serviceClass: serviceClassOf(forward.serviceClass), rule: forward.rule, deadlineAt, signal }
--- a/packages/daemon/src/coordinator/grant-keeper.ts
+++ b/packages/daemon/src/coordinator/grant-keeper.ts
@@ -22,6 +22,8 @@
   abstract stateChanged (state: SessionState): void
   /** The endpoint answered on a fresh connection after silence on those from before `since` (local time); `running` is its number of running requests. */
   abstract reconnected (running: number, since: number): void
+  /** Called at each interval while the grants have been expired for longer than a renewal can be expected to take. */
+  abstract renewalOverdue (): void
   /** Called after every renewal that the endpoint acknowledged. */
   abstract renewed (granted: readonly BucketGrant[], answer: RenewAnswer): void
 }
@@ -59,6 +61,8 @@
   #slots = 1
   #ready = false
   #draining = false
+  /** When this process first noticed that the grants had expired; undefined while they are valid. */
+  #expiredSince: number | undefined
   #wakeUp = new AbortController()
 
   constructor (options: {
@@ -105,11 +109,19 @@
   /** True when the bucket may be served now. A bucket of -1 stands for pools that are not partitioned by key. */
   holds (bucket: number, token: number): boolean {
     if (this.#state !== 'active') return false
-    const now = this.#clock.now()
-    if (now >= this.#grantedUntil || now >= this.#rights.rightUntil(this.#description.id)) return false
+    if (this.#expired()) return false
     return bucket < 0 || this.#granted.get(bucket) === token
   }
 
+  /**
+   * True when the grants have been expired for longer than a renewal can be expected to take. Counts from when this
+   * process noticed, because the first renewal after a pause of the process usually succeeds.
+   */
+  get renewalIsOverdue (): boolean {
+    if (this.#expiredSince === undefined || !this.#expired()) return false
+    return this.#clock.now() - this.#expiredSince > this.#timing.renewMilliseconds + controlCallTimeoutMilliseconds
+  }
+
   /** Token under which the endpoint last acknowledged a grant of the bucket. */
   grantedToken (bucket: number): number | undefined {
     return this.#granted.get(bucket)
@@ -135,6 +147,7 @@
     while (!lifeCycle.closed && this.#state !== 'closed') {
       const startedAt = this.#clock.now()
       await this.#step(lifeCycle)
+      this.#noticeExpiry()
       const pause = this.#pause()
       await delay(Math.max(1, pause - (this.#clock.now() - startedAt)), AbortSignal.any([lifeCycle.signal, this.#wakeUp.signal]))
       if (this.#wakeUp.signal.aborted) this.#wakeUp = new AbortController()
@@ -162,6 +175,16 @@
     }
   }
 
+  #noticeExpiry (): void {
+    if (this.#state !== 'active' || !this.#expired()) this.#expiredSince = undefined
+    else this.#expiredSince ??= this.#clock.now()
+    if (this.renewalIsOverdue) this.#owner.renewalOverdue()
+  }
+
+  #expired (): boolean {
+    return this.#clock.now() >= this.#grantedUntil || !this.#hasRight()
+  }
+
   #hasRight (): boolean {
     return this.#clock.now() < this.#rights.rightUntil(this.#description.id)
   }
