Add a retry experiment and the switch of the retry budget that it needs

The retry budget had never been measured. `experiments.retryBudget = false` allows every retry within the deadline. The endpoint stand-in sheds for a given time on request.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,5 +1,5 @@
 import { LifeCycle } from '@briarsaddle/common'
-import { RandomChoice, TwoChoices } from '@briarsaddle/scheduling'
+import { RandomChoice, RetryBudget, TwoChoices, UnlimitedRetries } from '@briarsaddle/scheduling'
 import { administrationToken, type Address, type Settings } from '@briarsaddle/settings'
 import { AdministrationServer, LogOperations, StateDump } from './administration/index.js'
 import { ControlPlane } from './control-plane.js'
@@ -66,7 +66,9 @@
 
   #createRouter (control: ControlPlane, metrics: Metrics): RequestRouter {
     const { clock, random, hasher } = control
-    const Chooser = this.#settings.experiments.endpointChoice === 'random' ? RandomChoice : TwoChoices
+    const { endpointChoice, retryBudget } = this.#settings.experiments
+    const Chooser = endpointChoice === 'random' ? RandomChoice : TwoChoices
+    const Budget = retryBudget ? RetryBudget : UnlimitedRetries
     return new RequestRouter({
       vm: this.#settings.vm.id,
       control: control.follower,
@@ -74,6 +76,7 @@
       peers: new PoolForwarder(control.peers),
       hasher,
       createChooser: () => new Chooser({ clock, random }),
+      createBudget: () => new Budget(),
       metrics,
       clock,
       random
--- a/packages/daemon/src/entry/request-router.ts
+++ b/packages/daemon/src/entry/request-router.ts
@@ -23,6 +23,8 @@
   readonly hasher: KeyHasher
   /** Creates the chooser of one pool that is not partitioned by key. */
   readonly createChooser: (pool: string) => EndpointChooser
+  /** Creates the retry budget of one keyed endpoint or one pool without keys. Default `RetryBudget`. */
+  readonly createBudget?: () => RetryBudget
   readonly metrics: Metrics
   readonly clock: Clock
   readonly random: Random
@@ -401,7 +403,7 @@
     let budget = this.#budgets.get(name)
     if (budget !== undefined) return budget
     if (this.#budgets.size >= maximumBudgets) this.#budgets.clear()
-    this.#budgets.set(name, budget = new RetryBudget())
+    this.#budgets.set(name, budget = this.#options.createBudget?.() ?? new RetryBudget())
     return budget
   }
 }
--- a/packages/integration/src/experiments/experiment-command.ts
+++ b/packages/integration/src/experiments/experiment-command.ts
@@ -9,9 +9,10 @@
 import { HeadOfLine } from './head-of-line.js'
 import { Overload } from './overload.js'
 import { Pools } from './pools.js'
+import { Retry } from './retry.js'
 import { runVariant } from './run-variant.js'
 
-const experiments: readonly Experiment[] = [new HeadOfLine(), new Overload(), new Crest(), new Pools()]
+const experiments: readonly Experiment[] = [new HeadOfLine(), new Overload(), new Crest(), new Pools(), new Retry()]
 const isPositive = t.cascade(t.isNumber(), [t.isAtLeast(Number.MIN_VALUE)])
 
 /** Runs one experiment: all variants one after the other, each on a deployment of its own. */
--- a/packages/load/src/measures.ts
+++ b/packages/load/src/measures.ts
@@ -164,6 +164,17 @@
     const recorded = records.filter(record => record.pool === pool).flatMap(({ requests }) => requests)
       .filter(({ testRequest, result, end }) => result === 'completed' && testRequest !== undefined && inTimeIds.has(testRequest) && end !== undefined && end.wall <= endsAt)
       .reduce((sum, { start, end }) => sum + (end?.clock ?? start.clock) - start.clock, 0)
-    return [pool, { usefulShare: planned / available, recordedUsefulShare: records.length === 0 ? -1 : recorded / available }]
+    return [pool, {
+      usefulShare: planned / available,
+      recordedUsefulShare: records.length === 0 ? -1 : recorded / available,
+      attemptsPerRequest: attemptsPerRequest(finished.filter(({ planned }) => planned.kind.pool === pool), records)
+    }]
   }))
 }
+
+function attemptsPerRequest (finished: readonly FinishedRequest[], records: readonly EndpointRecord[]): number {
+  if (records.length === 0 || finished.length === 0) return -1
+  const ids = new Set(finished.map(({ id }) => id))
+  const attempts = records.flatMap(({ requests }) => requests).filter(({ testRequest }) => testRequest !== undefined && ids.has(testRequest)).length
+  return attempts / finished.length
+}
--- a/packages/load/src/result.ts
+++ b/packages/load/src/result.ts
@@ -54,6 +54,8 @@
     usefulShare: z.number(),
     /** By the times that the endpoints recorded, which include their own overhead; -1 without records. */
     recordedUsefulShare: z.number(),
+    /** Requests that reached the pool's endpoints, for each planned request: more than 1 shows repeats; -1 without records. */
+    attemptsPerRequest: z.number().default(-1),
     /** Where the slot time went, as shares that add up to 1; undefined without records. */
     slotTime: z.object({
       /** Requests answered in time and before the end of the run. */
--- a/packages/load/src/run-plan.test.ts
+++ b/packages/load/src/run-plan.test.ts
@@ -92,6 +92,16 @@
     expect(summarize(finished, { records }).violations).to.deep.equal({ ranTwice: 1, reportedNotRunButRan: 1, recordsIncomplete: false })
   })
 
+  it('counts every arrival of a planned request at an endpoint, so that repeats show', () => {
+    const at = { clock: 0, wall: 0 }
+    const arrived = (id: string, result: string): { testRequest: string, method: string, start: typeof at, end: typeof at, result: string } => ({ testRequest: id, method: 'POST', start: at, end: at, result })
+    const records = [{ endpoint: 'e1', pool: 'ponds', slots: 2, dropped: 0, requests: [arrived('one', 'refused:shed'), arrived('one', 'completed'), arrived('warm-up', 'completed')], held: [] }]
+    const ponds = plan.findIndex(({ kind }) => kind.pool === 'ponds')
+    const { pools } = summarize([finish(ponds, { id: 'one' }), finish(ponds, { id: 'refused', outcome: 'not-run', reason: 'queue_full' })], { records })
+    expect(pools['ponds']?.attemptsPerRequest).to.equal(1)
+    expect(pools['dispatch']?.attemptsPerRequest).to.equal(-1)
+  })
+
   it('measures ownership changes and unavailable spans per key', () => {
     const [first] = plan.filter(({ key }) => key !== undefined)
     const at = (milliseconds: number, changes: Partial<FinishedRequest>): FinishedRequest => finish(0, { planned: { ...first as FinishedRequest['planned'], at: milliseconds }, ...changes })
--- a/packages/scheduling/src/retry-budget.test.ts
+++ b/packages/scheduling/src/retry-budget.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { RetryBudget } from './retry-budget.js'
+import { RetryBudget, UnlimitedRetries } from './retry-budget.js'
 
 describe('RetryBudget', () => {
   it('stops retries after a run of failures and allows them again only after many successes', () => {
@@ -13,4 +13,10 @@
     for (let success = 0; success < 10; success++) budget.succeeded()
     expect(budget.allowsRetry).to.equal(true)
   })
+
+  it('never stops retries in the baseline, so that a measurement shows what the budget does', () => {
+    const budget = new UnlimitedRetries()
+    for (let failure = 0; failure < 20; failure++) budget.failed()
+    expect(budget.allowsRetry).to.equal(true)
+  })
 })
--- a/packages/scheduling/src/retry-budget.ts
+++ b/packages/scheduling/src/retry-budget.ts
@@ -24,3 +24,10 @@
     this.#tokens = Math.max(0, this.#tokens - 1)
   }
 }
+
+/** Allows every retry within the deadline; the baseline for measurements. */
+export class UnlimitedRetries extends RetryBudget {
+  override get allowsRetry (): boolean {
+    return true
+  }
+}
--- a/packages/standins/src/endpoint.test.ts
+++ b/packages/standins/src/endpoint.test.ts
@@ -48,6 +48,14 @@
     expect(await results()).to.deep.equal(['completed', 'refused:shed'])
   })
 
+  it('sheds for the time that a test asks for and then runs requests again', async () => {
+    await start({})
+    await call('/_control', { body: { shedMilliseconds: 100 } })
+    expect(await call('/')).to.include({ status: 503, notRun: 'shed' })
+    await delay(110)
+    expect(await call('/')).to.include({ status: 200 })
+  })
+
   it('frees the slot without an effect when the caller disconnects, so that cancelled work does not count', async () => {
     await start({ slots: 1, serviceMilliseconds: 10_000 })
     await call('/', { signal: AbortSignal.timeout(50) }).catch(() => {})
--- a/packages/standins/src/endpoint.ts
+++ b/packages/standins/src/endpoint.ts
@@ -49,6 +49,8 @@
   drain: z.boolean().optional(),
   /** Stops the whole process for this time, as a paused VM does. */
   freezeMilliseconds: z.number().nonnegative().optional(),
+  /** Sheds every request for this time from now on, as during a cold start. */
+  shedMilliseconds: z.number().nonnegative().optional(),
   serviceMilliseconds: z.number().nonnegative().optional(),
   longServiceMilliseconds: z.number().nonnegative().optional(),
   /** Multiplies every service time, also those that requests ask for. */
@@ -72,7 +74,7 @@
   readonly #grants: GrantTable
   readonly #random: Random
   readonly #effects = new Map<string, number>()
-  readonly #readyAt: number
+  #readyAt: number
   readonly #offersFrom: number
   #running = 0
   #draining = false
@@ -226,6 +228,7 @@
 
   #applyControl (body: z.output<typeof controlSchema>): void {
     this.#draining = body.drain ?? this.#draining
+    if (body.shedMilliseconds !== undefined) this.#readyAt = this.#clock.now() + body.shedMilliseconds
     this.#serviceMilliseconds = body.serviceMilliseconds ?? this.#serviceMilliseconds
     this.#longServiceMilliseconds = body.longServiceMilliseconds ?? this.#longServiceMilliseconds
     this.#serviceFactor = body.serviceFactor ?? this.#serviceFactor
