--- a/packages/scheduling/src/endpoint-queue.ts
+++ b/packages/scheduling/src/endpoint-queue.ts
@@ -64,8 +64,9 @@
 
 // Of exponential running times, 18 % exceed mean + spread, 8 % mean + 2 spreads and 2 % mean + 4 spreads.
 const runningSpreads = 4
-// A wait that is the sum of many running times is, in 97 % of cases, no longer than expected by two spreads of the sum.
-const waitingSpreads = 2
+// By the normal approximation, 7 % of the waits behind several jobs with exponential running times exceed the expected
+// one by two spreads of the sum, and 1 % by three.
+const waitingSpreads = 3
 // With short deadlines the reserves take no more than this share of the time, so that a job may still wait at all.
 const largestReserveShare = 0.7
 
