State the share of work that ends after an overload run, and the time to refusals

The check of the useful share is unchanged: it still counts only requests that ended within the run. The new figures show how much of the rest was in time as well, how soon refusals came, and how many came only at the deadline.

--- a/packages/integration/src/experiments/overload.ts
+++ b/packages/integration/src/experiments/overload.ts
@@ -23,6 +23,7 @@
       ...scenario.pools.flatMap(({ pool }) => [
         // The endpoints' own overhead is part of their service time, so the recorded times are the measure.
         atLeast(`useful share of slot time, recorded: ${pool}`, result.pools[pool]?.recordedUsefulShare ?? 0, 0.95),
+        figure(`the same with the part in the run of requests that ended after it: ${pool}`, usefulWithEnd(result, pool)),
         figure(`useful share of slot time, planned: ${pool}`, result.pools[pool]?.usefulShare ?? 0),
         figure(`useful share, planned, against no-admission: ${pool}`, (result.pools[pool]?.usefulShare ?? 0) / (base.pools[pool]?.usefulShare ?? 0))
       ]),
@@ -30,6 +31,9 @@
       figure('the same without admission', promptMisses(base)),
       figure('prompt in time, share of planned', promptInTime(result)),
       figure('the same without admission', promptInTime(base)),
+      figure('time to a refusal, p50, ms', result.refusalLatency.p50),
+      figure('time to a refusal, p99, ms', result.refusalLatency.p99),
+      figure('refused only at the deadline (deadline_passed)', result.refusals['deadline_passed'] ?? 0),
       atMost('answered "not run" but ran', result.violations?.reportedNotRunButRan ?? NaN, 0),
       atMost('at most once but ran twice', result.violations?.ranTwice ?? NaN, 0),
       atMost('refusals without Retry-After', result.refusalsWithoutRetryAfter, 0),
@@ -38,6 +42,11 @@
   }
 }
 
+function usefulWithEnd ({ pools }: ReturnType<ResultOf>, pool: string): number {
+  const time = pools[pool]?.slotTime
+  return time === undefined ? NaN : time.useful + time.usefulAtEnd
+}
+
 function promptMisses ({ classes: { prompt } }: ReturnType<ResultOf>): number {
   return prompt === undefined ? NaN : prompt.acceptedNotInTime / prompt.planned
 }
