Do not count refused requests as work of their endpoint, and set shedding endpoints aside

Cause: the chooser counts what it sent to an endpoint since the last report, and only answers carried a report. After k refusals an endpoint counted as having k requests until its next answer, which it could not give without a request: an endpoint that had shed or refused for some seconds stayed without requests until the others had that many outstanding.

Change: a request that ended without a report is taken back from the count, and a refusal by the coordinator counts as a report of its outstanding work. Then an endpoint that sheds has the least outstanding work, so shedding counts as a failure and sets it aside, with probes.

Each of the two new tests fails without its part.

--- a/packages/daemon/src/entry/entry.test.ts
+++ b/packages/daemon/src/entry/entry.test.ts
@@ -240,6 +240,12 @@
     for (let index = 0; index < 4; index++) expect((await call('POST', '/crews')).status).to.equal(200)
   })
 
+  it('sets aside an endpoint that sheds (one that has little outstanding work because it runs nothing)', async () => {
+    peers.script = forward => forward.endpoint === 'c1' ? notRunAnswer('endpoint_shed') : Answer.create({ outcome: Outcome.OUTCOME_ANSWERED, status: 200 })
+    for (let index = 0; index < 30; index++) await call('POST', '/crews')
+    expect(peers.sent.slice(-15).filter(({ forward }) => forward.endpoint === 'c1')).to.have.length(0)
+  })
+
   it('answers at the deadline of the caller even when the coordinator does not (callers that hang)', async () => {
     peers.script = async () => { await delay(3_000); return unknownAnswer('never') }
     const begun = performance.now()
--- a/packages/daemon/src/entry/request-router.ts
+++ b/packages/daemon/src/entry/request-router.ts
@@ -226,7 +226,8 @@
     const startedAt = this.#clock.now()
     chooser?.started(place.endpoint)
     const answer = await this.#forward(vm, this.#createForward(attempt, place), attempt.signal)
-    const reported = answer.outcome === Outcome.OUTCOME_ANSWERED ? answer.outstanding : undefined
+    // Answers that no coordinator gave have 0 here.
+    const reported = answer.outcome === Outcome.OUTCOME_ANSWERED || answer.outstanding > 0 ? answer.outstanding : undefined
     chooser?.finished(place.endpoint, { outstanding: reported, milliseconds: this.#clock.now() - startedAt, failed: showsFailure(answer) })
     const verdict = judge(answer, rule.idempotent, keyed)
     const budget = this.#budget(attempt, place)
--- a/packages/daemon/src/entry/resend-policy.ts
+++ b/packages/daemon/src/entry/resend-policy.ts
@@ -21,9 +21,10 @@
 /** Reasons of an UNKNOWN answer that leave time to send an idempotent request again. */
 const brokenReasons: ReadonlySet<string> = new Set([peerReasons.lost, 'connection_broken'])
 
-// These speak against the endpoint or its coordinator when an endpoint is chosen.
+// These speak against the endpoint or its coordinator when an endpoint is chosen. An endpoint that sheds answers at once
+// and so has the least outstanding work; unless it is set aside, it attracts most requests.
 const failureReasons: ReadonlySet<string> = new Set([
-  ...brokenReasons, ...passingReasons, peerReasons.unreachable, 'endpoint_lost', 'deadline_passed', peerReasons.deadlineExceeded
+  ...brokenReasons, ...passingReasons, peerReasons.unreachable, 'endpoint_shed', 'endpoint_lost', 'deadline_passed', peerReasons.deadlineExceeded
 ])
 
 const firstServerError = 500
--- a/packages/scheduling/src/two-choices.test.ts
+++ b/packages/scheduling/src/two-choices.test.ts
@@ -27,6 +27,17 @@
     expect(Array.from({ length: 100 }, () => chooser.choose(candidates))).to.include('a')
   })
 
+  // Refusals carry no report; counted as work until the next answer, they kept a recovered endpoint without requests.
+  it('chooses an endpoint again after it refused requests without a report', () => {
+    const { chooser, serve } = setUp()
+    for (let index = 0; index < 20; index++) {
+      chooser.started('a')
+      chooser.finished('a', { milliseconds: 1, failed: false })
+    }
+    for (const candidate of ['b', 'c', 'd']) serve(candidate, { outstanding: 3 }, 1)
+    expect(Array.from({ length: 100 }, () => chooser.choose(candidates))).to.include('a')
+  })
+
   it('counts what was sent since the report, so that a burst does not go to one endpoint', () => {
     const { chooser } = setUp()
     const counts: Record<string, number> = {}
--- a/packages/scheduling/src/two-choices.ts
+++ b/packages/scheduling/src/two-choices.ts
@@ -63,7 +63,10 @@
     const record = this.#record(endpoint)
     const now = this.clock.now()
     record.own = Math.max(0, record.own - 1)
-    if (outstanding !== undefined) {
+    if (outstanding === undefined) {
+      // Otherwise requests that an endpoint refused would count as its work until its next answer, and it would get none.
+      record.sentSinceReport = Math.max(0, record.sentSinceReport - 1)
+    } else {
       record.reported = outstanding
       record.reportedAt = now
       record.sentSinceReport = 0
