Do not cut off requests to an endpoint before their deadline

Cause: the coordinator gave the time left before the deadline to undici as its time-out for headers and body, too. Beyond 1 s undici uses coarse timers, which can fire up to 0.5 s early: of 80 requests that took 1,300 ms, sent 73 ms apart with a time-out of 1,490 ms, 46 ended with UND_ERR_HEADERS_TIMEOUT, the earliest after 1,010 ms (trial). Such a request had held its slot, its outcome became unknown, `connection_broken`, and an idempotent one was sent again.

Change: the sender's own timer at the deadline is the only limit; it also ends the reading of an answer.

--- a/packages/daemon/src/coordinator/endpoint-client.ts
+++ b/packages/daemon/src/coordinator/endpoint-client.ts
@@ -65,7 +65,7 @@
   readonly target: string
   readonly headers: ReadonlyArray<readonly [string, string]>
   readonly body: Uint8Array
-  readonly timeoutMilliseconds: number
+  /** Ends the request, also while its answer is read; the only limit of its time. */
   readonly signal: AbortSignal
 }
 
@@ -124,8 +124,9 @@
       path: request.target,
       headers: request.headers.flat(),
       body: request.body.length === 0 ? null : request.body,
-      headersTimeout: request.timeoutMilliseconds,
-      bodyTimeout: request.timeoutMilliseconds,
+      // undici's timers beyond 1 s may fire up to 0.5 s early, which cut off requests before their deadline.
+      headersTimeout: 0,
+      bodyTimeout: 0,
       signal: request.signal,
       responseHeaders: 'raw'
     })
--- a/packages/daemon/src/coordinator/request-sender.ts
+++ b/packages/daemon/src/coordinator/request-sender.ts
@@ -73,7 +73,6 @@
         target: forward.target,
         headers: this.#headers(forward, bucketToken, deadlineAt),
         body: forward.body,
-        timeoutMilliseconds: Math.ceil(remaining),
         signal: AbortSignal.any([signal, timeout.signal, pending.silent.signal])
       })
       return this.#classify(answer, this.#clock.now() - startedAt)
