--- a/packages/daemon/src/coordinator/request-sender.ts
+++ b/packages/daemon/src/coordinator/request-sender.ts
@@ -73,7 +73,6 @@
         target: forward.target,
         headers: this.#headers(forward, bucketToken, deadlineAt),
         body: forward.body,
-        timeoutMilliseconds: Math.ceil(remaining),
         signal: AbortSignal.any([signal, timeout.signal, pending.silent.signal])
       })
       return this.#classify(answer, this.#clock.now() - startedAt)
@@ -113,6 +112,8 @@
       return answered({ status: answer.status, headers, body: Buffer.from(answer.body), serviceMilliseconds })
     }
     if (refusal === 'effect-refused') return notRun('effect_refused')
+    // Sent again with the milliseconds that are left, it would be cut off and its outcome would be unknown.
+    if (refusal === 'deadline-past') return notRun('deadline_passed')
     if (refusal === 'shed') return notRun('endpoint_shed')
     if (!passingRefusals.has(refusal)) logger.debug('endpoint refused a request', { refusal, instance: this.#grants.instance })
     return notRun('endpoint_refused')
--- a/packages/daemon/src/entry/request-router.ts
+++ b/packages/daemon/src/entry/request-router.ts
@@ -23,6 +23,8 @@
   readonly hasher: KeyHasher
   /** Creates the chooser of one pool that is not partitioned by key. */
   readonly createChooser: (pool: string) => EndpointChooser
+  /** Creates the retry budget of one keyed endpoint or one pool without keys. Default `RetryBudget`. */
+  readonly createBudget?: () => RetryBudget
   readonly metrics: Metrics
   readonly clock: Clock
   readonly random: Random
@@ -221,7 +223,8 @@
     const startedAt = this.#clock.now()
     chooser?.started(place.endpoint)
     const answer = await this.#forward(vm, this.#createForward(attempt, place), attempt.signal)
-    const reported = answer.outcome === Outcome.OUTCOME_ANSWERED ? answer.outstanding : undefined
+    // Answers that no coordinator gave have 0 here.
+    const reported = answer.outcome === Outcome.OUTCOME_ANSWERED || answer.outstanding > 0 ? answer.outstanding : undefined
     chooser?.finished(place.endpoint, { outstanding: reported, milliseconds: this.#clock.now() - startedAt, failed: showsFailure(answer) })
     const verdict = judge(answer, idempotent, keyed)
     const budget = this.#budget(attempt, place)
@@ -407,7 +410,7 @@
     let budget = this.#budgets.get(name)
     if (budget !== undefined) return budget
     if (this.#budgets.size >= maximumBudgets) this.#budgets.clear()
-    this.#budgets.set(name, budget = new RetryBudget())
+    this.#budgets.set(name, budget = this.#options.createBudget?.() ?? new RetryBudget())
     return budget
   }
 }
