Suspect a VM that ended its stream after two refused connections

Cause: the loss of coordinator and endpoint together took 1035 ms on an idle machine and 1113 to 1169 ms at a load average of 8, close to its bound of 1200 ms and above the 1 s of one loss. Most of it is the sum of the detection of the coordinator (300 ms of silence and a check) and the wait for its right.

Ruled out: shortening the wait for the former right, which is what keeps two owners apart; a shorter time of silence, which would suspect slow VMs.

Change: a killed process ends its connections. The watcher then tries a fresh connection at once and again an interval later, and suspects the VM when both fail. A VM that answers over a fresh connection is kept, and silence on open streams counts as before.

--- /dev/null
+++ b/packages/daemon/src/control/membership.test.ts
@@ -0,0 +1,70 @@
+import { expect } from 'chai'
+import { delay, LifeCycle, MonotonicClock } from '@briarsaddle/common'
+import { KeyHasher } from '@briarsaddle/ownership'
+import { VmListClient, type ListedVm } from '@briarsaddle/platform'
+import type { PeerPool } from '@briarsaddle/protocol'
+import { Membership } from './membership.js'
+
+class TwoVms extends VmListClient {
+  override async fetch (): Promise<readonly ListedVm[]> {
+    return ['vm-1', 'vm-2'].map(id => ({ id, role: 'entry', dataCentre: 'a', host: '127.0.0.1', port: 1, state: 'live' }))
+  }
+}
+
+/** The connection to the other VM, as far as membership uses it. */
+class TestPeer {
+  streamOpen = true
+  answersFresh = true
+  freshChecks = 0
+  get silentMilliseconds (): number { return this.streamOpen ? 0 : Infinity }
+
+  async heartbeat (): Promise<{ readonly leaving: boolean }> {
+    if (!this.streamOpen) throw new Error('no stream')
+    return { leaving: false }
+  }
+
+  async freshHeartbeat (): Promise<void> {
+    this.freshChecks += 1
+    if (!this.answersFresh) throw new Error('refused')
+  }
+}
+
+describe('Membership', () => {
+  const timing = { heartbeatMilliseconds: 20, suspectMilliseconds: 1000, vmListMilliseconds: 1000 }
+  let peer: TestPeer
+  let membership: Membership
+  let lifeCycle: LifeCycle
+
+  beforeEach(async () => {
+    peer = new TestPeer()
+    lifeCycle = new LifeCycle('test')
+    const peers = { get: () => peer, update: () => {} } as unknown as PeerPool
+    membership = new Membership({ self: { id: 'vm-1', dataCentre: 'a' }, list: new TwoVms(), peers, hasher: await KeyHasher.create(), clock: new MonotonicClock(), timing, position: () => 0, changed: () => {} })
+    await membership.start(lifeCycle)
+    await delay(50)
+  })
+
+  afterEach(async () => await lifeCycle.close())
+
+  it('suspects a VM that ended its stream and refuses new connections, without waiting for the time of silence (a killed VM)', async () => {
+    peer.streamOpen = false
+    peer.answersFresh = false
+    await delay(300)
+    expect([...membership.suspected]).to.deep.equal(['vm-2'])
+    expect(peer.freshChecks).to.equal(2)
+  })
+
+  it('keeps a VM whose stream broke but that answers over a fresh connection (a lost connection taken for a lost VM)', async () => {
+    peer.streamOpen = false
+    await delay(300)
+    expect([...membership.suspected]).to.deep.equal([])
+    expect(peer.freshChecks).to.be.greaterThan(1)
+  })
+
+  it('does not suspect a VM before the time of silence while its stream is open (a VM that is slow for a moment)', async () => {
+    peer.answersFresh = false
+    await delay(300)
+    expect(peer.freshChecks).to.equal(0)
+    expect([...membership.suspected]).to.deep.equal([])
+  })
+})
--- a/packages/daemon/src/control/membership.ts
+++ b/packages/daemon/src/control/membership.ts
@@ -17,8 +17,17 @@
   readonly vmListMilliseconds: number
 }
 
+/**
+ * Failed checks over fresh connections, one per heartbeat interval, after which a VM is suspected before the time of
+ * silence is over, when its stream has broken as well: a killed process ends its connections and refuses new ones.
+ */
+const failedChecksOfBrokenStream = 2
+
 interface Watched {
   lastHeard: number
+  /** True once a stream to the VM was open. */
+  connected: boolean
+  failedChecks: number
   asking: boolean
   checking: boolean
 }
@@ -166,19 +175,23 @@
     // A suspected VM stays watched, so that its return is noticed.
     const wanted = new Set([...this.#ring.watchedFrom(this.#self.id).map(({ id }) => id), ...this.#suspectedSince.keys()])
     for (const id of this.#watched.keys()) if (!wanted.has(id)) this.#watched.delete(id)
-    for (const id of wanted) if (!this.#watched.has(id)) this.#watched.set(id, { lastHeard: now, asking: false, checking: false })
+    for (const id of wanted) if (!this.#watched.has(id)) this.#watched.set(id, { lastHeard: now, connected: false, failedChecks: 0, asking: false, checking: false })
   }
 
   #beat (): void {
     const now = this.#clock.now()
     // After a pause of this process the silence of the others means nothing.
     if (now - this.#lastBeat > this.#timing.heartbeatMilliseconds + pauseMilliseconds) {
-      for (const watched of this.#watched.values()) watched.lastHeard = now
+      for (const watched of this.#watched.values()) {
+        watched.lastHeard = now
+        watched.failedChecks = 0
+      }
     }
     this.#lastBeat = now
     for (const [vm, watched] of this.#watched) {
       if (!watched.asking) void this.#ask(vm, watched)
-      if (this.#silence(vm, watched) > this.#timing.suspectMilliseconds && !watched.checking && !this.#suspectedSince.has(vm)) void this.#check(vm, watched)
+      watched.connected ||= this.#streamIsOpen(vm)
+      if (!watched.checking && !this.#suspectedSince.has(vm) && (this.#isSilent(vm, watched) || this.#isBroken(vm, watched))) void this.#check(vm, watched)
     }
   }
 
@@ -203,7 +216,9 @@
       await this.#peers.get(vm)?.freshHeartbeat(this.#request(), freshHeartbeatTimeoutMilliseconds)
       this.#heard(vm)
     } catch (error) {
-      if (this.#silence(vm, watched) <= this.#timing.suspectMilliseconds) return
+      watched.failedChecks += 1
+      const brokenForLong = this.#isBroken(vm, watched) && watched.failedChecks >= failedChecksOfBrokenStream
+      if (!brokenForLong && !this.#isSilent(vm, watched)) return
       this.#suspectedSince.set(vm, this.#clock.now())
       logger.warning('VM suspected', { vm, reason: describeError(error) })
       this.#rebuild()
@@ -213,13 +228,24 @@
   }
 
   /** Any frame of the VM shows that it lives, also while the answer to a heartbeat waits behind long answers. */
-  #silence (vm: string, watched: Watched): number {
-    return Math.min(this.#clock.now() - watched.lastHeard, this.#peers.get(vm)?.silentMilliseconds ?? Infinity)
+  #isSilent (vm: string, watched: Watched): boolean {
+    return Math.min(this.#clock.now() - watched.lastHeard, this.#peers.get(vm)?.silentMilliseconds ?? Infinity) > this.#timing.suspectMilliseconds
+  }
+
+  #streamIsOpen (vm: string): boolean {
+    return (this.#peers.get(vm)?.silentMilliseconds ?? Infinity) !== Infinity
+  }
+
+  #isBroken (vm: string, watched: Watched): boolean {
+    return watched.connected && !this.#streamIsOpen(vm)
   }
 
   #heard (vm: string): void {
     const watched = this.#watched.get(vm)
-    if (watched !== undefined) watched.lastHeard = this.#clock.now()
+    if (watched !== undefined) {
+      watched.lastHeard = this.#clock.now()
+      watched.failedChecks = 0
+    }
     if (!this.#suspectedSince.delete(vm)) return
     logger.info('VM answers again', { vm })
     this.#rebuild()
