Add an experiment with few long jobs that meet on few servers

The head-of-line experiment keeps about 12 long jobs running on 20 servers, so the pool is busy and FIFO seldom fills a server with them. In the new phase two clubs send four season reconciliations each at the same moment; the short requests are those of the phase without long jobs.

--- a/packages/integration/src/experiments/experiment-command.ts
+++ b/packages/integration/src/experiments/experiment-command.ts
@@ -6,12 +6,12 @@
 import { Crest } from './crest.js'
 import { firms, type Experiment, type ExperimentOptions } from './experiment.js'
 import { formatFindings } from './format-findings.js'
-import { HeadOfLine } from './head-of-line.js'
+import { HeadOfLine, HeadOfLineBurst } from './head-of-line.js'
 import { Overload } from './overload.js'
 import { Pools } from './pools.js'
 import { runVariant } from './run-variant.js'
 
-const experiments: readonly Experiment[] = [new HeadOfLine(), new Overload(), new Crest(), new Pools()]
+const experiments: readonly Experiment[] = [new HeadOfLine(), new HeadOfLineBurst(), new Overload(), new Crest(), new Pools()]
 const isPositive = t.cascade(t.isNumber(), [t.isAtLeast(Number.MIN_VALUE)])
 
 /** Runs one experiment: all variants one after the other, each on a deployment of its own. */
--- a/packages/load/src/plan.test.ts
+++ b/packages/load/src/plan.test.ts
@@ -58,6 +58,17 @@
     }
   })
 
+  // Otherwise the comparison with the run without long jobs would also compare two different loads of short requests.
+  it('adds a burst of long jobs for few keys and leaves the other requests as they are', () => {
+    for (const name of scenarios.keys()) {
+      const requests = plan(name, 'long-burst')
+      const long = requests.filter(({ kind }) => kind.serviceClass === 'long')
+      expect(long.map(({ key }) => key)).to.have.members(['key-1', 'key-1', 'key-1', 'key-1', 'key-2', 'key-2', 'key-2', 'key-2'])
+      expect(requests.filter(({ kind }) => kind.serviceClass !== 'long')).to.deep.equal(plan(name, 'steady'))
+      expect(requests.map(({ at }) => at)).to.deep.equal(requests.map(({ at }) => at).sort((one, other) => one - other))
+    }
+  })
+
   it('uses only paths, classes and deadlines of the example rules, or its requests would be answered with 404', async () => {
     const units: Readonly<Record<string, number>> = { s: 1000, m: 60_000 }
     for (const { name, kinds } of scenarios.values()) {
--- a/packages/load/src/plan.ts
+++ b/packages/load/src/plan.ts
@@ -1,5 +1,5 @@
 import { Random } from '@briarsaddle/common'
-import type { Phase, RequestKind, Scenario } from './scenario.js'
+import type { Burst, Phase, RequestKind, Scenario } from './scenario.js'
 
 /** One request with everything that is decided before the run. Times are milliseconds from the start. */
 export interface PlannedRequest {
@@ -41,7 +41,17 @@
     const key = kind.path.includes(':key') ? keys.pick(inWindow ? phase.flareShare ?? 0 : 0) : undefined
     planned.push({ at, kind, key, path: kind.path.replace(':key', key ?? ''), serviceMilliseconds: serviceTime(kind, random), inWindow })
   }
-  return planned
+  // Drawn last, so that the other requests are the same as without bursts.
+  for (const burst of phase.bursts ?? []) planned.push(...burstRequests(burst, options, random))
+  return planned.sort((one, other) => one.at - other.at)
+}
+
+function burstRequests ({ at, kind: name, key, requests }: Burst, { scenario, phase, durationSeconds }: PlanOptions, random: Random): readonly PlannedRequest[] {
+  const kind = scenario.kinds.find(other => other.name === name)
+  if (kind === undefined) throw new Error(`phase has a burst of kind "${name}", which scenario "${scenario.name}" does not have`)
+  return Array.from({ length: requests }, () => ({
+    at: at * durationSeconds * 1000, kind, key, path: kind.path.replace(':key', key), serviceMilliseconds: serviceTime(kind, random), inWindow: isInWindow(phase, at)
+  }))
 }
 
 /** Rate relative to the base rate at a fraction of the duration. */
--- a/packages/load/src/scenario.ts
+++ b/packages/load/src/scenario.ts
@@ -16,6 +16,15 @@
   deadlineMilliseconds: z.number().positive()
 }).readonly()
 
+/** Several requests of one kind that one caller sends for the same key at the same moment. */
+const burstSchema = z.object({
+  /** When, as a fraction of the duration. */
+  at: fraction,
+  kind: z.string(),
+  key: z.string(),
+  requests: z.number().int().positive()
+}).readonly()
+
 const phaseSchema = z.object({
   /** Rate relative to the base rate, linear between the points; `at` is a fraction of the duration. */
   rate: z.array(z.object({ at: fraction, factor: z.number().nonnegative() }).readonly()).min(1).readonly(),
@@ -24,7 +33,9 @@
   /** Share of keyed requests that go to one key within the window. */
   flareShare: fraction.optional(),
   /** Weights that replace those of the kinds within the window. */
-  weights: z.record(z.string(), z.number().nonnegative()).optional()
+  weights: z.record(z.string(), z.number().nonnegative()).optional(),
+  /** Requests in addition to the random arrivals, which stay the same with and without them. */
+  bursts: z.array(burstSchema).readonly().optional()
 }).readonly()
 
 /** Schema of a scenario. */
@@ -44,5 +55,7 @@
 export type Scenario = z.infer<typeof scenarioSchema>
 /** One kind of request. */
 export type RequestKind = z.infer<typeof requestKindSchema>
+/** Several requests for one key at one moment. */
+export type Burst = z.infer<typeof burstSchema>
 /** The course of one experiment. */
 export type Phase = z.infer<typeof phaseSchema>
--- a/packages/load/src/scenarios.ts
+++ b/packages/load/src/scenarios.ts
@@ -3,15 +3,21 @@
 const level = [{ at: 0, factor: 1 }]
 const opening = [{ at: 0, factor: 0.6 }, { at: 0.3, factor: 0.6 }, { at: 0.34, factor: 2.5 }, { at: 0.6, factor: 2.5 }, { at: 0.7, factor: 0.6 }]
 
+const burstClubs = ['key-1', 'key-2']
+// More than the slots of a server (2 or 3), so that a queue without classes gives all of them to long jobs.
+const burstRequests = 4
+
 /** Phases that both firms have; the season reconciliation differs in its kinds. */
-function phases (reconciliation: Readonly<Record<string, number>>): Readonly<Record<string, Phase>> {
+function phases (keyedReconciliation: string, reconciliation: Readonly<Record<string, number>>): Readonly<Record<string, Phase>> {
   return {
     steady: { rate: level, window: { from: 0.1, to: 1 } },
     crest: { rate: opening, window: { from: 0.34, to: 0.65 } },
     flare: { rate: level, window: { from: 0.3, to: 0.9 }, flareShare: 0.15 },
     reconciliation: { rate: level, window: { from: 0.3, to: 0.9 }, weights: reconciliation },
     // The window of `steady`, so that the two phases differ in their long jobs alone.
-    'long-jobs': { rate: level, window: { from: 0.1, to: 1 }, weights: reconciliation }
+    'long-jobs': { rate: level, window: { from: 0.1, to: 1 }, weights: reconciliation },
+    // Few long jobs that meet on few servers: two clubs send theirs at once.
+    'long-burst': { rate: level, window: { from: 0.1, to: 1 }, bursts: burstClubs.map(key => ({ at: 0.1, kind: keyedReconciliation, key, requests: burstRequests })) }
   }
 }
 
@@ -30,7 +36,7 @@
     { name: 'dispatch', method: 'POST', path: '/dispatches', pool: 'dispatch', serviceClass: 'prompt', idempotent: false, weight: 20, service: { meanMilliseconds: 30, distribution: 'exponential' }, deadlineMilliseconds: 2_000 },
     { name: 'season-reconciliation', method: 'POST', path: '/ponds/:key/season-reconciliation', pool: 'ponds', serviceClass: 'long', idempotent: false, weight: 0, service: { meanMilliseconds: 1_500, distribution: 'uniform' }, deadlineMilliseconds: 120_000 }
   ],
-  phases: phases({ 'season-reconciliation': 1 })
+  phases: phases('season-reconciliation', { 'season-reconciliation': 1 })
 }
 
 const ostrina = {
@@ -49,7 +55,7 @@
     { name: 'reconciliation', method: 'POST', path: '/clubs/:key/reconciliation', pool: 'bookings', serviceClass: 'long', idempotent: false, weight: 0, service: { meanMilliseconds: 2_000, distribution: 'uniform' }, deadlineMilliseconds: 120_000 },
     { name: 'payment-reconciliation', method: 'POST', path: '/payments/reconciliation', pool: 'payments', serviceClass: 'long', idempotent: false, weight: 0, service: { meanMilliseconds: 2_500, distribution: 'uniform' }, deadlineMilliseconds: 300_000 }
   ],
-  phases: phases({ reconciliation: 1, 'payment-reconciliation': 0.3 })
+  phases: phases('reconciliation', { reconciliation: 1, 'payment-reconciliation': 0.3 })
 }
 
 /** The scenarios of both firms by name. */
