Let the coordinator hold long jobs back in the queue for a bounded time

A long job that starts before the other buckets of its endpoint have moved away keeps their requests waiting. The job stays in the queue during the hold, where it counts for admission and can be cancelled; waiting outside the queue was ruled out, since a refusal would then come late. The hold ends by a timer, so a long job cannot starve.

--- a/packages/scheduling/src/endpoint-queue.test.ts
+++ b/packages/scheduling/src/endpoint-queue.test.ts
@@ -127,6 +127,31 @@
     expect(bench.order).to.deep.equal(['long 1', 'normal', 'long 2'])
   })
 
+  it('holds long jobs back for a bounded time only, so that they wait for a move and never starve', async () => {
+    const bench = new Bench()
+    bench.queue.holdLong(bench.clock.now() + 30)
+    bench.submit('long', 'long')
+    bench.submit('normal')
+    expect(bench.order).to.deep.equal(['normal'])
+    bench.clock.advance(30)
+    await delay(50)
+    expect(bench.order).to.deep.equal(['normal', 'long'])
+  })
+
+  it('starts held long jobs as soon as the hold is ended', () => {
+    const bench = new Bench()
+    bench.queue.holdLong(bench.clock.now() + 60_000)
+    bench.submit('long', 'long')
+    bench.queue.holdLong(-Infinity)
+    expect(bench.order).to.deep.equal(['long'])
+  })
+
+  it('refuses a long job at once when the hold leaves no time before its deadline', async () => {
+    const bench = new Bench()
+    bench.queue.holdLong(bench.clock.now() + 1000)
+    expect(await codeOf(bench.submit('late', 'long', 1, 500))).to.equal('deadline_unreachable')
+  })
+
   it('gives waiting normal and long jobs a turn after a bounded number of starts, so that nobody starves', async () => {
     const bench = new Bench({ slots: 1, maximumQueued: 100, policy: new ClassPolicy({ normalTurnAfter: 3, longTurnAfter: 6 }) })
     bench.submit('running')
--- a/packages/scheduling/src/endpoint-queue.ts
+++ b/packages/scheduling/src/endpoint-queue.ts
@@ -96,13 +96,14 @@
   #draining = false
   #sweepTimer: NodeJS.Timeout | undefined
   #sweepAt = Infinity
+  #holdTimer: NodeJS.Timeout | undefined
 
   constructor ({ slots, maximumQueued, clock, random, policy, admission = true }: EndpointQueueOptions) {
     this.#clock = clock
     this.#random = random
     this.#policy = policy
     this.#admission = admission
-    this.#limits = { slots, foreignRunning: 0, maximumQueued }
+    this.#limits = { slots, foreignRunning: 0, maximumQueued, longHeldUntil: -Infinity }
     const lanes = new LaneQueue(policy, this.#limits, entry => this.#rejectTaken(entry as Entry, 'expired_in_queue'), () => clock.now())
     this.#lanes = lanes
     // p-queue creates its queue without arguments, and the queue must be at hand here.
@@ -175,6 +176,17 @@
     this.#draining = draining
   }
 
+  /** Starts no long job before the given time, in clock milliseconds; a time in the past ends the hold. */
+  holdLong (until: number): void {
+    clearTimeout(this.#holdTimer)
+    this.#limits.longHeldUntil = until
+    this.#applyLimits()
+    const left = until - this.#clock.now()
+    if (left > 0) this.#holdTimer = setTimeout(() => this.holdLong(-Infinity), left)
+    // Like the sweep, the hold alone must not keep a process alive.
+    this.#holdTimer?.unref()
+  }
+
   /** Rejects everything queued with the errors of the factory and returns how many jobs that were. */
   remove (createError: () => BriarsaddleError): number {
     let removed = 0
@@ -216,10 +228,10 @@
     const lanes = this.#lanes
     if (lanes.freeSlots <= 0) return false
     const queued = { ...zeroPerClass(), [lane]: 1 }
-    const { slots, foreignRunning, maximumQueued, running, overtaken } = lanes
+    const { slots, foreignRunning, maximumQueued, running, overtaken, longHeld } = lanes
     // Whatever is queued while a slot is free is held back by the policy; only the own lane can be ahead.
     return lanes.queued[lane] === 0 &&
-      this.#policy.select({ slots, foreignRunning, maximumQueued, running, overtaken, queued }) === lane
+      this.#policy.select({ slots, foreignRunning, maximumQueued, running, overtaken, longHeld, queued }) === lane
   }
 
   #newEntry (job: JobDescription, reject: (error: Error) => void, stopListening: () => void): Entry {
@@ -271,8 +283,9 @@
     const work = this.#policy.lanesBefore(lane).reduce((sum, other) => sum + this.#lanes.queuedWork(other), 0)
     const wait = startDelay(this.#remaining(now, undefined), slots, work)
     const laneSlots = this.#policy.slotsOf(lane, slots)
-    if (laneSlots === slots) return wait
-    return Math.max(wait, startDelay(this.#remaining(now, lane), laneSlots, this.#lanes.queuedWork(lane)))
+    const held = lane === 'long' ? Math.max(0, this.#limits.longHeldUntil - now) : 0
+    if (laneSlots === slots) return held + wait
+    return Math.max(wait, held + startDelay(this.#remaining(now, lane), laneSlots, this.#lanes.queuedWork(lane)))
   }
 
   /** Expected remaining times of the running jobs of one lane, or of all with the foreign ones. */
--- a/packages/scheduling/src/lane-queue.ts
+++ b/packages/scheduling/src/lane-queue.ts
@@ -30,6 +30,8 @@
   slots: number
   foreignRunning: number
   maximumQueued: number
+  /** Long jobs do not start before this time, in clock milliseconds. */
+  longHeldUntil: number
 }
 
 /**
@@ -55,6 +57,7 @@
   get slots (): number { return this.limits.slots }
   get foreignRunning (): number { return this.limits.foreignRunning }
   get maximumQueued (): number { return this.limits.maximumQueued }
+  get longHeld (): boolean { return this.now() < this.limits.longHeldUntil }
   get runningEntries (): ReadonlySet<QueueEntry> { return this.#runningEntries }
   get runningTotal (): number { return this.#runningEntries.size }
   get queuedTotal (): number { return this.queued.prompt + this.queued.normal + this.queued.long }
--- a/packages/scheduling/src/queue-policy.ts
+++ b/packages/scheduling/src/queue-policy.ts
@@ -10,6 +10,8 @@
   readonly queued: PerClass<number>
   /** How often a lane that had waiting jobs was passed over by a more urgent one since its last start. */
   readonly overtaken: PerClass<number>
+  /** True while long jobs must not start, for example because buckets are moving away to make room. */
+  readonly longHeld: boolean
 }
 
 /** Decides the order of starts and who may wait. Policies hold no state, so queues can share one. */
@@ -86,7 +88,8 @@
   }
 
   // Foreign work counts as long, because it may be.
-  #longMayStart ({ slots, running, foreignRunning }: QueueView): boolean {
+  #longMayStart ({ slots, running, foreignRunning, longHeld }: QueueView): boolean {
+    if (longHeld) return false
     return slots === 1 || running.long + foreignRunning < this.slotsOf('long', slots)
   }
 }
