Move buckets away from an endpoint while a long job holds one of its slots

Cause: a long job leaves a server of two slots with one, which the short work of the server keeps about 90 % busy. The class policy cannot give back a slot that a long job holds, and keyed jobs cannot choose their endpoint.

The coordinator knows when a long job arrives and how long its rule's jobs run. planLongJobRelief, a pure function, decides which other buckets move in one assignment record to endpoints with room and without a long job, hottest first, if the waiting that is saved over the remaining time is at least twice the cost of the moves. The first long job waits in the queue for at most 1 s, or a tenth of its deadline, until the buckets are released. Without an observed running time, a running job is expected to go on for as long as it has run.

Nothing moves at a peak; buckets with a waiting or running long job stay; a moved bucket rests for 30 s and does not return within 5 min. An endpoint that gave some of its buckets away asks for no others for 5 min: with less than 0.9 of an even share it would otherwise take them back at once. The history of moves and the loads of endpoints are now shared by the hot bucket balancer and the relief. An endpoint accepts no bucket before its first load window is complete.

--- a/packages/daemon/src/control-plane.ts
+++ b/packages/daemon/src/control-plane.ts
@@ -9,8 +9,11 @@
 import { Balancer } from './control/balancer.js'
 import { Coordination, ProvisionalCoordination } from './control/coordination.js'
 import { InnerControl, InnerFrames, PoolJournals, PoolJournalSource, PoolLoads, PoolStates } from './control/inner-adapters.js'
+import { EndpointLoads } from './control/endpoint-loads.js'
 import { FollowerObserver, LogFollower } from './control/log-follower.js'
+import { LongJobReliever } from './control/long-job-relief.js'
 import { Membership } from './control/membership.js'
+import { MoveHistory } from './control/move-history.js'
 import { RecordWriter } from './control/record-writer.js'
 import { RightKeeper } from './control/right-keeper.js'
 import { TakeAwayWait } from './control/take-away.js'
@@ -45,6 +48,7 @@
   readonly #coordination: Coordination
   readonly #upkeep: Upkeep
   readonly #balancer: Balancer
+  readonly #reliever: LongJobReliever | undefined
   readonly #innerServer: InnerServer
   readonly #loops: LifeCycle
   #innerPort = 0
@@ -90,7 +94,8 @@
       createPolicy: () => createPolicy(settings),
       lifeCycle: this.#loops
     })
-    this.#assignments = new Assignments({ follower: this.follower, membership: this.membership, coordinator: this.coordinator, writer: this.writer, takeAway, clock, lifeCycle: this.#loops })
+    const history = new MoveHistory(this.follower, clock)
+    this.#assignments = new Assignments({ history, follower: this.follower, membership: this.membership, coordinator: this.coordinator, writer: this.writer, takeAway, clock, lifeCycle: this.#loops })
     this.#coordination = new Coordination({
       self,
       follower: this.follower,
@@ -103,9 +108,12 @@
       startPosition: () => this.coordinator.startPosition
     })
     this.#upkeep = new Upkeep({ self, follower: this.follower, membership: this.membership, writer: this.writer, poll, clock, lifeCycle: this.#loops })
-    this.#balancer = new Balancer({ self, follower: this.follower, coordinator: this.coordinator, writer: this.writer, loads: new PoolLoads(this.peers), clock, random: this.random, lifeCycle: this.#loops })
-    this.#innerServer = new InnerServer(settings.listen.inner, new InnerFrames(this.coordinator), new InnerControl({ membership: this.membership, witness, follower: this.follower, coordinator: this.coordinator, balancer: this.#balancer }))
-    this.follower.observe(new StateEvents(this.coordinator, this.rights, this.#balancer))
+    const loads = new EndpointLoads({ self, view: this.follower, coordinator: this.coordinator, source: new PoolLoads(this.peers), random: this.random })
+    const balance = { follower: this.follower, coordinator: this.coordinator, writer: this.writer, loads, history, clock, lifeCycle: this.#loops }
+    this.#balancer = new Balancer(balance)
+    this.#reliever = relievesLongJobs(settings) ? new LongJobReliever(balance) : undefined
+    this.#innerServer = new InnerServer(settings.listen.inner, new InnerFrames(this.coordinator), new InnerControl({ membership: this.membership, witness, follower: this.follower, coordinator: this.coordinator, loads }))
+    this.follower.observe(new StateEvents(this.coordinator, this.rights, history))
   }
 
   /** Creates the control plane and listens for other VMs. Throws `listen_failed`. */
@@ -127,6 +135,11 @@
     this.#assignments.revoked(session, buckets)
   }
 
+  /** A long job is about to be queued. */
+  longJobArrives (session: EndpointSession, deadlineMilliseconds: number): void {
+    this.#reliever?.jobArrives(session, deadlineMilliseconds)
+  }
+
   /** Looks at coordinators and assignments once; called by a timer and whenever something changed. */
   review (): void {
     this.#coordination.review()
@@ -158,13 +171,18 @@
     }
   }
 
+  async #balance (): Promise<void> {
+    this.#reliever?.review()
+    await this.#balancer.review()
+  }
+
   async #startLoops (): Promise<void> {
     const report = (task: string) => (error: unknown): void => logger.error('task failed', { task, reason: describeError(error) })
     await this.membership.start(this.#loops)
     this.rights.start(this.#loops)
     void this.follower.run(this.#loops, new PoolStates(this.peers)).catch(report('log follower'))
     this.#loops.every('review', reviewMilliseconds, () => this.review(), report('review'))
-    this.#loops.every('balance', balanceMilliseconds, async () => await this.#balancer.review(), report('balance'))
+    this.#loops.every('balance', balanceMilliseconds, async () => await this.#balance(), report('balance'))
     this.#loops.every('upkeep', upkeepMilliseconds, async () => await this.#upkeep.review(), report('upkeep'))
   }
 }
@@ -172,17 +190,17 @@
 class StateEvents extends FollowerObserver {
   readonly #coordinator: Coordinator
   readonly #rights: RightKeeper
-  readonly #balancer: Balancer
+  readonly #history: MoveHistory
 
-  constructor (coordinator: Coordinator, rights: RightKeeper, balancer: Balancer) {
+  constructor (coordinator: Coordinator, rights: RightKeeper, history: MoveHistory) {
     super()
     this.#coordinator = coordinator
     this.#rights = rights
-    this.#balancer = balancer
+    this.#history = history
   }
 
   override stateChanged (state: ControlState, read: readonly ReadRecord[]): void {
-    this.#balancer.recordsRead(read)
+    this.#history.recordsRead(read)
     this.#coordinator.stateChanged(state, read)
   }
 
@@ -210,6 +228,10 @@
     this.#control.revoked(session, buckets)
   }
 
+  override longJobArrives (session: EndpointSession, deadlineMilliseconds: number): void {
+    this.#control.longJobArrives(session, deadlineMilliseconds)
+  }
+
   override waitedBehindLong (session: EndpointSession, serviceClass: string, milliseconds: number): void {
     this.#metrics.blockedBehindLong(session.description.pool, serviceClass, milliseconds)
   }
@@ -247,6 +269,11 @@
   }
 }
 
+/** The baseline without classes knows no long jobs. */
+function relievesLongJobs ({ experiments: { scheduling, longJobRelief } }: Settings): boolean {
+  return longJobRelief && scheduling === 'classes'
+}
+
 function createPolicy (settings: Settings): QueuePolicy {
   return settings.experiments.scheduling === 'fifo' ? new FifoPolicy() : new ClassPolicy()
 }
--- a/packages/daemon/src/control/assignments.ts
+++ b/packages/daemon/src/control/assignments.ts
@@ -5,6 +5,7 @@
 import type { EndpointSession } from '../coordinator/endpoint-session.js'
 import type { LogFollower } from './log-follower.js'
 import type { Membership } from './membership.js'
+import type { MoveHistory } from './move-history.js'
 import type { RecordWriter } from './record-writer.js'
 import type { TakeAwayWait } from './take-away.js'
 
@@ -23,6 +24,7 @@
   readonly #coordinator: Coordinator
   readonly #writer: RecordWriter
   readonly #takeAway: TakeAwayWait
+  readonly #history: MoveHistory
   readonly #clock: Clock
   readonly #lifeCycle: LifeCycle
   readonly #lastBalance = new Map<string, number>()
@@ -35,6 +37,7 @@
     readonly coordinator: Coordinator
     readonly writer: RecordWriter
     readonly takeAway: TakeAwayWait
+    readonly history: MoveHistory
     readonly clock: Clock
     readonly lifeCycle: LifeCycle
   }) {
@@ -43,6 +46,7 @@
     this.#coordinator = options.coordinator
     this.#writer = options.writer
     this.#takeAway = options.takeAway
+    this.#history = options.history
     this.#clock = options.clock
     this.#lifeCycle = options.lifeCycle
   }
@@ -84,7 +88,7 @@
     }
     if (session.grants.state !== 'active' || !session.grants.ready) return
     if (!state.pools.has(pool)) return this.#assignFirst(pool, id)
-    if (!this.#hasFewBuckets(pool, id) || !this.#balanceIsDue(pool)) return
+    if (!this.#hasFewBuckets(pool, id) || this.#history.gaveRecently(id) || !this.#balanceIsDue(pool)) return
     void this.#assign(pool, [...this.#others(pool, id), id], 'balance', id)
   }
 
--- a/packages/daemon/src/control/inner-adapters.ts
+++ b/packages/daemon/src/control/inner-adapters.ts
@@ -8,7 +8,7 @@
 import { JournalSource, type Coordinator } from '../coordinator/coordinator.js'
 import { JournalSink } from '../coordinator/journal.js'
 import type { EndpointLoad } from '@briarsaddle/scheduling'
-import { LoadSource, type Balancer } from './balancer.js'
+import { LoadSource, type EndpointLoads } from './endpoint-loads.js'
 import { PeerStateSource, type LogFollower } from './log-follower.js'
 import type { Membership } from './membership.js'
 import type { Witness } from './witness.js'
@@ -120,15 +120,15 @@
   readonly #witness: Witness
   readonly #follower: LogFollower
   readonly #coordinator: Coordinator
-  readonly #balancer: Balancer
+  readonly #loads: EndpointLoads
 
-  constructor (options: { readonly membership: Membership, readonly witness: Witness, readonly follower: LogFollower, readonly coordinator: Coordinator, readonly balancer: Balancer }) {
+  constructor (options: { readonly membership: Membership, readonly witness: Witness, readonly follower: LogFollower, readonly coordinator: Coordinator, readonly loads: EndpointLoads }) {
     super()
     this.#membership = options.membership
     this.#witness = options.witness
     this.#follower = options.follower
     this.#coordinator = options.coordinator
-    this.#balancer = options.balancer
+    this.#loads = options.loads
   }
 
   override async heartbeat (request: HeartbeatRequest): Promise<HeartbeatResponse> {
@@ -149,6 +149,6 @@
   }
 
   override async fetchLoads (request: FetchLoadsRequest): Promise<FetchLoadsResponse> {
-    return { loads: this.#balancer.ownLoads(request.endpoints).map(load => ({ ...load })) }
+    return { loads: this.#loads.own(request.endpoints).map(load => ({ ...load })) }
   }
 }
--- /dev/null
+++ b/packages/daemon/src/control/long-job-relief.ts
@@ -0,0 +1,160 @@
+import { describeError, Logger, type Clock, type LifeCycle } from '@briarsaddle/common'
+import { noVersion } from '@briarsaddle/ownership'
+import { planLongJobRelief, type EndpointLoad, type LongJobRelief, type ReliefBucket } from '@briarsaddle/scheduling'
+import type { Coordinator } from '../coordinator/coordinator.js'
+import type { EndpointSession } from '../coordinator/endpoint-session.js'
+import type { EndpointLoads } from './endpoint-loads.js'
+import type { LogFollower } from './log-follower.js'
+import type { MoveHistory } from './move-history.js'
+import type { RecordWriter } from './record-writer.js'
+
+const logger = new Logger('relief')
+/** Longest time for which a long job waits for buckets to move away; a move takes about 0.3 s. */
+const maximumHoldMilliseconds = 1000
+/** Share of its deadline for which a long job waits at most. */
+const maximumHoldShare = 0.1
+/** Load of the slots that a long job leaves, from which relief is considered at all. */
+const reliefLoad = 0.5
+/** Mean load of the asked endpoints, long jobs included, from which a pool is at a peak. */
+const peakLoad = 0.9
+const reviewMilliseconds = 500
+
+/** Moves buckets away from endpoints of this VM on which a long job runs or is about to. */
+export class LongJobReliever {
+  readonly #follower: LogFollower
+  readonly #coordinator: Coordinator
+  readonly #writer: RecordWriter
+  readonly #loads: EndpointLoads
+  readonly #history: MoveHistory
+  readonly #clock: Clock
+  readonly #lifeCycle: LifeCycle
+  readonly #relieving = new Set<string>()
+  readonly #reviewedAt = new Map<string, number>()
+
+  constructor (options: {
+    readonly follower: LogFollower
+    readonly coordinator: Coordinator
+    readonly writer: RecordWriter
+    readonly loads: EndpointLoads
+    readonly history: MoveHistory
+    readonly clock: Clock
+    readonly lifeCycle: LifeCycle
+  }) {
+    this.#follower = options.follower
+    this.#coordinator = options.coordinator
+    this.#writer = options.writer
+    this.#loads = options.loads
+    this.#history = options.history
+    this.#clock = options.clock
+    this.#lifeCycle = options.lifeCycle
+  }
+
+  /** A long job is about to be queued: the first one waits until the buckets that should move have moved. */
+  jobArrives (session: EndpointSession, deadlineMilliseconds: number): void {
+    if (session.longWork.count !== 1 || !session.longWork.known || !this.#needsRelief(session)) return
+    const until = this.#clock.now() + Math.min(maximumHoldMilliseconds, maximumHoldShare * deadlineMilliseconds)
+    session.queue.holdLong(until)
+    void this.#holdWhileRelieving(session, until)
+  }
+
+  /** Looks at the endpoints on which long jobs run: more may have been queued, or they run longer than expected. */
+  review (): void {
+    const now = this.#clock.now()
+    for (const session of this.#coordinator.sessions) {
+      const { id } = session.description
+      if (session.longWork.count === 0) {
+        this.#reviewedAt.delete(id)
+        continue
+      }
+      if (now - (this.#reviewedAt.get(id) ?? -Infinity) < reviewMilliseconds || !this.#needsRelief(session)) continue
+      void this.#relieve(session)
+    }
+  }
+
+  #needsRelief (session: EndpointSession): boolean {
+    const { state, draining } = session.grants
+    if (state !== 'active' || draining || session.longWork.count === 0) return false
+    const { shortSlots, slots } = this.#loads.loadOf(session)
+    return shortSlots >= reliefLoad * Math.max(0, slots - longSlots(session))
+  }
+
+  async #holdWhileRelieving (session: EndpointSession, until: number): Promise<void> {
+    const moved = await this.#relieve(session)
+    await this.#waitUntilReleased(session, moved, until)
+    session.queue.holdLong(-Infinity)
+  }
+
+  /** Proposes the moves that pay and returns their buckets. Never rejects. */
+  async #relieve (session: EndpointSession): Promise<readonly number[]> {
+    const { id, pool } = session.description
+    if (this.#relieving.has(id)) return []
+    this.#relieving.add(id)
+    this.#reviewedAt.set(id, this.#clock.now())
+    try {
+      const buckets = this.#movableBuckets(session)
+      if (buckets.length === 0) return []
+      const base = this.#follower.state.pools.get(pool)?.version ?? noVersion
+      const relief = this.#plan(session, buckets, await this.#loads.others(pool, id))
+      if (relief.moves.length === 0 || session.longWork.count === 0) return []
+      const offset = await this.#writer.propose(`assignment ${pool}`, { kind: 'assignment', base, pool, moves: [...relief.moves] }, this.#lifeCycle.signal)
+      logger.info('buckets move away from a long job', { endpoint: id, moves: relief.moves.length, gainSeconds: Math.round(relief.gainSeconds), costSeconds: Math.round(relief.costSeconds), offset })
+      return offset === undefined ? [] : relief.moves.map(({ bucket }) => bucket)
+    } catch (error) {
+      logger.warning('relief of an endpoint failed', { endpoint: id, reason: describeError(error) })
+      return []
+    } finally {
+      this.#relieving.delete(id)
+    }
+  }
+
+  #plan (session: EndpointSession, buckets: readonly ReliefBucket[], others: readonly EndpointLoad[]): LongJobRelief {
+    const source = this.#loads.loadOf(session)
+    const held = longSlots(session)
+    const pool = this.#follower.state.pools.get(session.description.pool)
+    return planLongJobRelief({
+      now: this.#clock.now(),
+      source,
+      others,
+      buckets,
+      longSlots: held,
+      remainingMilliseconds: session.longWork.remaining(held),
+      requestsPerSecond: session.load.requestsPerSecond,
+      peak: isPeak([source, ...others]),
+      movesUnderWay: pool?.buckets.filter(bucket => bucket?.pendingFrom !== undefined).length ?? 0
+    })
+  }
+
+  /** Buckets that may leave, with their share of the work; the sketch has room for more buckets than an endpoint usually owns. */
+  #movableBuckets (session: EndpointSession): readonly ReliefBucket[] {
+    const { id, pool } = session.description
+    const states = this.#follower.state.pools.get(pool)?.buckets ?? []
+    const owned = [...states.keys()].filter(bucket => states[bucket]?.owner === id && states[bucket].pendingFrom === undefined)
+    const shares = new Map(owned.map(bucket => [bucket, session.load.hotBuckets.share(bucket)]))
+    const total = [...shares.values()].reduce((sum, share) => sum + share, 0)
+    if (total === 0) return []
+    return owned.filter(bucket => !session.longWork.has(bucket)).map(bucket => {
+      const last = this.#history.lastMove(pool, bucket)
+      return { bucket, share: (shares.get(bucket) ?? 0) / total, movedAt: last?.at, movedFrom: last?.from }
+    }).filter(({ share }) => share > 0)
+  }
+
+  async #waitUntilReleased (session: EndpointSession, buckets: readonly number[], until: number): Promise<void> {
+    const { pool, id } = session.description
+    const pending = (): boolean => buckets.some(bucket => this.#follower.state.pools.get(pool)?.buckets[bucket]?.pendingFrom === id)
+    while (pending()) {
+      const left = until - this.#clock.now()
+      if (left <= 0 || this.#lifeCycle.closed) return
+      await this.#follower.waitForPosition(this.#follower.state.position + 1, left, this.#lifeCycle.signal)
+    }
+  }
+}
+
+/** Slots that long jobs hold: all but one, since the queue keeps one free of them. */
+function longSlots ({ longWork, queue: { slots } }: EndpointSession): number {
+  return Math.min(longWork.count, Math.max(1, slots - 1))
+}
+
+function isPeak (loads: readonly EndpointLoad[]): boolean {
+  const busy = loads.reduce((sum, { shortSlots, longJobs, slots }) => sum + Math.min(slots, shortSlots + Math.min(longJobs, slots - 1)), 0)
+  return busy >= peakLoad * loads.reduce((sum, { slots }) => sum + slots, 0)
+}
--- a/packages/daemon/src/coordinator/coordinator.ts
+++ b/packages/daemon/src/coordinator/coordinator.ts
@@ -9,6 +9,7 @@
 import { notRun } from './answers.js'
 import { EndpointSession, type SessionObserver } from './endpoint-session.js'
 import { JournalCopies, type JournalSink } from './journal.js'
+import { LongDurations } from './long-work.js'
 import type { RightSource } from './right-source.js'
 import { StateEndpointView } from './state-endpoint-view.js'
 
@@ -69,6 +70,7 @@
   /** Unique for each start of the process, so that an endpoint takes no late message of a former process for a current one. */
   readonly #name: string
   readonly #copies: JournalCopies
+  readonly #longDurations: LongDurations
   readonly #coordinated = new Map<string, Coordinated>()
   /** Coordinators by endpoint and token, to find the journal of the one before. */
   readonly #history = new Map<string, Map<number, FormerCoordinator>>()
@@ -80,6 +82,7 @@
     this.#self = options.settings.vm.id
     this.#name = `${this.#self}/${randomUUID().slice(0, 8)}`
     this.#copies = new JournalCopies(options.clock)
+    this.#longDurations = new LongDurations(() => options.view.state.rules.version)
   }
 
   /** Sessions of all endpoints that this VM coordinates. */
@@ -203,6 +206,7 @@
       timing: { ...settings.timing, suspectMilliseconds: settings.timing.endpointSuspectMilliseconds },
       view: new StateEndpointView(this.#options.view, description.id, description.pool, () => this.#coordinated.get(description.id)?.takeoverEffective === true),
       policy: this.#options.createPolicy(),
+      longDurations: this.#longDurations,
       admission: settings.experiments.admission,
       maximumQueued: settings.limits.maximumQueuedPerEndpoint,
       maximumConnections: settings.limits.endpointConnections,
--- a/packages/daemon/src/coordinator/endpoint-session.ts
+++ b/packages/daemon/src/coordinator/endpoint-session.ts
@@ -7,6 +7,7 @@
 import { GrantKeeper, GrantOwner, type GrantTiming } from './grant-keeper.js'
 import { IdempotencyJournal, requestFingerprint, type JournalSink } from './journal.js'
 import { RequestSender } from './request-sender.js'
+import { LongWork, type LongDurations, type LongJob } from './long-work.js'
 import type { RightSource } from './right-source.js'
 import { RunningWork } from './running-work.js'
 import { serviceClassOf } from './service-class.js'
@@ -32,6 +33,8 @@
   abstract stateChanged (session: EndpointSession, state: SessionState): void
   /** The endpoint acknowledged that it no longer holds these buckets. */
   abstract bucketsRevoked (session: EndpointSession, buckets: readonly number[]): void
+  /** A long job is about to be queued; `deadlineMilliseconds` are left for it. */
+  abstract longJobArrives (session: EndpointSession, deadlineMilliseconds: number): void
   /** A request that is not long waited in the queue while long work held a slot. */
   abstract waitedBehindLong (session: EndpointSession, serviceClass: string, milliseconds: number): void
 }
@@ -51,6 +54,7 @@
   readonly observer: SessionObserver
   readonly journalSink: JournalSink
   readonly policy: QueuePolicy
+  readonly longDurations: LongDurations
   readonly admission: boolean
   readonly maximumQueued: number
   readonly maximumConnections: number
@@ -65,6 +69,7 @@
   readonly queue: EndpointQueue
   readonly load: SessionLoad
   readonly running = new RunningWork()
+  readonly longWork: LongWork
   readonly #options: SessionOptions
   readonly #client: EndpointClient
   readonly #sender: RequestSender
@@ -79,6 +84,7 @@
     this.#options = options
     this.#lifeCycle = lifeCycle
     this.load = new SessionLoad(options.clock)
+    this.longWork = new LongWork(options.description.pool, options.clock, options.longDurations)
     this.description = options.description
     this.#client = new EndpointClient(options.description, { coordinatorName: options.coordinatorName, maximumConnections: options.maximumConnections, maximumAnswerBytes: options.maximumAnswerBytes })
     this.journal = new IdempotencyJournal({ endpoint: options.description.id, token: options.token.offset, standby: options.standby, clock: options.clock, sink: options.journalSink })
@@ -108,7 +114,7 @@
 
   /** Samples the queue for the load averages. */
   sampleLoad (): void {
-    this.load.sample(this.queue.queued, this.queue.slots)
+    this.load.sample(this.queue.queued, this.queue.slots, this.#options.view.owned().length)
   }
 
   /** Stops new work: queued requests surely did not run and are answered at once, running ones go on. */
@@ -230,6 +236,8 @@
   /** Queues the request; `prepare` runs while it waits and must succeed before it is sent. */
   async #enqueue (forward: Forward, bucketToken: number, deadlineAt: number, signal: AbortSignal, prepare: () => Promise<boolean>): Promise<Answer> {
     let rejected = false
+    let complete = false
+    const longJob = this.#addLongJob(forward)
     const submittedAt = this.#options.clock.now()
     const behindLong = this.running.anyLong
     const prepared = Promise.resolve().then(async () => rejected || await prepare())
@@ -239,20 +247,32 @@
       run: async runSignal => {
         if (behindLong) this.#reportWait(forward, this.#options.clock.now() - submittedAt)
         if (!await prepared) throw notRunError(notRun('journal_unavailable'))
+        if (longJob !== undefined) this.longWork.start(longJob)
         return await this.#run(forward, bucketToken, deadlineAt, runSignal)
       }
     })
     try {
-      return await submitted
+      const answer = await submitted
+      complete = answer.outcome === Outcome.OUTCOME_ANSWERED
+      return answer
     } catch (error) {
       rejected = true
       const answer = answerForRejection(error)
       if (answer !== undefined) return answer
       logger.error('unexpected failure of a request', { request: forward.requestId, reason: String(error) })
       return unknown('connection_broken')
+    } finally {
+      if (longJob !== undefined) this.longWork.end(longJob, complete)
     }
   }
 
+  #addLongJob (forward: Forward): LongJob | undefined {
+    if (forward.serviceClass !== ServiceClass.SERVICE_CLASS_LONG) return undefined
+    const job = this.longWork.add(forward.bucket, forward.rule)
+    this.#options.observer.longJobArrives(this, forward.deadlineMilliseconds)
+    return job
+  }
+
   #reportWait (forward: Forward, milliseconds: number): void {
     const serviceClass = serviceClassOf(forward.serviceClass)
     if (serviceClass !== 'long') this.#options.observer.waitedBehindLong(this, serviceClass, milliseconds)
--- a/packages/daemon/src/measure-reporter.ts
+++ b/packages/daemon/src/measure-reporter.ts
@@ -53,7 +53,7 @@
     const loads = new Map<string, number[]>()
     for (const session of this.#control.coordinator.sessions) {
       const { id, pool } = session.description
-      loads.set(pool, [...loads.get(pool) ?? [], session.load.load(id, session.queue.slots, true).busy])
+      loads.set(pool, [...loads.get(pool) ?? [], session.load.load(id, session.queue.slots, session.longWork.count, true).busy])
     }
     return loads
   }
--- a/packages/integration/src/experiments/experiment.ts
+++ b/packages/integration/src/experiments/experiment.ts
@@ -24,6 +24,7 @@
   readonly scheduling?: 'classes' | 'fifo'
   readonly endpointChoice?: 'two-choices' | 'random'
   readonly admission?: boolean
+  readonly longJobRelief?: boolean
 }
 
 /** One run of an experiment, on a deployment of its own. */
--- a/packages/scheduling/src/balance.test.ts
+++ b/packages/scheduling/src/balance.test.ts
@@ -2,7 +2,7 @@
 import { planBalanceMoves, type BalanceInput, type BucketLoad, type EndpointLoad } from './balance.js'
 
 const now = 1_000_000
-const endpoint = (name: string, busy: number, queued = 0, accepting = true): EndpointLoad => ({ endpoint: name, slots: 2, busy, queued, accepting })
+const endpoint = (name: string, busy: number, queued = 0, accepting = true): EndpointLoad => ({ endpoint: name, slots: 2, busy, queued, shortSlots: 2 * busy, longJobs: 0, accepting })
 const hot = (values: Partial<BucketLoad> = {}): BucketLoad => ({ bucket: 5, endpoint: 'a', share: 0.4, requestsPerSecond: 40, hotSince: now - 60_000, ...values })
 const plan = (values: Partial<BalanceInput> = {}): ReturnType<typeof planBalanceMoves> =>
   planBalanceMoves({ now, endpoints: [endpoint('a', 1, 20), endpoint('b', 0.3), endpoint('c', 0.5)], buckets: [hot()], crest: false, ...values })
--- a/packages/scheduling/src/balance.ts
+++ b/packages/scheduling/src/balance.ts
@@ -1,3 +1,5 @@
+import { meanWaiting } from './waiting.js'
+
 /** Recent load of one endpoint. */
 export interface EndpointLoad {
   readonly endpoint: string
@@ -6,6 +8,10 @@
   readonly busy: number
   /** Mean number of waiting requests over the window. */
   readonly queued: number
+  /** Slots that requests that are not long keep busy on average, with the buckets that the endpoint owns now. */
+  readonly shortSlots: number
+  /** Long jobs that run or wait. */
+  readonly longJobs: number
   /** False for endpoints that drain, start or are suspected: they receive no bucket. */
   readonly accepting: boolean
 }
@@ -83,8 +89,6 @@
   readonly costSeconds: number
 }
 
-// From here on the queue length is continued linearly; the formula goes to infinity at 1.
-const linearFrom = 0.95
 const maximumLoad = 3
 
 /** Decides which buckets should change their owner now; usually none. */
@@ -136,8 +140,8 @@
   if (source.load - target.load < settings.minimumDifference) return undefined
   // Otherwise the overload would only change its place, and the next plan would move it on.
   if (target.load + arriving >= source.load) return undefined
-  const before = waiting(source.load, source.slots) + waiting(target.load, target.slots)
-  const after = waiting(source.load - moved, source.slots) + waiting(target.load + arriving, target.slots)
+  const before = meanWaiting(source.load, source.slots) + meanWaiting(target.load, target.slots)
+  const after = meanWaiting(source.load - moved, source.slots) + meanWaiting(target.load + arriving, target.slots)
   const remaining = Math.min(Math.max(0, now - bucket.hotSince), settings.maximumRemainingMilliseconds)
   const gainSeconds = (before - after) * remaining / 1000
   const affected = bucket.requestsPerSecond * settings.unavailableMilliseconds / 1000
@@ -150,22 +154,14 @@
   return gainSeconds - costSeconds
 }
 
-/** Mean number of waiting requests at a load (Sakasegawa's approximation for several slots). */
-function waiting (load: number, slots: number): number {
-  const formula = (value: number): number => Math.max(0, value) ** Math.sqrt(2 * (slots + 1)) / (1 - value)
-  if (load <= linearFrom) return formula(load)
-  const slope = (formula(linearFrom) - formula(linearFrom - 0.01)) / 0.01
-  return formula(linearFrom) + slope * (load - linearFrom)
-}
-
 /** The load that explains both the busy share, which cannot exceed 1, and the queue. */
 function offeredLoad ({ busy, queued, slots }: EndpointLoad): number {
   let low = busy
   let high = maximumLoad
-  if (waiting(low, slots) >= queued) return busy
+  if (meanWaiting(low, slots) >= queued) return busy
   for (let step = 0; step < 20; step++) {
     const middle = (low + high) / 2
-    if (waiting(middle, slots) < queued) low = middle
+    if (meanWaiting(middle, slots) < queued) low = middle
     else high = middle
   }
   return high
--- a/packages/scheduling/src/hot-buckets.ts
+++ b/packages/scheduling/src/hot-buckets.ts
@@ -72,6 +72,11 @@
     return counter === undefined ? 0 : this.#share(counter.weight - counter.error)
   }
 
+  /** Returns the recent work of all buckets as work per time: the number of slots that it keeps busy. */
+  busySlots (): number {
+    return this.#total / this.#scale(this.#clock.now()) * Math.LN2 / this.#halfLife
+  }
+
   #share (weight: number): number {
     return this.#total > 0 ? weight / this.#total : 0
   }
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -10,3 +10,7 @@
   defaultBalanceSettings, planBalanceMoves,
   type BalanceInput, type BalanceMove, type BalanceSettings, type BucketLoad, type EndpointLoad
 } from './balance.js'
+export {
+  defaultReliefSettings, planLongJobRelief,
+  type LongJobRelief, type ReliefBucket, type ReliefInput, type ReliefSettings
+} from './long-job-relief.js'
--- a/packages/settings/src/parse-settings.test.ts
+++ b/packages/settings/src/parse-settings.test.ts
@@ -28,7 +28,7 @@
     expect(settings.listen.callers).to.deep.equal({ host: '127.0.0.1', port: 8080 })
     expect(settings.timing).to.include({ rightMilliseconds: 500, grantMilliseconds: 400, renewMilliseconds: 100, clockMarginPercent: 2 })
     expect(settings.limits.endpointConnections).to.equal(90)
-    expect(settings.experiments).to.deep.equal({ scheduling: 'classes', endpointChoice: 'two-choices', admission: true })
+    expect(settings.experiments).to.deep.equal({ scheduling: 'classes', endpointChoice: 'two-choices', admission: true, longJobRelief: true })
     expect(Object.isFrozen(settings.timing)).to.equal(true)
   })
 
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -78,7 +78,8 @@
 const experimentsSchema = z.strictObject({
   scheduling: z.enum(['classes', 'fifo']).default('classes'),
   endpointChoice: z.enum(['two-choices', 'random']).default('two-choices'),
-  admission: z.boolean().default(true)
+  admission: z.boolean().default(true),
+  longJobRelief: z.boolean().default(true)
 }).readonly()
 
 interface RemoteCheck {
