--- a/packages/integration/src/experiments/head-of-line.ts
+++ b/packages/integration/src/experiments/head-of-line.ts
@@ -2,6 +2,7 @@
 import { Experiment, atLeast, atMost, figure, type ExperimentOptions, type Finding, type ResultOf, type Variant } from './experiment.js'
 
 const defaultSeconds = 20
+const withoutRelief = 'classes-without-relief'
 
 /** Short requests beside long jobs on the same endpoints. */
 export abstract class LongJobs extends Experiment {
@@ -18,7 +19,7 @@
   }
 
   override findings (resultOf: ResultOf, { scenario }: ExperimentOptions): readonly Finding[] {
-    const p99 = (name: string): number => resultOf(name).window['short']?.latency.p99 ?? 0
+    const p99 = (name: string): number => shortP99(resultOf(name))
     return [
       atMost('short p99: classes to without-long', p99('classes') / p99('without-long'), 1.5),
       atLeast('short p99: fifo to classes', p99('fifo') / p99('classes'), 5),
@@ -41,6 +42,19 @@
   override readonly name = 'head-of-line-burst'
   override readonly description = 'short requests with and without several season reconciliations at once for each of two keys'
   override readonly phase = 'long-burst'
+
+  override variants (options: ExperimentOptions): readonly Variant[] {
+    const variants = super.variants(options)
+    return [...variants, ...variants.filter(({ name }) => name === 'classes').map(variant => ({ ...variant, name: withoutRelief, settings: { longJobRelief: false } }))]
+  }
+
+  override findings (resultOf: ResultOf, options: ExperimentOptions): readonly Finding[] {
+    return [...super.findings(resultOf, options), figure('short p99: without relief to classes', shortP99(resultOf(withoutRelief)) / shortP99(resultOf('classes')))]
+  }
+}
+
+function shortP99 (result: RunResult): number {
+  return result.window['short']?.latency.p99 ?? 0
 }
 
 function longInTime (result: RunResult): number {
