--- a/packages/daemon/src/control/long-job-relief.ts
+++ b/packages/daemon/src/control/long-job-relief.ts
@@ -124,18 +124,18 @@
     })
   }
 
-  /** Buckets that may leave, with their share of the work; the sketch has room for more buckets than an endpoint usually owns. */
+  /** Buckets that may leave, with a lower bound of their share of the work of the buckets that the endpoint holds. */
   #movableBuckets (session: EndpointSession): readonly ReliefBucket[] {
     const { id, pool } = session.description
     const states = this.#follower.state.pools.get(pool)?.buckets ?? []
-    const owned = [...states.keys()].filter(bucket => states[bucket]?.owner === id && states[bucket].pendingFrom === undefined)
-    const shares = new Map(owned.map(bucket => [bucket, session.load.hotBuckets.share(bucket)]))
-    const total = [...shares.values()].reduce((sum, share) => sum + share, 0)
-    if (total === 0) return []
-    return owned.filter(bucket => !session.longWork.has(bucket)).map(bucket => {
+    const held = (bucket: number): boolean => states[bucket]?.owner === id && states[bucket].pendingFrom === undefined
+    const followed = session.load.hotBuckets.top(Infinity)
+    // The sketch still has the recent work of buckets that have left.
+    const left = followed.filter(({ bucket }) => !held(bucket)).reduce((sum, { share }) => sum + share, 0)
+    return followed.filter(({ bucket, share }) => share > 0 && held(bucket) && !session.longWork.has(bucket)).map(({ bucket, share }) => {
       const last = this.#history.lastMove(pool, bucket)
-      return { bucket, share: (shares.get(bucket) ?? 0) / total, movedAt: last?.at, movedFrom: last?.from }
-    }).filter(({ share }) => share > 0)
+      return { bucket, share: share / (1 - left), movedAt: last?.at, movedFrom: last?.from }
+    })
   }
 
   async #waitUntilReleased (session: EndpointSession, buckets: readonly number[], until: number): Promise<void> {
