Plan the relief on the state in which it is proposed, and again when another assignment came first

Two coordinators that relieve endpoints of one pool at the same time make one of the records void; its endpoint would then wait for the next review.

--- a/packages/daemon/src/control/long-job-relief.ts
+++ b/packages/daemon/src/control/long-job-relief.ts
@@ -18,6 +18,7 @@
 /** Mean load of the asked endpoints, long jobs included, from which a pool is at a peak. */
 const peakLoad = 0.9
 const reviewMilliseconds = 500
+const maximumAttempts = 3
 
 /** Moves buckets away from endpoints of this VM on which a long job runs or is about to. */
 export class LongJobReliever {
@@ -91,23 +92,29 @@
     this.#relieving.add(id)
     this.#reviewedAt.set(id, this.#clock.now())
     try {
-      const buckets = this.#movableBuckets(session)
-      if (buckets.length === 0) return []
-      const base = this.#follower.state.pools.get(pool)?.version ?? noVersion
-      const relief = this.#plan(session, buckets, await this.#loads.others(pool, id))
-      if (relief.moves.length === 0 || session.longWork.count === 0) return []
-      const offset = await this.#writer.propose(`assignment ${pool}`, { kind: 'assignment', base, pool, moves: [...relief.moves] }, this.#lifeCycle.signal)
-      logger.info('buckets move away from a long job', { endpoint: id, moves: relief.moves.length, gainSeconds: Math.round(relief.gainSeconds), costSeconds: Math.round(relief.costSeconds), offset })
-      return offset === undefined ? [] : relief.moves.map(({ bucket }) => bucket)
+      const others = await this.#loads.others(pool, id)
+      for (let attempt = 0; attempt < maximumAttempts; attempt++) {
+        const { moves, gainSeconds, costSeconds } = this.#plan(session, others)
+        if (moves.length === 0) return []
+        const base = this.#follower.state.pools.get(pool)?.version ?? noVersion
+        const offset = await this.#writer.propose(`assignment ${pool}`, { kind: 'assignment', base, pool, moves: [...moves] }, this.#lifeCycle.signal)
+        const moved = moves.map(({ bucket }) => bucket)
+        if (offset === undefined) return []
+        // Another assignment of the pool may have been appended first, which makes this one void.
+        if (moved.every(bucket => this.#follower.state.pools.get(pool)?.buckets[bucket]?.token === offset)) {
+          logger.info('buckets move away from a long job', { endpoint: id, moves: moves.length, gainSeconds: Math.round(gainSeconds), costSeconds: Math.round(costSeconds), offset })
+          return moved
+        }
+      }
     } catch (error) {
       logger.warning('relief of an endpoint failed', { endpoint: id, reason: describeError(error) })
-      return []
     } finally {
       this.#relieving.delete(id)
     }
+    return []
   }
 
-  #plan (session: EndpointSession, buckets: readonly ReliefBucket[], others: readonly EndpointLoad[]): LongJobRelief {
+  #plan (session: EndpointSession, others: readonly EndpointLoad[]): LongJobRelief {
     const source = this.#loads.loadOf(session)
     const held = longSlots(session)
     const pool = this.#follower.state.pools.get(session.description.pool)
@@ -115,7 +122,7 @@
       now: this.#clock.now(),
       source,
       others,
-      buckets,
+      buckets: this.#movableBuckets(session),
       longSlots: held,
       remainingMilliseconds: session.longWork.remaining(held),
       requestsPerSecond: session.load.requestsPerSecond,
