Place long jobs of pools without keys on endpoints without another one

Two long jobs at one endpoint leave its short work one slot less each. An entry VM avoids the endpoints at which its own long jobs run, and falls back to the usual choice when none is left.

--- a/packages/daemon/src/entry/request-router.ts
+++ b/packages/daemon/src/entry/request-router.ts
@@ -9,6 +9,7 @@
 import { callerAnswer, refusal, type CallerAnswer } from './caller-answer.js'
 import { idempotencyKeyOf, requestedDeadline, type AcceptedRequest, type CallerRequest } from './caller-request.js'
 import { endpointHeaders } from './headers.js'
+import { LongPlacement } from './long-placement.js'
 import { PoolMembers, placeOfBucket, placeOfEndpoint, type NoPlace, type Place } from './place.js'
 import { judge, showsFailure, type Verdict } from './resend-policy.js'
 
@@ -78,6 +79,7 @@
   readonly #options: RequestRouterOptions
   readonly #clock: Clock
   readonly #members = new PoolMembers()
+  readonly #longPlacement = new LongPlacement()
   readonly #choosers = new Map<string, EndpointChooser>()
   readonly #budgets = new Map<string, RetryBudget>()
   /** VMs that coordinate an endpoint provisionally, by the version of the place. */
@@ -188,11 +190,17 @@
   #locate ({ accepted: { rule }, bucket, excluded }: Attempt): Place | NoPlace {
     const { state } = this.#options.control
     if (bucket !== noBucket) return placeOfBucket(state, rule.pool, bucket)
-    const chosen = this.#chooser(rule.pool).choose(this.#members.of(state, rule.pool), excluded)
+    const chosen = this.#choose(rule, this.#members.of(state, rule.pool), excluded)
     const endpoint = chosen === undefined ? undefined : state.endpoints.get(chosen)
     return endpoint === undefined ? 'no_endpoint' : placeOfEndpoint(endpoint)
   }
 
+  #choose ({ pool, serviceClass }: AcceptedRequest['rule'], members: readonly string[], excluded: ReadonlySet<string>): string | undefined {
+    const chooser = this.#chooser(pool)
+    const avoiding = serviceClass === 'long' ? chooser.choose(members, this.#longPlacement.avoid(excluded)) : undefined
+    return avoiding ?? chooser.choose(members, excluded)
+  }
+
   /** Sends to the coordinator and, when that is gone or denies, to the VM that may stand in for it. */
   async #sendToPlace (attempt: Attempt, place: Place): Promise<Sent> {
     const provisional = this.#provisional.get(place.version)
@@ -222,8 +230,11 @@
     const keyed = bucket !== noBucket
     const chooser = keyed ? undefined : this.#chooser(rule.pool)
     const startedAt = this.#clock.now()
+    const longWithoutKey = !keyed && rule.serviceClass === 'long'
     chooser?.started(place.endpoint)
+    if (longWithoutKey) this.#longPlacement.started(place.endpoint)
     const answer = await this.#forward(vm, this.#createForward(attempt, place), attempt.signal)
+    if (longWithoutKey) this.#longPlacement.ended(place.endpoint)
     const reported = answer.outcome === Outcome.OUTCOME_ANSWERED ? answer.outstanding : undefined
     chooser?.finished(place.endpoint, { outstanding: reported, milliseconds: this.#clock.now() - startedAt, failed: showsFailure(answer) })
     const verdict = judge(answer, rule.idempotent, keyed)
