--- a/packages/scheduling/src/balance.test.ts
+++ b/packages/scheduling/src/balance.test.ts
@@ -47,6 +47,10 @@
     expect(new Set(plan({ endpoints, buckets }).map(({ to }) => to)).size).to.equal(2)
   })
 
+  it('gives nothing to an endpoint with a long job, whose buckets may just have moved away', () => {
+    expect(plan({ endpoints: [endpoint('a', 1, 20), { ...endpoint('b', 0.1), longJobs: 1 }] })).to.deep.equal([])
+  })
+
   it('gives nothing to an endpoint that is leaving or not ready', () => {
     expect(plan({ endpoints: [endpoint('a', 1, 20), endpoint('b', 0.1, 0, false)] })).to.deep.equal([])
   })
--- a/packages/scheduling/src/balance.ts
+++ b/packages/scheduling/src/balance.ts
@@ -118,7 +118,8 @@
     const source = loads.get(bucket.endpoint)
     if (source === undefined || !mayMove(bucket, now, settings)) continue
     for (const target of loads.values()) {
-      if (!target.accepting || target === source || changed.has(target.endpoint) || isReturn(bucket, target, now, settings)) continue
+      // A long job keeps a slot that the load does not show before the job's end.
+      if (!target.accepting || target.longJobs > 0 || target === source || changed.has(target.endpoint) || isReturn(bucket, target, now, settings)) continue
       const move = evaluate(bucket, source, target, now, settings)
       if (move !== undefined && netGain(move) > (best === undefined ? 0 : netGain(best))) best = move
     }
