--- a/packages/daemon/src/control/long-job-relief.test.ts
+++ b/packages/daemon/src/control/long-job-relief.test.ts
@@ -24,9 +24,11 @@
   readonly reliever: LongJobReliever
   readonly session: EndpointSession
   shortSlots = 0.9
-  state: ControlState = { ...initialState(), pools: new Map([[pool, { version: 5, buckets: Array.from({ length: 51 }, () => ({ owner: 'a', token: 5, pendingFrom: undefined })) }]]) }
+  readonly state: ControlState
 
-  constructor () {
+  constructor (keyed = true) {
+    const buckets = Array.from({ length: 51 }, () => ({ owner: 'a', token: 5, pendingFrom: undefined }))
+    this.state = { ...initialState(), pools: new Map(keyed ? [[pool, { version: 5, buckets }]] : []) }
     const top = Array.from({ length: 50 }, (_, bucket) => ({ bucket, milliseconds: 1, share: 0.02, since: 0 }))
     this.session = {
       description: { id: 'a', pool },
@@ -88,6 +90,13 @@
     expect([unknown, roomy, second].map(({ holds }) => holds)).to.deep.equal([[], [], []])
   })
 
+  it('does not hold a job of a pool without keys, where nothing can move', () => {
+    const bench = new Bench(false)
+    bench.durations.record(pool, rule, 6000)
+    bench.arrive(-1)
+    expect(bench.holds).to.deep.equal([])
+  })
+
   it('does not move the bucket of a waiting long job, whose requests would be refused until the job ends', async () => {
     const bench = new Bench()
     bench.durations.record(pool, rule, 60_000)
--- a/packages/daemon/src/control/long-job-relief.ts
+++ b/packages/daemon/src/control/long-job-relief.ts
@@ -73,6 +73,8 @@
   }
 
   #needsRelief (session: EndpointSession): boolean {
+    // A pool without keys has nothing to move.
+    if (!this.#follower.state.pools.has(session.description.pool)) return false
     const { state, draining } = session.grants
     if (state !== 'active' || draining || session.longWork.count === 0) return false
     const { shortSlots, slots } = this.#loads.loadOf(session)
