--- a/packages/daemon/src/coordinator/coordinator.ts
+++ b/packages/daemon/src/coordinator/coordinator.ts
@@ -11,6 +11,7 @@
 import { CoordinatorHistory, type FormerCoordinator } from './coordinator-history.js'
 import { JournalTransfer, type JournalSource, type SessionJournal } from './journal-transfer.js'
 import { emptyJournal, type JournalSink } from './journal.js'
+import { LongDurations } from './long-work.js'
 import type { RightSource } from './right-source.js'
 import { StateEndpointView } from './state-endpoint-view.js'
 
@@ -64,6 +65,7 @@
   readonly #name: string
   readonly #history: CoordinatorHistory
   readonly #journals: JournalTransfer
+  readonly #longDurations: LongDurations
   readonly #coordinated = new Map<string, Coordinated>()
   #poolRunner: PoolRunner | undefined
   #startPosition: number | undefined
@@ -73,6 +75,7 @@
     this.#options = options
     this.#self = options.settings.vm.id
     this.#name = `${this.#self}/${randomUUID().slice(0, 8)}`
+    this.#longDurations = new LongDurations(() => options.view.state.rules.version)
     this.#history = new CoordinatorHistory(options.clock)
     this.#journals = new JournalTransfer({
       self: this.#self,
@@ -194,6 +197,7 @@
       timing: { ...settings.timing, suspectMilliseconds: settings.timing.endpointSuspectMilliseconds },
       view: new StateEndpointView(this.#options.view, description.id, description.pool, () => this.#coordinated.get(description.id)?.takeoverEffective === true),
       policy: this.#options.createPolicy(),
+      longDurations: this.#longDurations,
       admission: settings.experiments.admission,
       maximumQueued: settings.limits.maximumQueuedPerEndpoint,
       maximumConnections: settings.limits.endpointConnections,
--- a/packages/daemon/src/coordinator/endpoint-session.test.ts
+++ b/packages/daemon/src/coordinator/endpoint-session.test.ts
@@ -7,6 +7,7 @@
 import { EndpointSession, EndpointView, SessionObserver } from './endpoint-session.js'
 import { FormerHolderJournals } from './journal-imports.js'
 import { JournalSink } from './journal.js'
+import { LongDurations } from './long-work.js'
 import { RightSource } from './right-source.js'
 
 class TestRights extends RightSource {
@@ -25,6 +26,7 @@
 class NoObserver extends SessionObserver {
   override stateChanged (): void {}
   override bucketsRevoked (): void {}
+  override longJobArrives (): void {}
   override waitedBehindLong (): void {}
 }
 
@@ -86,6 +88,7 @@
       formerHolders: new NoFormerHolders(),
       poolRunner: () => undefined,
       policy: new ClassPolicy(),
+      longDurations: new LongDurations(() => 1),
       admission: true,
       maximumQueued: 10,
       maximumConnections: 5,
--- a/packages/daemon/src/entry/request-router.ts
+++ b/packages/daemon/src/entry/request-router.ts
@@ -9,6 +9,7 @@
 import { callerAnswer, refusal, type CallerAnswer } from './caller-answer.js'
 import { idempotencyKeyOf, requestedDeadline, type AcceptedRequest, type CallerRequest } from './caller-request.js'
 import { endpointHeaders } from './headers.js'
+import { LongPlacement } from './long-placement.js'
 import { PoolMembers, placeOfBucket, placeOfEndpoint, type NoPlace, type Place } from './place.js'
 import { judge, showsFailure, type Verdict } from './resend-policy.js'
 
@@ -80,6 +81,7 @@
   readonly #options: RequestRouterOptions
   readonly #clock: Clock
   readonly #members = new PoolMembers()
+  readonly #longPlacement = new LongPlacement()
   readonly #choosers = new Map<string, EndpointChooser>()
   readonly #budgets = new Map<string, RetryBudget>()
   /** VMs that coordinate an endpoint provisionally, by the version of the place. */
@@ -184,14 +186,21 @@
     }
   }
 
-  #locate ({ template: { pool, bucket }, excluded }: Attempt): Place | NoPlace {
+  #locate ({ template, excluded }: Attempt): Place | NoPlace {
+    const { pool, bucket } = template
     const { state } = this.#options.control
     if (bucket !== noBucket) return placeOfBucket(state, pool, bucket)
-    const chosen = this.#chooser(pool).choose(this.#members.of(state, pool), excluded)
+    const chosen = this.#choose(template, this.#members.of(state, pool), excluded)
     const endpoint = chosen === undefined ? undefined : state.endpoints.get(chosen)
     return endpoint === undefined ? 'no_endpoint' : placeOfEndpoint(endpoint)
   }
 
+  #choose ({ pool, serviceClass }: RequestTemplate, members: readonly string[], excluded: ReadonlySet<string>): string | undefined {
+    const chooser = this.#chooser(pool)
+    const avoiding = serviceClass === ServiceClass.SERVICE_CLASS_LONG ? chooser.choose(members, this.#longPlacement.avoid(excluded)) : undefined
+    return avoiding ?? chooser.choose(members, excluded)
+  }
+
   /** Sends to the coordinator and, when that is gone or denies, to the VM that may stand in for it. */
   async #sendToPlace (attempt: Attempt, place: Place): Promise<Sent> {
     const provisional = this.#provisional.get(place.version)
@@ -217,12 +226,15 @@
   }
 
   async #send (attempt: Attempt, place: Place, vm: string): Promise<Sent> {
-    const { pool, bucket, idempotent } = attempt.template
+    const { pool, bucket, idempotent, serviceClass } = attempt.template
     const keyed = bucket !== noBucket
     const chooser = keyed ? undefined : this.#chooser(pool)
     const startedAt = this.#clock.now()
+    const longWithoutKey = !keyed && serviceClass === ServiceClass.SERVICE_CLASS_LONG
     chooser?.started(place.endpoint)
+    if (longWithoutKey) this.#longPlacement.started(place.endpoint)
     const answer = await this.#forward(vm, this.#createForward(attempt, place), attempt.signal)
+    if (longWithoutKey) this.#longPlacement.ended(place.endpoint)
     // Answers that no coordinator gave have 0 here.
     const reported = answer.outcome === Outcome.OUTCOME_ANSWERED || answer.outstanding > 0 ? answer.outstanding : undefined
     chooser?.finished(place.endpoint, { outstanding: reported, milliseconds: this.#clock.now() - startedAt, failed: showsFailure(answer) })
--- a/packages/integration/src/experiments/experiment.ts
+++ b/packages/integration/src/experiments/experiment.ts
@@ -25,6 +25,7 @@
   readonly endpointChoice?: 'two-choices' | 'random'
   readonly admission?: boolean
   readonly retryBudget?: boolean
+  readonly longJobRelief?: boolean
 }
 
 /** One run of an experiment, on a deployment of its own. */
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -79,7 +79,8 @@
   scheduling: z.enum(['classes', 'fifo']).default('classes'),
   endpointChoice: z.enum(['two-choices', 'random']).default('two-choices'),
   admission: z.boolean().default(true),
-  retryBudget: z.boolean().default(true)
+  retryBudget: z.boolean().default(true),
+  longJobRelief: z.boolean().default(true)
 }).readonly()
 
 interface RemoteCheck {
