Recognize pools without keys by their rules

Cause: the relief of long jobs took a pool without bucket owners for one without keys. Since idempotency keys have owners of their own, a dispatch pool has buckets too, and a long job there would have moved them for nothing.

The test of such a pool now has buckets with owners as well.

--- a/packages/daemon/src/control/assignments.ts
+++ b/packages/daemon/src/control/assignments.ts
@@ -1,11 +1,11 @@
 import { Logger, type Clock, type LifeCycle } from '@briarsaddle/common'
 import { bucketsLeaving, noVersion, planAssignment, type ControlState, type Moves } from '@briarsaddle/ownership'
-import type { RuleFile } from '@briarsaddle/rules'
 import type { Coordinator } from '../coordinator/coordinator.js'
 import type { EndpointSession } from '../coordinator/endpoint-session.js'
 import type { LogFollower } from './log-follower.js'
 import type { Membership } from './membership.js'
 import type { MoveHistory } from './move-history.js'
+import { poolsWithBuckets } from './pools.js'
 import type { RecordWriter } from './record-writer.js'
 import type { TakeAwayWait } from './take-away.js'
 
@@ -207,14 +207,6 @@
   }
 }
 
-/**
- * Pools whose buckets have owners: those partitioned by key, and those with requests that must run at most once, where
- * the owner's coordinator remembers the idempotency keys of the bucket.
- */
-function poolsWithBuckets (rules: RuleFile): ReadonlySet<string> {
-  return new Set(rules.rules.filter(rule => rule.key !== undefined || !rule.idempotent).map(rule => rule.pool))
-}
-
 function owns (state: ControlState, pool: string, endpoint: string): boolean {
   return state.pools.get(pool)?.buckets.some(bucket => bucket?.owner === endpoint) === true
 }
--- a/packages/daemon/src/control/long-job-relief.test.ts
+++ b/packages/daemon/src/control/long-job-relief.test.ts
@@ -28,7 +28,8 @@
 
   constructor (keyed = true) {
     const buckets = Array.from({ length: 51 }, () => ({ owner: 'a', token: 5, pendingFrom: undefined, former: undefined }))
-    this.state = { ...initialState(), pools: new Map(keyed ? [[pool, { version: 5, buckets }]] : []) }
+    this.state = { ...initialState(), pools: new Map([[pool, { version: 5, buckets }]]) }
+    const rules = { rules: [{ pool, key: keyed ? { from: 'path', name: 'pond' } : undefined }] }
     const top = Array.from({ length: 50 }, (_, bucket) => ({ bucket, milliseconds: 1, share: 0.02, since: 0 }))
     this.session = {
       description: { id: 'a', pool },
@@ -38,7 +39,7 @@
       load: { requestsPerSecond: 10, hotBuckets: { top: () => top } }
     } as unknown as EndpointSession
     this.reliever = new LongJobReliever({
-      follower: { state: this.state, waitForPosition: async () => false } as unknown as LogFollower,
+      follower: { state: this.state, rules, waitForPosition: async () => false } as unknown as LogFollower,
       coordinator: { sessions: [this.session] } as unknown as Coordinator,
       writer: { propose: async (_topic: string, proposal: Proposal) => { this.proposals.push(proposal); return undefined } } as unknown as RecordWriter,
       loads: { loadOf: () => this.#load('a', this.shortSlots), others: async () => [this.#load('b', 0.2)] } as unknown as EndpointLoads,
--- a/packages/daemon/src/control/long-job-relief.ts
+++ b/packages/daemon/src/control/long-job-relief.ts
@@ -6,6 +6,7 @@
 import type { EndpointLoads } from './endpoint-loads.js'
 import type { LogFollower } from './log-follower.js'
 import type { MoveHistory } from './move-history.js'
+import { keyedPools } from './pools.js'
 import type { RecordWriter } from './record-writer.js'
 
 const logger = new Logger('relief')
@@ -73,8 +74,8 @@
   }
 
   #needsRelief (session: EndpointSession): boolean {
-    // A pool without keys has nothing to move.
-    if (!this.#follower.state.pools.has(session.description.pool)) return false
+    // Moving the buckets of a pool without keys relieves nothing: any endpoint runs its requests.
+    if (!keyedPools(this.#follower.rules).has(session.description.pool)) return false
     const { state, draining } = session.grants
     if (state !== 'active' || draining || session.longWork.count === 0) return false
     const { shortSlots, slots } = this.#loads.loadOf(session)
--- a/packages/daemon/src/measure-reporter.ts
+++ b/packages/daemon/src/measure-reporter.ts
@@ -1,5 +1,6 @@
 import type { LifeCycle } from '@briarsaddle/common'
 import type { ControlPlane } from './control-plane.js'
+import { keyedPools } from './control/pools.js'
 import type { Metrics } from './metrics.js'
 
 const reportMilliseconds = 5000
@@ -24,7 +25,7 @@
   #report (): void {
     this.#metrics.peakService()
     // Buckets of other pools only remember idempotency keys; their moves keep no key from being served.
-    const keyed = new Set(this.#control.follower.rules.rules.filter(({ key }) => key !== undefined).map(({ pool }) => pool))
+    const keyed = keyedPools(this.#control.follower.rules)
     for (const [pool, { buckets }] of this.#control.follower.state.pools) {
       if (!keyed.has(pool)) continue
       const owners = buckets.map(bucket => bucket?.owner)
