Do not rebuild the grants of an unchanged list at each renewal

The session now hands out the same array while nothing is leaving, and the keeper keeps its map while that array and the instance are the same; a renewal that did not extend still rebuilds it from what was acknowledged before. When a grant ends, and which buckets are granted, is decided as before.

A checkpoint that this VM reads no longer starts 5 s of quick reviews.

--- a/packages/daemon/src/control-plane.ts
+++ b/packages/daemon/src/control-plane.ts
@@ -204,7 +204,8 @@
   override stateChanged (state: ControlState, read: readonly ReadRecord[]): void {
     this.#balancer.recordsRead(read)
     this.#coordinator.stateChanged(state, read)
-    this.#reviews.changed()
+    // A checkpoint alone changes nothing; a state without records came from a peer.
+    if (read.length === 0 || read.some(({ record }) => record.kind !== 'checkpoint')) this.#reviews.changed()
   }
 
   override readToEnd (startedAt: number): void {
--- a/packages/daemon/src/coordinator/endpoint-session.ts
+++ b/packages/daemon/src/coordinator/endpoint-session.ts
@@ -141,7 +141,9 @@
       const token = this.grants.grantedToken(bucket)
       if (token !== undefined && this.running.has(bucket)) stillRunning.push({ bucket, token })
     }
-    return [...this.#options.view.owned(), ...stillRunning]
+    const owned = this.#options.view.owned()
+    // The same array as before tells the grant keeper without a comparison that nothing has changed.
+    return stillRunning.length === 0 ? owned : [...owned, ...stillRunning]
   }
 
   override stateChanged (state: SessionState): void {
@@ -165,8 +167,10 @@
     if (this.queue.slots !== this.grants.slots) this.queue.setSlots(this.grants.slots)
     // Requests of a former coordinator may still occupy slots.
     this.queue.setForeignRunning(Math.max(0, answer.running - this.inFlight))
+    const leaving = this.#options.view.leaving()
+    if (leaving.length === 0) return
     const held = new Set([...granted.map(({ bucket }) => bucket), ...answer.stillHeld])
-    const revoked = this.#options.view.leaving().filter(bucket => !held.has(bucket))
+    const revoked = leaving.filter(bucket => !held.has(bucket))
     if (revoked.length > 0) this.#options.observer.bucketsRevoked(this, revoked)
   }
 
--- a/packages/daemon/src/coordinator/grant-keeper.ts
+++ b/packages/daemon/src/coordinator/grant-keeper.ts
@@ -53,6 +53,8 @@
   #knownList: { readonly number: number, readonly buckets: readonly BucketGrant[] } | undefined
   #lastList = 0
   #granted: ReadonlyMap<number, number> = new Map()
+  /** The list from which `#granted` was made, if it was made from a complete one. */
+  #grantedList: readonly BucketGrant[] | undefined
   /** Local end of the last grant sent for each bucket, acknowledged or not. */
   readonly #lastGrantEnds = new Map<number, number>()
   #instance = ''
@@ -179,6 +181,7 @@
     this.#slots = hello.slots
     if (hello.instance !== this.#instance) {
       this.#granted = new Map()
+      this.#grantedList = undefined
       this.#grantedUntil = -Infinity
       this.#endpointClock = this.#createClock()
     }
@@ -219,9 +222,12 @@
   }
 
   #acknowledged (buckets: readonly BucketGrant[], until: number, extended: boolean): void {
+    if (extended) this.#grantedUntil = until
+    // Most renewals repeat the list of the last one.
+    if (buckets === this.#grantedList) return
     const kept = extended ? buckets : buckets.filter(({ bucket, token }) => this.#granted.get(bucket) === token)
     this.#granted = new Map(kept.map(({ bucket, token }) => [bucket, token]))
-    if (extended) this.#grantedUntil = until
+    this.#grantedList = extended ? buckets : undefined
   }
 
   #sampleClock (endpointClock: number): void {
@@ -281,5 +287,5 @@
 }
 
 function sameGrants (one: readonly BucketGrant[], other: readonly BucketGrant[]): boolean {
-  return one.length === other.length && one.every(({ bucket, token }, index) => other[index]?.bucket === bucket && other[index]?.token === token)
+  return one === other || (one.length === other.length && one.every(({ bucket, token }, index) => other[index]?.bucket === bucket && other[index]?.token === token))
 }
