Review at once when a VM is suspected

The first watcher of a lost VM may act as soon as it suspects it, but waited up to 50 ms for the next review, as it did before the reviews had two paces. The loss of an endpoint was already reviewed at once.

--- a/packages/daemon/src/control-plane.ts
+++ b/packages/daemon/src/control-plane.ts
@@ -65,7 +65,7 @@
     this.#loops = lifeCycle.child('control loops')
     this.follower = new LogFollower({ log, clock, maximumRuleFileBytes: settings.limits.maximumRuleFileBytes })
     this.writer = new RecordWriter(log, this.follower, clock)
-    this.membership = new Membership({ self: settings.vm, list, peers: this.peers, hasher, clock, timing, position: () => this.follower.state.position, changed: () => this.#reviews.changed() })
+    this.membership = new Membership({ self: settings.vm, list, peers: this.peers, hasher, clock, timing, position: () => this.follower.state.position, changed: () => this.#reviews.changed(), suspicionBegan: () => this.#reviews.reviewNow() })
     const witness = new Witness(this.follower, clock)
     const poll = new WitnessPoll({ self, witness, peers: this.peers })
     const takeAway = new TakeAwayWait({ follower: this.follower, poll, clock, rightOptions })
@@ -139,7 +139,7 @@
     this.#reviews.changed()
   }
 
-  /** Looks at coordinators and assignments once; called by a timer and when an endpoint was lost. */
+  /** Looks at coordinators and assignments once; called by a timer and at once when a VM is suspected or an endpoint lost. */
   review (): void {
     this.#coordination.review()
     this.#assignments.review()
--- a/packages/daemon/src/control/membership.ts
+++ b/packages/daemon/src/control/membership.ts
@@ -33,6 +33,7 @@
   readonly #timing: MembershipTiming
   readonly #position: () => number
   readonly #changed: () => void
+  readonly #suspicionBegan: () => void
   readonly #instance = randomUUID()
   readonly #watched = new Map<string, Watched>()
   readonly #suspectedSince = new Map<string, number>()
@@ -54,6 +55,8 @@
     readonly position: () => number
     /** Called when the list, a suspicion or the knowledge of a leaving VM has changed. */
     readonly changed: () => void
+    /** Called when this VM begins to suspect another one. */
+    readonly suspicionBegan: () => void
   }) {
     this.#self = options.self
     this.#list = options.list
@@ -63,6 +66,7 @@
     this.#timing = options.timing
     this.#position = options.position
     this.#changed = options.changed
+    this.#suspicionBegan = options.suspicionBegan
     this.#lastBeat = options.clock.now()
     this.#ring = new MembershipRing(options.hasher, [options.self])
   }
@@ -207,6 +211,7 @@
       this.#suspectedSince.set(vm, this.#clock.now())
       logger.warning('VM suspected', { vm, reason: describeError(error) })
       this.#rebuild()
+      this.#suspicionBegan()
     } finally {
       watched.checking = false
     }
--- a/packages/daemon/src/control/review-loop.test.ts
+++ b/packages/daemon/src/control/review-loop.test.ts
@@ -51,9 +51,18 @@
     expect(await reviewsInOneSecond()).to.be.greaterThan(8)
   })
 
+  it('reviews at once when asked to (a lost VM that waits for the next interval)', () => {
+    const before = reviews
+    loop.reviewNow()
+    expect(reviews).to.equal(before + 1)
+  })
+
   it('stops with its life cycle, also when a change is reported later (work after the clean-up)', async () => {
     await lifeCycle.close()
+    const before = reviews
     loop.changed()
-    expect(await reviewsInOneSecond()).to.equal(0)
+    loop.reviewNow()
+    await delay(300)
+    expect(reviews).to.equal(before)
   })
 })
--- a/packages/daemon/src/control/review-loop.ts
+++ b/packages/daemon/src/control/review-loop.ts
@@ -49,6 +49,12 @@
     this.#endQuick ??= processTicker.every(quickMilliseconds, () => this.#runQuick())
   }
 
+  /** Reviews at once, for changes that callers wait for. */
+  reviewNow (): void {
+    this.changed()
+    if (!this.#closed) this.#run()
+  }
+
   #runQuick (): void {
     this.#run()
     if (this.#clock.now() < this.#quickUntil) return
