--- a/packages/common/src/life-cycle.test.ts
+++ b/packages/common/src/life-cycle.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import { delay } from './clock.js'
 import { LifeCycle } from './life-cycle.js'
 
 describe('LifeCycle', () => {
@@ -20,4 +21,13 @@
     expect(error).to.have.property('code', 'clean_up_failed')
     expect(order).to.deep.equal(['first'])
   })
+
+  it('refuses a periodic task once it is closed and does not run it (work that nobody ends)', async () => {
+    const lifeCycle = new LifeCycle('test')
+    await lifeCycle.close()
+    let runs = 0
+    expect(() => lifeCycle.every('late', 10, () => { runs += 1 }, () => {})).to.throw().with.property('code', 'already_closed')
+    await delay(50)
+    expect(runs).to.equal(0)
+  })
 })
--- a/packages/common/src/life-cycle.ts
+++ b/packages/common/src/life-cycle.ts
@@ -46,12 +46,14 @@
    */
   every (name: string, intervalMilliseconds: number, task: () => void | Promise<void>, onError: (error: unknown) => void): void {
     let running = false
-    const end = processTicker.every(intervalMilliseconds, () => {
+    let end = (): void => {}
+    // Registered first: a closed life cycle must not leave a task behind that nobody ends.
+    this.own(name, () => end())
+    end = processTicker.every(intervalMilliseconds, () => {
       if (running) return
       running = true
       Promise.resolve().then(task).catch(onError).finally(() => { running = false })
     })
-    this.own(name, end)
   }
 
   /** Releases everything. Throws `clean_up_failed` with all causes after every step has run. */
