Test suspicions, signs of life and list changes

Membership had no test of its own; these guard what the changes for an idle VM touched: frames that count as signs of life, reviews at the start of a suspicion, and lists that are not rebuilt.

--- /dev/null
+++ b/packages/daemon/src/control/membership.test.ts
@@ -0,0 +1,103 @@
+import { expect } from 'chai'
+import { delay, LifeCycle, ManualClock } from '@briarsaddle/common'
+import { KeyHasher } from '@briarsaddle/ownership'
+import { VmListClient, type ListedVm } from '@briarsaddle/platform'
+import type { PeerPool } from '@briarsaddle/protocol'
+import { Membership } from './membership.js'
+
+class TestList extends VmListClient {
+  listed: readonly ListedVm[] = []
+
+  override async fetch (): Promise<readonly ListedVm[]> { return this.listed }
+}
+
+/** A peer that answers no heartbeat. */
+class SilentPeer {
+  silentMilliseconds = Infinity
+
+  async heartbeat (): Promise<never> { throw new Error('no answer') }
+  async freshHeartbeat (): Promise<never> { throw new Error('no answer') }
+}
+
+describe('Membership', () => {
+  const timing = { heartbeatMilliseconds: 20, suspectMilliseconds: 300, vmListMilliseconds: 40 }
+  const self = { id: 'vm-1', dataCentre: 'a' }
+  let clock: ManualClock
+  let lifeCycle: LifeCycle
+  let list: TestList
+  let peer: SilentPeer
+  let events: string[]
+  let membership: Membership
+
+  function entry (id: string): ListedVm {
+    return { id, role: 'entry', dataCentre: 'b', host: '127.0.0.1', port: 1, state: 'live' }
+  }
+
+  beforeEach(async () => {
+    clock = new ManualClock()
+    lifeCycle = new LifeCycle('test')
+    list = new TestList()
+    list.listed = [entry('vm-1'), entry('vm-2')]
+    peer = new SilentPeer()
+    events = []
+    membership = new Membership({
+      self,
+      list,
+      peers: { get: () => peer, update: () => {} } as unknown as PeerPool,
+      hasher: await KeyHasher.create(),
+      clock,
+      timing,
+      position: () => 1,
+      changed: () => events.push('changed'),
+      suspicionBegan: () => events.push('suspicion')
+    })
+    await membership.start(lifeCycle)
+  })
+
+  afterEach(async () => await lifeCycle.close())
+
+  /** Lets the clock go on in steps that do not look like a pause of the process. */
+  async function pass (milliseconds: number): Promise<void> {
+    for (let passed = 0; passed < milliseconds; passed += 50) {
+      clock.advance(50)
+      // Two heartbeats, so that the clock does not go on without one.
+      await delay(50)
+    }
+  }
+
+  it('suspects a VM that answers neither on its stream nor over a fresh connection, and says so at once (a lost VM that is replaced late)', async () => {
+    await pass(200)
+    expect(membership.suspected.size).to.equal(0)
+    await pass(250)
+    expect([...membership.suspected]).to.deep.equal(['vm-2'])
+    expect(events).to.include('suspicion')
+  })
+
+  it('does not suspect a VM whose frames arrive although its answers are late (a busy VM taken for a lost one)', async () => {
+    peer.silentMilliseconds = 100
+    await pass(600)
+    expect(membership.suspected.size).to.equal(0)
+    peer.silentMilliseconds = 400
+    await pass(150)
+    expect([...membership.suspected]).to.deep.equal(['vm-2'])
+  })
+
+  it('reports a list that has changed and no other (work for every poll; a change that is missed)', async () => {
+    events.length = 0
+    await delay(150)
+    expect(events).to.deep.equal([])
+    list.listed = [entry('vm-1'), entry('vm-2'), entry('vm-3')]
+    await delay(150)
+    expect(events).to.deep.equal(['changed'])
+    expect(membership.vms.map(({ id }) => id)).to.include('vm-3')
+  })
+
+  it('counts how long a VM is missing from its last listing, also when the list stays the same for long (a VM that is replaced too early)', async () => {
+    await pass(1000)
+    list.listed = [entry('vm-1')]
+    await delay(150)
+    expect(membership.missingFor('vm-2')).to.be.lessThan(200)
+    clock.advance(500)
+    expect(membership.missingFor('vm-2')).to.be.within(500, 700)
+  })
+})
