--- a/packages/daemon/src/control-plane.ts
+++ b/packages/daemon/src/control-plane.ts
@@ -69,7 +69,7 @@
     this.#loops = lifeCycle.child('control loops')
     this.follower = new LogFollower({ log, clock, maximumRuleFileBytes: settings.limits.maximumRuleFileBytes })
     this.writer = new RecordWriter(log, this.follower, clock)
-    this.membership = new Membership({ self: settings.vm, list, peers: this.peers, hasher, clock, timing, position: () => this.follower.state.position, changed: () => this.#reviews.changed() })
+    this.membership = new Membership({ self: settings.vm, list, peers: this.peers, hasher, clock, timing, position: () => this.follower.state.position, changed: () => this.#reviews.changed(), suspicionBegan: () => this.#reviews.reviewNow() })
     const witness = new Witness(this.follower, clock)
     const poll = new WitnessPoll({ self, witness, peers: this.peers })
     const takeAway = new TakeAwayWait({ follower: this.follower, poll, clock, rightOptions })
@@ -152,7 +152,7 @@
     this.#reliever?.jobArrives(session, deadlineMilliseconds)
   }
 
-  /** Looks at coordinators and assignments once; called by a timer and when an endpoint was lost. */
+  /** Looks at coordinators and assignments once; called by a timer and at once when a VM is suspected or an endpoint lost. */
   review (): void {
     this.#coordination.review()
     this.#assignments.review()
@@ -222,7 +222,8 @@
   override stateChanged (state: ControlState, read: readonly ReadRecord[]): void {
     this.#history.recordsRead(read)
     this.#coordinator.stateChanged(state, read)
-    this.#reviews.changed()
+    // A checkpoint alone changes nothing; a state without records came from a peer.
+    if (read.length === 0 || read.some(({ record }) => record.kind !== 'checkpoint')) this.#reviews.changed()
   }
 
   override readToEnd (startedAt: number): void {
