Keep refusals out of the latency by which the chooser finds slow endpoints

Cause: a refusal comes within milliseconds and counted as a quick answer. Under overload half of the endings are refusals, so the usual latency fell far below that of an answer after a wait; answers looked slow, and the endpoints that gave them were set aside while others refused.

Change: a request that did not run has no latency and is no sample, unless it shows a failure.

The new test fails when refusals count as answers after 2 ms.

--- a/packages/daemon/src/entry/request-router.ts
+++ b/packages/daemon/src/entry/request-router.ts
@@ -228,7 +228,8 @@
     const answer = await this.#forward(vm, this.#createForward(attempt, place), attempt.signal)
     // Answers that no coordinator gave have 0 here.
     const reported = answer.outcome === Outcome.OUTCOME_ANSWERED || answer.outstanding > 0 ? answer.outstanding : undefined
-    chooser?.finished(place.endpoint, { outstanding: reported, milliseconds: this.#clock.now() - startedAt, failed: showsFailure(answer) })
+    const milliseconds = answer.outcome === Outcome.OUTCOME_NOT_RUN ? undefined : this.#clock.now() - startedAt
+    chooser?.finished(place.endpoint, { outstanding: reported, milliseconds, failed: showsFailure(answer) })
     const verdict = judge(answer, rule.idempotent, keyed)
     const budget = this.#budget(attempt, place)
     if (answer.outcome === Outcome.OUTCOME_ANSWERED) budget.succeeded()
--- a/packages/scheduling/src/endpoint-chooser.ts
+++ b/packages/scheduling/src/endpoint-chooser.ts
@@ -4,7 +4,8 @@
 export interface RequestEnd {
   /** Outstanding requests of the endpoint as its coordinator reported them with the answer; undefined without a report. */
   readonly outstanding?: number | undefined
-  readonly milliseconds: number
+  /** Time until the request ended; undefined for one that was refused, which says nothing about the endpoint's speed. */
+  readonly milliseconds: number | undefined
   /** True when the endpoint or its coordinator failed; not for a refusal or an error of the caller. */
   readonly failed: boolean
 }
--- a/packages/scheduling/src/two-choices.test.ts
+++ b/packages/scheduling/src/two-choices.test.ts
@@ -3,7 +3,7 @@
 import { TwoChoices } from './two-choices.js'
 
 const candidates = ['a', 'b', 'c', 'd']
-const good = { outstanding: 0, milliseconds: 10, failed: false }
+const good = { outstanding: 0, milliseconds: 10 as number | undefined, failed: false }
 
 function setUp (): { readonly clock: ManualClock, readonly chooser: TwoChoices, readonly serve: (endpoint: string, end?: Partial<typeof good>, times?: number) => void } {
   const clock = new ManualClock()
@@ -38,6 +38,16 @@
     expect(Array.from({ length: 100 }, () => chooser.choose(candidates))).to.include('a')
   })
 
+  // Refusals come within milliseconds; taken for quick answers, they made every answer after a wait look slow.
+  it('does not set the one endpoint aside that answers while the others refuse', () => {
+    const { chooser, serve } = setUp()
+    for (let round = 0; round < 200; round++) {
+      serve('a', { milliseconds: 40 }, 1)
+      for (const candidate of ['b', 'c', 'd']) serve(candidate, { outstanding: 9, milliseconds: undefined }, 1)
+    }
+    expect(chooser.snapshot()['a']).to.include({ asideMilliseconds: 0 })
+  })
+
   it('counts what was sent since the report, so that a burst does not go to one endpoint', () => {
     const { chooser } = setUp()
     const counts: Record<string, number> = {}
--- a/packages/scheduling/src/two-choices.ts
+++ b/packages/scheduling/src/two-choices.ts
@@ -71,10 +71,12 @@
       record.reportedAt = now
       record.sentSinceReport = 0
     }
-    const bad = failed || this.#isSlow(milliseconds)
-    if (!failed) this.#recordLatency(milliseconds)
-    record.samples++
-    record.badness += badnessSmoothing * ((bad ? 1 : 0) - record.badness)
+    const bad = failed || (milliseconds !== undefined && this.#isSlow(milliseconds))
+    if (!failed && milliseconds !== undefined) this.#recordLatency(milliseconds)
+    if (bad || milliseconds !== undefined) {
+      record.samples++
+      record.badness += badnessSmoothing * ((bad ? 1 : 0) - record.badness)
+    }
     if (record.probing) this.#endProbe(record, bad, now)
     else if (now >= record.asideUntil && this.#isOutlier(endpoint, record)) this.#setAside(record, now)
   }
