--- a/packages/daemon/src/coordinator/endpoint-session.ts
+++ b/packages/daemon/src/coordinator/endpoint-session.ts
@@ -1,13 +1,14 @@
-import { delay, Logger, type Clock, type LifeCycle, type Random } from '@briarsaddle/common'
-import type { BucketState, EndpointDescription, FormerHolder } from '@briarsaddle/ownership'
-import { JournalStage, Outcome, ServiceClass, type Answer, type Forward } from '@briarsaddle/protocol'
+import { Logger, type Clock, type LifeCycle, type Random } from '@briarsaddle/common'
+import type { BucketState, EndpointDescription } from '@briarsaddle/ownership'
+import { Outcome, ServiceClass, type Answer, type Forward } from '@briarsaddle/protocol'
 import { EndpointQueue, type JobDescription, type QueuePolicy } from '@briarsaddle/scheduling'
 import { answerForRejection, defaultRetryAfterMilliseconds, notRun, notRunError, unknown, type Reason } from './answers.js'
 import { EndpointClient, type BucketGrant, type CoordinatorToken, type RenewAnswer } from './endpoint-client.js'
 import { GrantKeeper, GrantOwner, type GrantTiming } from './grant-keeper.js'
+import { IdempotentRequests, RequestQueue, type PendingRequest } from './idempotent-requests.js'
 import type { PoolRunner } from './coordinator.js'
 import { JournalImports, type FormerHolderJournals, type HandedOverBucket } from './journal-imports.js'
-import { IdempotencyJournal, requestFingerprint, type JournalKey, type JournalSink } from './journal.js'
+import { IdempotencyJournal, type JournalSink } from './journal.js'
 import { RequestSender } from './request-sender.js'
 import { LongWork, type LongDurations, type LongJob } from './long-work.js'
 import type { RightSource } from './right-source.js'
@@ -81,6 +82,7 @@
   readonly #client: EndpointClient
   readonly #sender: RequestSender
   readonly #imports: JournalImports
+  readonly #idempotent: IdempotentRequests
   readonly #lifeCycle: LifeCycle
   #provisionalGrants: ReadonlySet<number> | undefined
   #activeWaiters: Array<() => void> = []
@@ -97,6 +99,13 @@
     this.#client = new EndpointClient(options.description, { coordinatorName: options.coordinatorName, maximumConnections: options.maximumConnections, maximumAnswerBytes: options.maximumAnswerBytes })
     this.journal = new IdempotencyJournal({ endpoint: options.description.id, token: options.token.offset, standby: options.standby, clock: options.clock, sink: options.journalSink })
     this.#imports = new JournalImports({ endpoint: options.description.id, journal: this.journal, journals: options.formerHolders, clock: options.clock, lifeCycle })
+    this.#idempotent = new IdempotentRequests({
+      ...options,
+      endpoint: options.description.id,
+      journal: this.journal,
+      imports: this.#imports,
+      queue: new SessionQueue(request => this.#refuse(request), async (request, prepare) => await this.#enqueue(request, prepare), bucket => this.#heldBucket(bucket))
+    })
     this.queue = new EndpointQueue({ slots: 1, maximumQueued: options.maximumQueued, clock: options.clock, random: options.random, policy: options.policy, admission: options.admission })
     this.grants = new GrantKeeper({ ...options, client: this.#client, owner: this })
     this.#sender = new RequestSender({ client: this.#client, grants: this.grants, clock: options.clock, coordinatorName: options.coordinatorName })
@@ -144,11 +153,9 @@
     if (!await this.#waitUntilActive(deadlineAt, signal)) return this.#complete(notRun('endpoint_unavailable'))
     const bucketToken = this.#bucketToken(forward.bucket)
     if (bucketToken === undefined) return this.#complete(notRun('not_owner', 50))
-    if (forward.idempotent || forward.idempotencyKey === '') {
-      const refused = this.#refuse(forward, deadlineAt, signal)
-      return this.#complete(refused ?? await this.#enqueue(forward, bucketToken, deadlineAt, signal, async () => true))
-    }
-    return this.#complete(await this.#handleOnce(forward, bucketToken, deadlineAt, signal))
+    const request: PendingRequest = { forward, bucketToken, deadlineAt, signal }
+    if (forward.idempotent || forward.idempotencyKey === '') return this.#complete(this.#refuse(request) ?? await this.#enqueue(request, async () => true))
+    return this.#complete(await this.#idempotent.handle(request))
   }
 
   override takeoverEffective (): boolean {
@@ -229,73 +236,24 @@
 
   #bucketToken (bucket: number): number | undefined {
     if (bucket < 0) return -1
-    const state = this.#options.view.bucket(bucket)
-    if (state === undefined || state.owner !== this.description.id || state.pendingFrom !== undefined) return undefined
-    return state.token
-  }
-
-  async #handleOnce (forward: Forward, bucketToken: number, deadlineAt: number, signal: AbortSignal): Promise<Answer> {
-    const { bucket, idempotencyKey } = forward
-    await this.#importSettled(bucket, deadlineAt, signal)
-    // The bucket may have moved meanwhile; from here until the key is in the journal nothing is awaited.
-    if (this.#bucketToken(bucket) !== bucketToken) return notRun('not_owner', 50)
-    const key: JournalKey = { key: idempotencyKey, fingerprint: requestFingerprint(forward), bucket, former: this.#formerHolder(bucket) }
-    const known = this.#answerFromJournal(key)
-    if (known !== undefined) return known
-    const refused = forward.anyEndpoint ? undefined : this.#refuse(forward, deadlineAt, signal)
-    if (refused !== undefined) return refused
-    const refusal = this.journal.begin(key)
-    if (refusal !== undefined) return notRun(refusal === 'full' ? 'journal_full' : 'not_coordinator', refusal === 'full' ? journalFullRetryMilliseconds : 50)
-    const answer = forward.anyEndpoint
-      ? await this.#runAnywhere(forward, signal)
-      : await this.#enqueue(forward, bucketToken, deadlineAt, signal, async () => await this.journal.replicate(idempotencyKey))
-    this.journal.finish(idempotencyKey, stageOf(answer), answer)
-    return answer
-  }
-
-  #answerFromJournal (key: JournalKey): Answer | undefined {
-    const finding = this.journal.find(key)
-    switch (finding.kind) {
-      case 'answered': return finding.answer
-      case 'different_request': return notRun('idempotency_key_reused')
-      case 'running': return unknown('repeat_in_progress')
-      case 'unknown': return unknown('repeat_unknown')
-      case 'incomplete': return unknown('journal_incomplete')
-      case 'new': return undefined
-    }
-  }
-
-  #formerHolder (bucket: number): FormerHolder | undefined {
-    const former = this.#options.view.bucket(bucket)?.former
-    return former?.endpoint === this.description.id ? undefined : former
+    return this.#heldBucket(bucket)?.token
   }
 
-  async #importSettled (bucket: number, deadlineAt: number, signal: AbortSignal): Promise<void> {
-    const settled = this.#imports.running(bucket)
-    if (settled === undefined) return
-    const wait = new AbortController()
-    const longest = delay(Math.min(maximumImportWaitMilliseconds, deadlineAt - this.#options.clock.now()), AbortSignal.any([signal, wait.signal]))
-    await Promise.race([settled, longest])
-    wait.abort()
-  }
-
-  /** Runs a request whose key this journal has at any endpoint of the pool. */
-  async #runAnywhere (forward: Forward, signal: AbortSignal): Promise<Answer> {
-    const runner = this.#options.poolRunner()
-    if (runner === undefined) return notRun('endpoint_unavailable')
-    if (!await this.journal.replicate(forward.idempotencyKey)) return notRun('journal_unavailable')
-    return await runner.run(forward, signal)
+  #heldBucket (bucket: number): BucketState | undefined {
+    const state = this.#options.view.bucket(bucket)
+    return state?.owner === this.description.id && state.pendingFrom === undefined ? state : undefined
   }
 
   /** Refuses before any work is done for the request; a rejection by `submit` costs about 20 times as much. */
-  #refuse (forward: Forward, deadlineAt: number, signal: AbortSignal): Answer | undefined {
+  #refuse ({ forward, deadlineAt, signal }: PendingRequest): Answer | undefined {
     if (this.grants.renewalIsOverdue) return notRun('right_expired')
     const refusal = this.queue.refuse(describeJob(forward, deadlineAt, signal))
     return refusal === undefined ? undefined : notRun(refusal.code, refusal.retryAfterMilliseconds)
   }
 
   /** Queues the request; `prepare` runs while it waits and must succeed before it is sent. */
-  async #enqueue (forward: Forward, bucketToken: number, deadlineAt: number, signal: AbortSignal, prepare: () => Promise<boolean>): Promise<Answer> {
+  async #enqueue (request: PendingRequest, prepare: () => Promise<boolean>): Promise<Answer> {
+    const { forward, deadlineAt, signal } = request
     let rejected = false
     let complete = false
     const longJob = this.#addLongJob(forward)
@@ -309,7 +267,7 @@
         if (behindLong) this.#reportWait(forward, this.#options.clock.now() - submittedAt)
         if (!await prepared) throw notRunError(notRun('journal_unavailable'))
         if (longJob !== undefined) this.longWork.start(longJob)
-        return await this.#run(forward, bucketToken, deadlineAt, runSignal)
+        return await this.#run({ ...request, signal: runSignal })
       }
     })
     try {
@@ -339,7 +297,7 @@
     if (serviceClass !== 'long') this.#options.observer.waitedBehindLong(this, serviceClass, milliseconds)
   }
 
-  async #run (forward: Forward, bucketToken: number, deadlineAt: number, signal: AbortSignal): Promise<Answer> {
+  async #run ({ forward, bucketToken, deadlineAt, signal }: PendingRequest): Promise<Answer> {
     // The bucket may have been taken away while the request was queued.
     if (this.#bucketToken(forward.bucket) !== bucketToken) return notRun('not_owner', 50)
     const bucket = forward.bucket
@@ -379,19 +337,18 @@
 }
 
 const maximumActivationWaitMilliseconds = 1000
-const maximumImportWaitMilliseconds = 1000
-/** A full journal gets room only as its oldest keys expire. */
-const journalFullRetryMilliseconds = 5000
 const movedRetryMilliseconds = 50
 
 function describeJob (forward: Forward, deadlineAt: number, signal: AbortSignal): JobDescription {
   return { serviceClass: serviceClassOf(forward.serviceClass), rule: forward.rule, deadlineAt, signal }
 }
 
-function stageOf (answer: Answer): JournalStage {
-  switch (answer.outcome) {
-    case Outcome.OUTCOME_ANSWERED: return JournalStage.JOURNAL_STAGE_ANSWERED
-    case Outcome.OUTCOME_NOT_RUN: return JournalStage.JOURNAL_STAGE_REMOVED
-    default: return JournalStage.JOURNAL_STAGE_UNKNOWN
+class SessionQueue extends RequestQueue {
+  constructor (
+    readonly refuse: RequestQueue['refuse'],
+    readonly enqueue: RequestQueue['enqueue'],
+    readonly heldBucket: RequestQueue['heldBucket']
+  ) {
+    super()
   }
 }
--- /dev/null
+++ b/packages/daemon/src/entry/bounded-forwarder.ts
@@ -0,0 +1,46 @@
+import { peerReasons, unknownAnswer, type Answer, type Forward } from '@briarsaddle/protocol'
+import type { ForwardHandler, PeerForwarder } from '../contracts.js'
+
+/** The coordinator's own refusal at the deadline arrives before the router gives up. */
+export const deadlineReserveMilliseconds = 2
+// A handler that ignores an abort must not hold up the final answer for longer.
+const abortGraceMilliseconds = 50
+
+/** Forwards to this or another VM. The deadline and an abort end it even when the other side does not react. */
+export class BoundedForwarder {
+  readonly #self: string
+  readonly #local: ForwardHandler
+  readonly #peers: PeerForwarder
+
+  constructor (self: string, local: ForwardHandler, peers: PeerForwarder) {
+    this.#self = self
+    this.#local = local
+    this.#peers = peers
+  }
+
+  /** Always resolves. */
+  async forward (vm: string, forward: Forward, signal: AbortSignal): Promise<Answer> {
+    const controller = new AbortController()
+    return await new Promise(resolve => {
+      const end = (answer: Answer): void => {
+        clearTimeout(timer)
+        clearTimeout(abortTimer)
+        signal.removeEventListener('abort', onAbort)
+        resolve(answer)
+      }
+      let abortTimer: NodeJS.Timeout | undefined
+      const onAbort = (): void => {
+        abortTimer = setTimeout(() => end(unknownAnswer(peerReasons.cancelled)), abortGraceMilliseconds)
+        controller.abort()
+      }
+      const timer = setTimeout(() => {
+        end(unknownAnswer(peerReasons.deadlineExceeded))
+        controller.abort()
+      }, forward.deadlineMilliseconds + deadlineReserveMilliseconds)
+      signal.addEventListener('abort', onAbort, { once: true })
+      const running = vm === this.#self ? this.#local.handle(forward, controller.signal) : this.#peers.forward(vm, forward, controller.signal)
+      running.then(end, () => end(unknownAnswer(peerReasons.internalError)))
+      if (signal.aborted) onAbort()
+    })
+  }
+}
--- a/packages/daemon/src/entry/request-router.ts
+++ b/packages/daemon/src/entry/request-router.ts
@@ -1,16 +1,20 @@
 import { randomUUID } from 'node:crypto'
 import type { Clock, Random } from '@briarsaddle/common'
 import { bucketsPerPool, type KeyHasher } from '@briarsaddle/ownership'
-import { Outcome, ServiceClass, notRunAnswer, peerReasons, unknownAnswer, type Answer, type Forward } from '@briarsaddle/protocol'
+import { Outcome, ServiceClass, notRunAnswer, peerReasons, type Answer, type Forward } from '@briarsaddle/protocol'
 import { RuleMatcher, type MatchResult, type RuleFile } from '@briarsaddle/rules'
-import { RetryBudget, type EndpointChooser } from '@briarsaddle/scheduling'
+import type { EndpointChooser, RetryBudget } from '@briarsaddle/scheduling'
 import type { ControlView, ForwardHandler, PeerForwarder } from '../contracts.js'
 import type { Metrics } from '../metrics.js'
+import { noBucket, type Attempt, type RequestTemplate } from './attempt.js'
+import { BoundedForwarder, deadlineReserveMilliseconds } from './bounded-forwarder.js'
 import { callerAnswer, refusal, type CallerAnswer } from './caller-answer.js'
 import { idempotencyKeyOf, requestedDeadline, type AcceptedRequest, type CallerRequest } from './caller-request.js'
 import { endpointHeaders } from './headers.js'
 import { LongPlacement } from './long-placement.js'
 import { PoolMembers, placeOfBucket, placeOfEndpoint, type NoPlace, type Place } from './place.js'
+import { PlaceWaits } from './place-waits.js'
+import { RetryBudgets } from './retry-budgets.js'
 import { judge, showsFailure, type Verdict } from './resend-policy.js'
 
 /** What the router needs from the VM. */
@@ -33,20 +37,11 @@
   readonly maximumWaiting?: number
 }
 
-const defaultMaximumWaiting = 2_000
-// The coordinator's own refusal at the deadline arrives before the router gives up.
-const deadlineReserveMilliseconds = 2
-// A handler that ignores an abort must not hold up the final answer for longer.
-const abortGraceMilliseconds = 50
 const firstBackoffMilliseconds = 25
 const longestBackoffMilliseconds = 400
 // Replacing a lost endpoint and its coordinator takes about 1.2 s. A place that has not changed by then is not
 // about to change, and the caller gets its final answer.
 const longestRelocationMilliseconds = 2_000
-const timerToleranceMilliseconds = 2
-// Far more than the endpoints and pools in use at one time.
-const maximumBudgets = 4_096
-const noBucket = -1
 
 const serviceClasses: Readonly<Record<AcceptedRequest['rule']['serviceClass'], ServiceClass>> = {
   prompt: ServiceClass.SERVICE_CLASS_PROMPT,
@@ -54,23 +49,6 @@
   long: ServiceClass.SERVICE_CLASS_LONG
 }
 
-/** A request without what depends on the place and time of sending. */
-type RequestTemplate = Omit<Forward, 'id' | 'endpoint' | 'deadlineMilliseconds' | 'position'>
-
-/** Progress of one request. */
-interface Attempt {
-  readonly template: RequestTemplate
-  readonly deadlineAt: number
-  readonly signal: AbortSignal
-  /** Endpoints that refused the request since the last wait. */
-  readonly excluded: Set<string>
-  backoffMilliseconds: number
-  /** Time until which the request waits for a place that refused it. */
-  relocationEndsAt: number | undefined
-  /** True once the outcome of an earlier sending is unknown: the request can no longer end as not run. */
-  mayHaveRun: boolean
-}
-
 interface Sent {
   readonly answer: Answer
   readonly verdict: Verdict
@@ -83,29 +61,33 @@
   readonly #members = new PoolMembers()
   readonly #longPlacement = new LongPlacement()
   readonly #choosers = new Map<string, EndpointChooser>()
-  readonly #budgets = new Map<string, RetryBudget>()
+  readonly #budgets: RetryBudgets
+  readonly #forwarder: BoundedForwarder
+  readonly #waits: PlaceWaits
   /** VMs that coordinate an endpoint provisionally, by the version of the place. */
   readonly #provisional = new Map<string, string>()
   #rules: RuleFile | undefined
   #matcher = new RuleMatcher({ rules: [] })
-  #waiting = 0
 
   constructor (options: RequestRouterOptions) {
     this.#options = options
     this.#clock = options.clock
+    this.#budgets = new RetryBudgets(options.createBudget)
+    this.#waits = new PlaceWaits(options.control, options.clock, options.maximumWaiting)
+    this.#forwarder = new BoundedForwarder(options.vm, options.local, options.peers)
   }
 
   /** Requests that wait for the control state to change. */
   get waiting (): number {
-    return this.#waiting
+    return this.#waits.waiting
   }
 
   /** Returns the state of the router as plain data for the state dump. */
   snapshot (): Readonly<Record<string, unknown>> {
     return {
-      waiting: this.#waiting,
+      waiting: this.#waits.waiting,
       choosers: Object.fromEntries([...this.#choosers].map(([pool, chooser]) => [pool, chooser.snapshot()])),
-      retryTokens: Object.fromEntries([...this.#budgets].map(([name, budget]) => [name, budget.tokens])),
+      retryTokens: this.#budgets.snapshot(),
       provisional: Object.fromEntries(this.#provisional)
     }
   }
@@ -181,7 +163,7 @@
       const place = this.#locate(attempt)
       if (typeof place !== 'string') return place
       const position = this.#options.control.state.position + 1
-      if (!await this.#wait(attempt, position, this.#remaining(attempt))) return notRunAnswer(attempt.signal.aborted ? peerReasons.cancelled : place)
+      if (!await this.#waits.forPosition(attempt, position, this.#remaining(attempt))) return notRunAnswer(attempt.signal.aborted ? peerReasons.cancelled : place)
       attempt.excluded.clear()
     }
   }
@@ -233,7 +215,7 @@
     const longWithoutKey = !keyed && serviceClass === ServiceClass.SERVICE_CLASS_LONG
     chooser?.started(place.endpoint)
     if (longWithoutKey) this.#longPlacement.started(place.endpoint)
-    const answer = await this.#forward(vm, this.#createForward(attempt, place), attempt.signal)
+    const answer = await this.#forwarder.forward(vm, this.#createForward(attempt, place), attempt.signal)
     if (longWithoutKey) this.#longPlacement.ended(place.endpoint)
     // Answers that no coordinator gave have 0 here.
     const reported = answer.outcome === Outcome.OUTCOME_ANSWERED || answer.outstanding > 0 ? answer.outstanding : undefined
@@ -277,33 +259,6 @@
     }
   }
 
-  /** Forwards to this or another VM. The deadline and an abort end it even when the other side does not react. */
-  async #forward (vm: string, forward: Forward, signal: AbortSignal): Promise<Answer> {
-    const { vm: self, local, peers } = this.#options
-    const controller = new AbortController()
-    return await new Promise(resolve => {
-      const end = (answer: Answer): void => {
-        clearTimeout(timer)
-        clearTimeout(abortTimer)
-        signal.removeEventListener('abort', onAbort)
-        resolve(answer)
-      }
-      let abortTimer: NodeJS.Timeout | undefined
-      const onAbort = (): void => {
-        abortTimer = setTimeout(() => end(unknownAnswer(peerReasons.cancelled)), abortGraceMilliseconds)
-        controller.abort()
-      }
-      const timer = setTimeout(() => {
-        end(unknownAnswer(peerReasons.deadlineExceeded))
-        controller.abort()
-      }, forward.deadlineMilliseconds + deadlineReserveMilliseconds)
-      signal.addEventListener('abort', onAbort, { once: true })
-      const running = vm === self ? local.handle(forward, controller.signal) : peers.forward(vm, forward, controller.signal)
-      running.then(end, () => end(unknownAnswer(peerReasons.internalError)))
-      if (signal.aborted) onAbort()
-    })
-  }
-
   /** Decides whether and when a request is sent again, and waits until then. */
   async #maySendAgain (attempt: Attempt, place: Place, answer: Answer, verdict: Verdict): Promise<boolean> {
     const budget = this.#budget(attempt, place)
@@ -334,53 +289,19 @@
     const endsAt = attempt.relocationEndsAt ??= this.#clock.now() + longestRelocationMilliseconds
     const { control } = this.#options
     if (verdict === 'moved' && answer.position > control.state.position) {
-      return await this.#waitForPositionOrMove(attempt, place, answer.position, endsAt)
+      return await this.#waits.forPositionOrMove(attempt, place, answer.position, endsAt)
     }
     for (;;) {
       const backoffEndsAt = this.#clock.now() + attempt.backoffMilliseconds * (0.5 + this.#options.random.fraction() / 2)
       attempt.backoffMilliseconds = Math.min(longestBackoffMilliseconds, attempt.backoffMilliseconds * 2)
-      if (!await this.#waitForMove(attempt, place, Math.min(backoffEndsAt, endsAt))) return false
-      if (this.#hasMoved(attempt, place)) return true
+      if (!await this.#waits.forMove(attempt, place, Math.min(backoffEndsAt, endsAt))) return false
+      if (this.#waits.hasMoved(attempt, place)) return true
       if (this.#clock.now() >= endsAt) return false
       if (verdict === 'unreachable' || this.#spendRetry(attempt, place, verdict)) return true
       if (!awaitsMove(answer, verdict)) return false
     }
   }
 
-  /** Waits until this VM has read as far as the other one, or the place has changed. */
-  async #waitForPositionOrMove (attempt: Attempt, place: Place, position: number, endsAt: number): Promise<boolean> {
-    const { control } = this.#options
-    while (control.state.position < position && !this.#hasMoved(attempt, place)) {
-      const left = Math.min(endsAt - this.#clock.now(), this.#remaining(attempt))
-      if (!await this.#wait(attempt, control.state.position + 1, left)) return false
-    }
-    return this.#remaining(attempt) > 0
-  }
-
-  /** Waits until the place has changed or the time has come. Returns false when the request must end. */
-  async #waitForMove (attempt: Attempt, place: Place, until: number): Promise<boolean> {
-    const { control } = this.#options
-    const endsAt = Math.min(until, attempt.deadlineAt)
-    while (!this.#hasMoved(attempt, place)) {
-      const left = endsAt - this.#clock.now()
-      if (left <= 0) break
-      // Timers may fire a little early; a refusal to wait at all comes much earlier.
-      const ended = !await this.#wait(attempt, control.state.position + 1, left)
-      if (attempt.signal.aborted || (ended && this.#clock.now() < endsAt - timerToleranceMilliseconds)) return false
-    }
-    return this.#remaining(attempt) > 0
-  }
-
-  #hasMoved (attempt: Attempt, place: Place): boolean {
-    const { state } = this.#options.control
-    if (attempt.template.bucket !== noBucket) {
-      const now = placeOfBucket(state, attempt.template.pool, attempt.template.bucket)
-      return typeof now === 'string' || now.version !== place.version
-    }
-    const endpoint = state.endpoints.get(place.endpoint)
-    return endpoint === undefined || endpoint.leaving || placeOfEndpoint(endpoint).version !== place.version
-  }
-
   /** Returns true when the budget allows one more sending to a place that has not changed. */
   #spendRetry (attempt: Attempt, place: Place, verdict: Verdict): boolean {
     const budget = this.#budget(attempt, place)
@@ -390,17 +311,6 @@
     return true
   }
 
-  /** Waits for a log position. Returns false after the time, on an abort, or when too many requests wait. */
-  async #wait (attempt: Attempt, position: number, milliseconds: number): Promise<boolean> {
-    if (milliseconds <= 0 || attempt.signal.aborted || this.#waiting >= (this.#options.maximumWaiting ?? defaultMaximumWaiting)) return false
-    this.#waiting += 1
-    try {
-      return await this.#options.control.waitForPosition(position, milliseconds, attempt.signal)
-    } finally {
-      this.#waiting -= 1
-    }
-  }
-
   #remaining ({ deadlineAt }: Attempt): number {
     return deadlineAt - this.#clock.now()
   }
@@ -417,14 +327,8 @@
     return chooser
   }
 
-  /** One budget for each keyed endpoint and for each pool without keys, so that one lost endpoint stops no other's retries. */
   #budget ({ template: { bucket, pool } }: Attempt, place: Place): RetryBudget {
-    const name = bucket === noBucket ? `pool ${pool}` : `endpoint ${place.endpoint}`
-    let budget = this.#budgets.get(name)
-    if (budget !== undefined) return budget
-    if (this.#budgets.size >= maximumBudgets) this.#budgets.clear()
-    this.#budgets.set(name, budget = this.#options.createBudget?.() ?? new RetryBudget())
-    return budget
+    return bucket === noBucket ? this.#budgets.ofPool(pool) : this.#budgets.ofEndpoint(place.endpoint)
   }
 }
 
--- /dev/null
+++ b/packages/daemon/src/entry/retry-budgets.ts
@@ -0,0 +1,37 @@
+import { RetryBudget } from '@briarsaddle/scheduling'
+
+// Far more than the endpoints and pools in use at one time.
+const maximumBudgets = 4_096
+
+/** One budget for each keyed endpoint and for each pool without keys, so that one lost endpoint stops no other's retries. */
+export class RetryBudgets {
+  readonly #create: () => RetryBudget
+  readonly #budgets = new Map<string, RetryBudget>()
+
+  constructor (create: () => RetryBudget = () => new RetryBudget()) {
+    this.#create = create
+  }
+
+  /** The budget of a keyed endpoint. */
+  ofEndpoint (endpoint: string): RetryBudget {
+    return this.#get(`endpoint ${endpoint}`)
+  }
+
+  /** The budget of a pool without keys. */
+  ofPool (pool: string): RetryBudget {
+    return this.#get(`pool ${pool}`)
+  }
+
+  /** Tokens left, by name, for the state dump. */
+  snapshot (): Readonly<Record<string, number>> {
+    return Object.fromEntries([...this.#budgets].map(([name, budget]) => [name, budget.tokens]))
+  }
+
+  #get (name: string): RetryBudget {
+    let budget = this.#budgets.get(name)
+    if (budget !== undefined) return budget
+    if (this.#budgets.size >= maximumBudgets) this.#budgets.clear()
+    this.#budgets.set(name, budget = this.#create())
+    return budget
+  }
+}
