Count only frames that arrive during the check as signs of life

Since heartbeats are frames, the time of the last frame of any kind put off the check of a silent VM. Under traffic the last frame is newer than the last heartbeat by up to the interval of 100 ms, so a lost VM was suspected up to 100 ms later than before, though never later than 300 ms after it was last heard.

The check begins after 300 ms without an answer to a heartbeat again. When it fails, frames that arrived since it began still keep a VM from being suspected whose answers wait behind long ones.

--- a/packages/daemon/src/control/membership.test.ts
+++ b/packages/daemon/src/control/membership.test.ts
@@ -14,9 +14,15 @@
 /** A peer that answers no heartbeat. */
 class SilentPeer {
   silentMilliseconds = Infinity
+  /** Real time until a fresh connection fails; the clock of the test goes on meanwhile. */
+  freshMilliseconds = 0
 
   async heartbeat (): Promise<never> { throw new Error('no answer') }
-  async freshHeartbeat (): Promise<never> { throw new Error('no answer') }
+
+  async freshHeartbeat (): Promise<never> {
+    await delay(this.freshMilliseconds)
+    throw new Error('no answer')
+  }
 }
 
 describe('Membership', () => {
@@ -73,12 +79,17 @@
     expect(events).to.include('suspicion')
   })
 
-  it('does not suspect a VM whose frames arrive although its answers are late (a busy VM taken for a lost one)', async () => {
-    peer.silentMilliseconds = 100
-    await pass(600)
+  it('does not suspect a VM whose frames arrive while it is checked (a busy VM taken for a lost one)', async () => {
+    peer.silentMilliseconds = 10
+    peer.freshMilliseconds = 60
+    await pass(800)
     expect(membership.suspected.size).to.equal(0)
-    peer.silentMilliseconds = 400
-    await pass(150)
+  })
+
+  it('does not count frames from before the check (a lost VM that is suspected later under traffic)', async () => {
+    peer.silentMilliseconds = 250
+    peer.freshMilliseconds = 60
+    await pass(600)
     expect([...membership.suspected]).to.deep.equal(['vm-2'])
   })
 
--- a/packages/daemon/src/control/membership.ts
+++ b/packages/daemon/src/control/membership.ts
@@ -182,7 +182,7 @@
     this.#lastBeat = now
     for (const [vm, watched] of this.#watched) {
       if (!watched.asking) void this.#ask(vm, watched)
-      if (this.#silence(vm, watched) > this.#timing.suspectMilliseconds && !watched.checking && !this.#suspectedSince.has(vm)) void this.#check(vm, watched)
+      if (now - watched.lastHeard > this.#timing.suspectMilliseconds && !watched.checking && !this.#suspectedSince.has(vm)) void this.#check(vm, watched)
     }
   }
 
@@ -203,12 +203,14 @@
   /** A connection may have gone silent while new ones work, so a fresh one decides. */
   async #check (vm: string, watched: Watched): Promise<void> {
     watched.checking = true
+    const startedAt = this.#clock.now()
     try {
       await this.#peers.get(vm)?.freshHeartbeat(this.#request(), freshHeartbeatTimeoutMilliseconds)
       this.#heard(vm)
     } catch (error) {
-      if (this.#silence(vm, watched) <= this.#timing.suspectMilliseconds) return
-      this.#suspectedSince.set(vm, this.#clock.now())
+      const now = this.#clock.now()
+      if (now - watched.lastHeard <= this.#timing.suspectMilliseconds || this.#framesArrivedSince(vm, startedAt)) return
+      this.#suspectedSince.set(vm, now)
       logger.warning('VM suspected', { vm, reason: describeError(error) })
       this.#rebuild()
       this.#suspicionBegan()
@@ -217,9 +219,12 @@
     }
   }
 
-  /** Any frame of the VM shows that it lives, also while the answer to a heartbeat waits behind long answers. */
-  #silence (vm: string, watched: Watched): number {
-    return Math.min(this.#clock.now() - watched.lastHeard, this.#peers.get(vm)?.silentMilliseconds ?? Infinity)
+  /**
+   * Any frame of the VM shows that it lives, also while its answers to heartbeats wait behind long ones. Frames from
+   * before the check do not count: under traffic they would put off the check of a lost VM by up to an interval.
+   */
+  #framesArrivedSince (vm: string, time: number): boolean {
+    return (this.#peers.get(vm)?.silentMilliseconds ?? Infinity) < this.#clock.now() - time
   }
 
   #heard (vm: string): void {
