--- a/packages/daemon/src/control/membership.ts
+++ b/packages/daemon/src/control/membership.ts
@@ -43,6 +43,8 @@
   readonly #position: () => number
   readonly #changed: () => void
   readonly #suspicionBegan: () => void
+  /** The check over a fresh connection is over when the time of silence is. */
+  readonly #checkAfterMilliseconds: number
   readonly #instance = randomUUID()
   readonly #watched = new Map<string, Watched>()
   readonly #suspectedSince = new Map<string, number>()
@@ -73,6 +75,7 @@
     this.#hasher = options.hasher
     this.#clock = options.clock
     this.#timing = options.timing
+    this.#checkAfterMilliseconds = Math.max(options.timing.heartbeatMilliseconds, options.timing.suspectMilliseconds - freshHeartbeatTimeoutMilliseconds)
     this.#position = options.position
     this.#changed = options.changed
     this.#suspicionBegan = options.suspicionBegan
@@ -195,7 +198,7 @@
     for (const [vm, watched] of this.#watched) {
       if (!watched.asking) void this.#ask(vm, watched)
       watched.connected ||= this.#streamIsOpen(vm)
-      if (!watched.checking && !this.#suspectedSince.has(vm) && (this.#isSilent(vm, watched) || this.#isBroken(vm, watched))) void this.#check(vm, watched)
+      if (!watched.checking && !this.#suspectedSince.has(vm) && (now - watched.lastHeard > this.#checkAfterMilliseconds || this.#isBroken(vm, watched))) void this.#check(vm, watched)
     }
   }
 
@@ -216,14 +219,17 @@
   /** A connection may have gone silent while new ones work, so a fresh one decides. */
   async #check (vm: string, watched: Watched): Promise<void> {
     watched.checking = true
+    const startedAt = this.#clock.now()
     try {
       await this.#peers.get(vm)?.freshHeartbeat(this.#request(), freshHeartbeatTimeoutMilliseconds)
       this.#heard(vm)
     } catch (error) {
       watched.failedChecks += 1
-      const brokenForLong = this.#isBroken(vm, watched) && watched.failedChecks >= failedChecksOfBrokenStream
-      if (!brokenForLong && !this.#isSilent(vm, watched)) return
-      this.#suspectedSince.set(vm, this.#clock.now())
+      const now = this.#clock.now()
+      const silent = now - watched.lastHeard > this.#timing.suspectMilliseconds && !this.#framesArrivedSince(vm, startedAt)
+      const broken = this.#isBroken(vm, watched) && watched.failedChecks >= failedChecksOfBrokenStream
+      if (!silent && !broken) return
+      this.#suspectedSince.set(vm, now)
       logger.warning('VM suspected', { vm, reason: describeError(error) })
       this.#rebuild()
       this.#suspicionBegan()
@@ -232,9 +238,12 @@
     }
   }
 
-  /** Any frame of the VM shows that it lives, also while the answer to a heartbeat waits behind long answers. */
-  #isSilent (vm: string, watched: Watched): boolean {
-    return Math.min(this.#clock.now() - watched.lastHeard, this.#peers.get(vm)?.silentMilliseconds ?? Infinity) > this.#timing.suspectMilliseconds
+  /**
+   * Any frame of the VM shows that it lives, also while its answers to heartbeats wait behind long ones. Frames from
+   * before the check do not count: under traffic they would put off the check of a lost VM by up to an interval.
+   */
+  #framesArrivedSince (vm: string, time: number): boolean {
+    return (this.#peers.get(vm)?.silentMilliseconds ?? Infinity) < this.#clock.now() - time
   }
 
   #streamIsOpen (vm: string): boolean {
