Do not wait for silent witnesses when a majority has answered

Cause: each round of questions before a take-away lasted until all witnesses had answered or timed out. When the witnesses had not yet read the record in the first round, one paused or silent witness delayed the next round, and with it the instant at which a majority was seen to have read it, by 200 ms.

Ruled out: the wait after the majority, which is counted from the instant of the answer and not from the end of the round.

Change: a round ends when a majority has replied, unless the asker is the coordinator on record, which needs the answers about quiet endpoints.

Conclusion: a silent witness no longer prolongs the wait of a successor.

--- a/packages/daemon/src/control/take-away.ts
+++ b/packages/daemon/src/control/take-away.ts
@@ -36,12 +36,15 @@
       const { state } = this.#follower
       const { vms } = state.witnesses
       const quiet = new Set<string>()
+      const replied = new Set<string>()
       const allQuiet = (): boolean => ownRecord && vms.length > 0 && isMajority(vms, vm => quiet.has(vm))
       takeAway.useWitnesses(state.witnesses, this.#clock.now())
       await this.#poll.ask(state, vms, [endpoint], true, ({ vm, answer, quietMilliseconds }) => {
         takeAway.observe(vm, answer.position, this.#clock.now())
         if (answer.position >= offset && (quietMilliseconds[0] ?? 0) > rightDuration * (1 + margin)) quiet.add(vm)
-        return allQuiet()
+        replied.add(vm)
+        // Waiting for a silent witness would hold up the next round, and with it the majority, by its time-out of 200 ms.
+        return allQuiet() || (!ownRecord && isMajority(vms, witness => replied.has(witness)))
       })
       if (allQuiet()) return this.#clock.now()
       if (takeAway.effectiveAt !== undefined) return takeAway.effectiveAt
