Look at the right again before a request is written to an endpoint

Cause: a request that waited for a new connection while its VM was paused was written when the VM resumed, although its right had expired: the clock was read before the connection was opened, not before the write.

Ruled out: the queue of the session, which looks at the clock when it sends; log reads from before the pause, which give rights from their start only.

Change: the client asks again when a connection is ready, in the turn of the event loop that writes, and the request ends as not run. While a successor waits for former rights it looks for their end every 10 ms instead of every 100 ms; nothing is sent for that.

The cost on the request path was not measured.

Conclusion: only a pause within one turn of the event loop is left.

--- a/packages/daemon/src/coordinator/endpoint-client.ts
+++ b/packages/daemon/src/coordinator/endpoint-client.ts
@@ -1,6 +1,6 @@
 import { BriarsaddleError, describeError, errorCode } from '@briarsaddle/common'
 import type { EndpointDescription } from '@briarsaddle/ownership'
-import { Pool } from 'undici'
+import { Pool, type Dispatcher } from 'undici'
 import { z } from 'zod'
 
 /** A coordinator's fencing token at an endpoint, ordered by offset and then by provisional number. */
@@ -67,6 +67,8 @@
   readonly body: Uint8Array
   readonly timeoutMilliseconds: number
   readonly signal: AbortSignal
+  /** Asked when a connection is ready, just before the write. */
+  readonly mayWrite: () => boolean
 }
 
 /** What an endpoint answered. */
@@ -88,6 +90,23 @@
 const keepAliveMilliseconds = 30_000
 const errorCodesBeforeWrite: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 
+/** Code of the error for a request that `mayWrite` denied. */
+export const writeDenied = 'write_denied'
+
+/** A request may wait for a connection while the process is paused, so its right is looked at again before the write. */
+class CheckedPool extends Pool {
+  override dispatch (options: Dispatcher.DispatchOptions & Partial<Pick<EndpointRequest, 'mayWrite'>>, handler: Dispatcher.DispatchHandler): boolean {
+    const { mayWrite } = options
+    const connect = handler.onConnect?.bind(handler)
+    if (mayWrite === undefined || connect === undefined) return super.dispatch(options, handler)
+    handler.onConnect = abort => {
+      if (mayWrite()) connect(abort)
+      else abort(new BriarsaddleError('the right to send expired before the write', { code: writeDenied, step: 'send request', peer: String(options.origin) }))
+    }
+    return super.dispatch(options, handler)
+  }
+}
+
 /** True when the error shows that no byte of the request was written. */
 export function failedBeforeWrite (error: unknown): boolean {
   return errorCodesBeforeWrite.has(errorCode(error)) || (error instanceof Error && errorCodesBeforeWrite.has(errorCode(error.cause)))
@@ -98,7 +117,7 @@
   readonly #description: EndpointDescription
   readonly #options: EndpointClientOptions
   #control: Pool
-  #requests: Pool
+  #requests: CheckedPool
 
   constructor (description: EndpointDescription, options: EndpointClientOptions) {
     this.#description = description
@@ -117,9 +136,9 @@
     return renewAnswerSchema.parse(await this.#call('renew', request, timeoutMilliseconds))
   }
 
-  /** Runs a request. Errors are those of undici; see `failedBeforeWrite`. */
+  /** Runs a request. Errors are those of undici, see `failedBeforeWrite`, and `write_denied`. */
   async send (request: EndpointRequest): Promise<EndpointAnswer> {
-    const response = await this.#requests.request({
+    const options: Dispatcher.RequestOptions & Pick<EndpointRequest, 'mayWrite'> = {
       method: request.method as 'GET',
       path: request.target,
       headers: request.headers.flat(),
@@ -127,8 +146,10 @@
       headersTimeout: request.timeoutMilliseconds,
       bodyTimeout: request.timeoutMilliseconds,
       signal: request.signal,
-      responseHeaders: 'raw'
-    })
+      responseHeaders: 'raw',
+      mayWrite: request.mayWrite
+    }
+    const response = await this.#requests.request(options)
     const body = await this.#readBody(response.body)
     return { status: response.statusCode, headers: pairs(response.headers as unknown as readonly string[]), body }
   }
@@ -157,8 +178,8 @@
     await Promise.all([this.#control.destroy(), this.#requests.destroy()])
   }
 
-  #createPool (connections: number): Pool {
-    return new Pool(`http://${this.#description.host}:${this.#description.port}`, {
+  #createPool (connections: number): CheckedPool {
+    return new CheckedPool(`http://${this.#description.host}:${this.#description.port}`, {
       connections,
       pipelining: 1,
       connect: { timeout: connectTimeoutMilliseconds },
--- a/packages/daemon/src/coordinator/grant-keeper.ts
+++ b/packages/daemon/src/coordinator/grant-keeper.ts
@@ -32,6 +32,8 @@
 const longestStepMilliseconds = 2 * controlCallTimeoutMilliseconds + 100
 const lostRetryMilliseconds = 500
 const offerMilliseconds = 50
+// No call is made while waiting, so looking often costs little; at the renewal interval service began up to 100 ms late.
+const takeoverPollMilliseconds = 10
 
 /** Offers the coordinator token to one endpoint and renews its grants while this VM has the right to. */
 export class GrantKeeper {
@@ -144,7 +146,8 @@
 
   #pause (): number {
     if (this.#state === 'lost' || this.#state === 'fenced') return lostRetryMilliseconds
-    return this.#hello === undefined ? offerMilliseconds : this.#timing.renewMilliseconds
+    if (this.#hello === undefined) return offerMilliseconds
+    return this.#state === 'waiting' ? takeoverPollMilliseconds : this.#timing.renewMilliseconds
   }
 
   async #step (lifeCycle: LifeCycle): Promise<void> {
--- a/packages/daemon/src/coordinator/request-sender.ts
+++ b/packages/daemon/src/coordinator/request-sender.ts
@@ -1,7 +1,7 @@
 import { delay, errorCode, Logger, type Clock } from '@briarsaddle/common'
 import type { Answer, Forward } from '@briarsaddle/protocol'
 import { answered, notRun, unknown } from './answers.js'
-import { failedBeforeWrite, type EndpointAnswer, type EndpointClient } from './endpoint-client.js'
+import { failedBeforeWrite, writeDenied, type EndpointAnswer, type EndpointClient } from './endpoint-client.js'
 import type { GrantKeeper } from './grant-keeper.js'
 
 const logger = new Logger('requests')
@@ -74,7 +74,8 @@
         headers: this.#headers(forward, bucketToken, deadlineAt),
         body: forward.body,
         timeoutMilliseconds: Math.ceil(remaining),
-        signal: AbortSignal.any([signal, timeout.signal, pending.silent.signal])
+        signal: AbortSignal.any([signal, timeout.signal, pending.silent.signal]),
+        mayWrite: () => this.#grants.holds(forward.bucket, bucketToken)
       })
       return this.#classify(answer, this.#clock.now() - startedAt)
     } catch (error) {
@@ -119,6 +120,7 @@
   }
 
   #classifyError (error: unknown, forward: Forward, signal: AbortSignal, timeout: AbortSignal): Answer {
+    if (errorCode(error) === writeDenied) return notRun('right_expired', refusalRetryMilliseconds)
     if (failedBeforeWrite(error)) return notRun('endpoint_unavailable')
     logger.debug('request ended without an answer', { request: forward.requestId, endpoint: forward.endpoint, code: errorCode(error) })
     if (errorCode(error) === 'answer_too_large') return unknown('answer_too_large')
