Test the loss of a data centre, a VM cut off in both directions, and crossed answers

Cause: docs/guarantees.md listed these failures as not proved.

Change: three scenarios with real processes. The test bed can give one VM its own proxies towards the other VMs, named in a VM list of its own, so that it can be cut off from them and from the log in both directions while callers still reach it. The endpoint stand-in can return the body of a request, so that whole answers are compared byte by byte.

--- a/packages/integration/src/bed/deployment.ts
+++ b/packages/integration/src/bed/deployment.ts
@@ -40,6 +40,8 @@
   readonly rules: string
   /** Puts a fault proxy before the log for each VM, before each VM's inner port and before each endpoint. */
   readonly proxies?: boolean
+  /** With `proxies`: a VM that reaches each other VM through a proxy of its own, so that it can be cut off in both directions. */
+  readonly separable?: string
   readonly retainRecords?: number
   readonly vmListLagMilliseconds?: number
   /** Further TOML for every VM, for example `[experiments]`. */
@@ -91,6 +93,8 @@
   readonly plan: DeploymentPlan
   readonly vms = new Map<string, RunningVm>()
   readonly endpoints = new Map<string, RunningEndpoint>()
+  /** Proxies from the separable VM to the others, by the other's id. */
+  readonly outwardProxies = new Map<string, RunningProxy>()
   readonly #processes: ManagedProcess[] = []
   readonly #agent = new Agent({ connections: 256, pipelining: 1 })
   readonly #leaving = new Set<string>()
@@ -98,6 +102,8 @@
   #stopped = false
   #log: ListeningAddress | undefined
   #list: ListeningAddress | undefined
+  /** VM list of the separable VM, which names its own proxies. */
+  #separateList: ListeningAddress | undefined
 
   constructor (plan: DeploymentPlan) {
     this.plan = plan
@@ -118,6 +124,7 @@
     const list = this.#start('vm-list', executables.vmList, ['--lag-milliseconds', String(this.plan.vmListLagMilliseconds ?? 0)])
     this.#log = await listening(log)
     this.#list = await listening(list)
+    if (this.plan.separable !== undefined) this.#separateList = await listening(this.#start(`vm-list of ${this.plan.separable}`, executables.vmList, []))
     await Promise.all(this.plan.endpoints.map(async plan => await this.startEndpoint(plan)))
     await Promise.all(this.plan.vms.map(async plan => await this.startVm(plan)))
   }
@@ -148,6 +155,8 @@
     const ready = await process.ready() as { readonly listening: { readonly callers: ListeningAddress, readonly inner: ListeningAddress, readonly administration: ListeningAddress } }
     const { callers, inner, administration } = ready.listening
     const innerProxy = this.plan.proxies === true ? await this.startProxy(`${plan.id} inner proxy`, inner) : undefined
+    const { separable } = this.plan
+    if (separable !== undefined && plan.id !== separable) this.outwardProxies.set(plan.id, await this.startProxy(`${separable} to ${plan.id} proxy`, inner))
     const vm = { plan, process, callers, inner, administration, innerProxy, logProxy }
     this.vms.set(plan.id, vm)
     await this.publishList()
@@ -176,13 +185,15 @@
 
   /** Writes the VM list. */
   async publishList (): Promise<void> {
-    const vms = [...this.vms.values()].map(({ plan, inner, innerProxy }) => ({
-      id: plan.id, role: 'entry', dataCentre: plan.dataCentre, ...(innerProxy?.address ?? inner), state: this.#state(plan.id)
-    }))
     const endpoints = [...this.endpoints.values()].map(({ plan, address, proxy }) => ({
       id: plan.id, role: 'endpoint', pool: plan.pool, dataCentre: plan.dataCentre, ...(proxy?.address ?? address), checks: plan.checks ?? true, state: this.#state(plan.id)
     }))
-    await postJson(`${url(this.#list)}/_control/vms`, [...vms, ...endpoints])
+    const publishTo = async (list: ListeningAddress, proxyOf: (vm: RunningVm) => RunningProxy | undefined): Promise<void> => {
+      const vms = [...this.vms.values()].map(vm => ({ id: vm.plan.id, role: 'entry', dataCentre: vm.plan.dataCentre, ...(proxyOf(vm)?.address ?? vm.inner), state: this.#state(vm.plan.id) }))
+      await postJson(`${url(list)}/_control/vms`, [...vms, ...endpoints])
+    }
+    await publishTo(required(this.#list), ({ innerProxy }) => innerProxy)
+    if (this.#separateList !== undefined) await publishTo(this.#separateList, ({ plan, innerProxy }) => this.outwardProxies.get(plan.id) ?? innerProxy)
   }
 
   /** Publishes rules with the command-line tool. */
@@ -228,6 +239,12 @@
     await postJson(`${url(required(proxy).control)}/_control`, settings)
   }
 
+  /** Changes the behaviour of all connections between the separable VM and the other VMs and the log. */
+  async controlSeparable (settings: FaultSettings): Promise<void> {
+    const { innerProxy, logProxy } = required(this.vms.get(required(this.plan.separable)))
+    await Promise.all([innerProxy, logProxy, ...this.outwardProxies.values()].map(async proxy => await this.controlProxy(proxy, settings)))
+  }
+
   /** Changes the behaviour of an endpoint stand-in. */
   async controlEndpoint (id: string, settings: Readonly<Record<string, unknown>>): Promise<void> {
     await postJson(`${url(required(this.endpoints.get(id)).address)}/_control`, settings)
@@ -282,7 +299,7 @@
 token = "${administrationToken}"
 [platform]
 logUrl = "${url(log)}"
-vmListUrl = "${url(this.#list)}"
+vmListUrl = "${url(plan.id === this.plan.separable ? this.#separateList : this.#list)}"
 [timing]
 vmListMilliseconds = 200
 ${this.plan.extraSettings ?? ''}
--- a/packages/integration/src/bed/failure-run.ts
+++ b/packages/integration/src/bed/failure-run.ts
@@ -43,10 +43,10 @@
   }
 
   /** The key that had no answer for the longest time, in milliseconds; 0 when no key is wanted. */
-  worstKey (wanted: (key: string) => boolean = () => true, to = this.endedAt): { readonly key: string, readonly milliseconds: number } {
+  worstKey (wanted: (key: string) => boolean = () => true, to = this.endedAt, from = this.failedAt): { readonly key: string, readonly milliseconds: number } {
     const keys = [...new Set(this.probes.map(({ key }) => key))].filter(wanted)
     if (keys.length === 0) return { key: 'none', milliseconds: 0 }
-    return keys.map(key => ({ key, milliseconds: longestGap(this.probes, this.failedAt, to, trace => trace.key === key) }))
+    return keys.map(key => ({ key, milliseconds: longestGap(this.probes, from, to, trace => trace.key === key) }))
       .reduce((worst, other) => other.milliseconds > worst.milliseconds ? other : worst)
   }
 
--- a/packages/integration/src/bed/outcome-checks.ts
+++ b/packages/integration/src/bed/outcome-checks.ts
@@ -1,4 +1,5 @@
-import type { HeldInterval } from '@briarsaddle/standins'
+import { compareTokens } from '@briarsaddle/ownership'
+import type { HeldInterval, RecordedRequest } from '@briarsaddle/standins'
 import type { Deployment } from './deployment.js'
 import type { EndpointRecordData } from './stand-in-data.js'
 import type { CallerTrace } from './traffic.js'
@@ -65,6 +66,30 @@
   return breaches
 }
 
+/**
+ * An endpoint that does not check depends on one VM at a time: no request of a coordinator may start while one of another
+ * runs, or after one with a higher token. Refused requests count too, since another such server might run them.
+ * Looks at requests that started or ended after `since`, in the wall clock.
+ */
+export function findTwoSenders (records: Records, since = -Infinity): readonly string[] {
+  return [...records].flatMap(([endpoint, { requests }]) => {
+    const latest = new Map<string | undefined, RecordedRequest>()
+    const breaches: string[] = []
+    for (const request of requests.filter(({ end }) => (end?.wall ?? Infinity) >= since).sort((one, other) => one.start.clock - other.start.clock)) {
+      const { coordinator, token, start, testRequest } = request
+      for (const [name, other] of latest) {
+        if (name === coordinator) continue
+        const overlaps = (other.end?.clock ?? Infinity) > start.clock
+        const outdated = token === undefined || other.token === undefined || compareTokens(token, other.token) < 0
+        if (overlaps || outdated) breaches.push(`${endpoint}: ${testRequest} of ${coordinator} started ${overlaps ? 'during' : 'after'} ${other.testRequest} of ${name}`)
+      }
+      const known = latest.get(coordinator)
+      if (known === undefined || (request.end?.clock ?? Infinity) >= (known.end?.clock ?? Infinity)) latest.set(coordinator, request)
+    }
+    return breaches
+  })
+}
+
 /** Every answer of a VM states its outcome. */
 function findUnansweredKinds (traces: readonly CallerTrace[]): readonly string[] {
   return traces.filter(({ answer }) => answer !== undefined && !['answered', 'not-run', 'unknown'].includes(answer.outcome)).map(({ id, answer }) => `${id} was answered ${answer?.status} without an outcome`)
--- a/packages/standins/src/endpoint.test.ts
+++ b/packages/standins/src/endpoint.test.ts
@@ -77,6 +77,11 @@
     expect(await work).to.include({ status: 409, notRun: 'effect-refused' })
   })
 
+  it('returns the body of a request that asks for it, so that a test can compare a whole answer', async () => {
+    await start({})
+    expect((await call('/', { body: { text: 'own' }, headers: { 'x-echo-body': 'true' } })).body).to.deep.equal({ text: 'own' })
+  })
+
   it('sheds until its cold start is over and says so in hello', async () => {
     await start({ coldStartMilliseconds: 100 })
     const hello = async (): Promise<unknown> => (await call('/.grants/hello', { body: { coordinator: 'vm-1', token: { offset: 1, provisional: 0 } } })).body['ready']
--- a/packages/standins/src/endpoint.ts
+++ b/packages/standins/src/endpoint.ts
@@ -179,7 +179,7 @@
   }
 
   async #run (request: IncomingMessage, response: ServerResponse, recorded: RecordedRequest, right: RunningRight, closed: AbortSignal): Promise<void> {
-    await readText(request, maximumRequestBytes)
+    const body = await readText(request, maximumRequestBytes)
     const serviceMilliseconds = this.#serviceTime(request) * this.#serviceFactor
     const untilDeadline = recorded.deadline === undefined ? Infinity : recorded.deadline - this.#clock.now()
     const runningMilliseconds = Math.min(serviceMilliseconds, untilDeadline)
@@ -192,14 +192,19 @@
       this.#record.finish(recorded, 'failed')
       return sendJson(response, 500, { error: 'failure requested by the test' })
     }
-    this.#complete(request, response, recorded)
+    this.#complete(request, response, recorded, body)
   }
 
-  #complete (request: IncomingMessage, response: ServerResponse, recorded: RecordedRequest): void {
+  #complete (request: IncomingMessage, response: ServerResponse, recorded: RecordedRequest, body: string): void {
     const key = recorded.key ?? ''
     const count = (this.#effects.get(key) ?? 0) + 1
     this.#effects.set(key, count)
     this.#record.finish(recorded, 'completed')
+    // Lets a test compare the whole answer with what it sent.
+    if (request.headers['x-echo-body'] !== undefined) {
+      response.writeHead(200, { 'content-type': 'text/plain' }).end(body)
+      return
+    }
     const answer = { endpoint: this.#options.id, key, request: recorded.request, testRequest: recorded.testRequest, count }
     const missing = Math.min(maximumResponseBytes, Number(request.headers['x-response-bytes']) || 0) - JSON.stringify({ ...answer, padding: '' }).length
     sendJson(response, 200, missing > 0 ? { ...answer, padding: '.'.repeat(missing) } : answer)
