Share the head of the suites in log-failures.test.ts

Three suites started, stopped and printed their deployment with the same lines. One function does this now; no check was changed.

--- a/packages/integration/src/scenarios/log-failures.test.ts
+++ b/packages/integration/src/scenarios/log-failures.test.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto'
 import { expect } from 'chai'
 import { request } from 'undici'
-import { collectRecords, Deployment, longestGap, smallAtlas, Traffic, waitFor } from '../bed/index.js'
+import { collectRecords, Deployment, longestGap, smallAtlas, Traffic, waitFor, type DeploymentPlan } from '../bed/index.js'
 import { breachesOf, describeTraces, joinRecords, observeEndpoints, observeOwners, observeRules, pause, printedSeed, readControlStream, summarizeTraces } from '../bed/observation.js'
 
 const servedAgainMilliseconds = 1000 // stated target after a loss
@@ -9,12 +9,12 @@
 const publicationMilliseconds = 16_000 // a change must be in force everywhere within 16 s
 const outageMilliseconds = 3000 // longer than the right (500 ms) and the grant (400 ms)
 
-describe('Failures of the log', function () {
-  this.timeout(60_000)
-  let deployment: Deployment
+let deployment: Deployment
 
+/** Starts a deployment for the enclosing suite, and prints its logs after a failed test. */
+function useDeployment (overrides: Partial<DeploymentPlan> = {}): void {
   before(async () => {
-    deployment = new Deployment(smallAtlas({ logNamespaces: 'briarsaddle:*' }))
+    deployment = new Deployment(smallAtlas({ logNamespaces: 'briarsaddle:*', ...overrides }))
     await deployment.start()
   })
 
@@ -23,6 +23,11 @@
   afterEach(function () {
     if (this.currentTest?.state === 'failed') console.log(deployment.logs().split('\n').slice(-150).join('\n'))
   })
+}
+
+describe('Failures of the log', function () {
+  this.timeout(60_000)
+  useDeployment()
 
   it('goes on serving while the log is down and keeps what was accepted, so that rights do not depend on one log read', async () => {
     const traffic = new Traffic(deployment, { seed: printedSeed('the outage'), name: 'outage' })
@@ -79,18 +84,7 @@
 
 describe('Losses of endpoints while the log fails', function () {
   this.timeout(60_000)
-  let deployment: Deployment
-
-  before(async () => {
-    deployment = new Deployment(smallAtlas({ logNamespaces: 'briarsaddle:*' }))
-    await deployment.start()
-  })
-
-  after(async () => await deployment.stop())
-
-  afterEach(function () {
-    if (this.currentTest?.state === 'failed') console.log(deployment.logs().split('\n').slice(-150).join('\n'))
-  })
+  useDeployment()
 
   it('refuses the keys of an endpoint that is lost while the log is down at once and serves them after its return', async () => {
     const lost = 'ponds-1'
@@ -159,18 +153,7 @@
 
 describe('Newcomer VMs when the log cannot tell the state', function () {
   this.timeout(60_000)
-  let deployment: Deployment
-
-  before(async () => {
-    deployment = new Deployment(smallAtlas({ retainRecords: 40, logNamespaces: 'briarsaddle:*' }))
-    await deployment.start()
-  })
-
-  after(async () => await deployment.stop())
-
-  afterEach(function () {
-    if (this.currentTest?.state === 'failed') console.log(deployment.logs().split('\n').slice(-150).join('\n'))
-  })
+  useDeployment({ retainRecords: 40 })
 
   async function startNewcomer (id: string, dataCentre: string): Promise<void> {
     const [rules, owners] = [await observeRules(deployment, 'vm-1'), await observeOwners(deployment, 'vm-1')]
@@ -219,23 +202,23 @@
   it('starts from a checkpoint when the log retains only the newest records', async () => {
     const seed = printedSeed('the short log')
     // Records with an outdated base have no effect but push older ones out of the log.
-    for (let count = 0; count < 45; count++) await appendVoidRecord(deployment)
+    for (let count = 0; count < 45; count++) await appendVoidRecord()
     await pause(1000)
-    const { first } = await retained(deployment)
+    const { first } = await retained()
     expect(first).to.be.above(0)
     await startNewcomer('vm-6', 'dc-c')
     await serveThrough('vm-6', seed)
   })
 })
 
-async function appendVoidRecord (deployment: Deployment): Promise<void> {
+async function appendVoidRecord (): Promise<void> {
   const record = { id: randomUUID(), kind: 'endpointRemoved', base: 0, endpoint: 'not-known' }
   const response = await request(`${deployment.logUrl}/streams/control/records`, { method: 'POST', body: JSON.stringify(record) })
   expect(response.statusCode).to.equal(201)
   await response.body.dump()
 }
 
-async function retained (deployment: Deployment): Promise<{ readonly first: number, readonly next: number }> {
+async function retained (): Promise<{ readonly first: number, readonly next: number }> {
   const response = await request(`${deployment.logUrl}/_control`)
   const { streams } = await response.body.json() as { readonly streams: { readonly control: { readonly first: number, readonly next: number } } }
   return streams.control
