--- a/packages/daemon/src/control/coordination.ts
+++ b/packages/daemon/src/control/coordination.ts
@@ -144,13 +144,16 @@
     }
   }
 
-  /** Endpoints that this VM has coordinated for some time. */
+  /**
+   * Endpoints that this VM has coordinated for some time and that may be given away: one that does not check who orders
+   * would serve nothing until the longest deadline of its pool has passed.
+   */
   #settled (): readonly EndpointState[] {
     const now = this.#clock.now()
     const own = this.#own()
     for (const id of this.#ownSince.keys()) if (!own.some(({ description }) => description.id === id)) this.#ownSince.delete(id)
     for (const { description } of own) if (!this.#ownSince.has(description.id)) this.#ownSince.set(description.id, now)
-    return own.filter(({ description }) => now - (this.#ownSince.get(description.id) ?? now) >= tenureMilliseconds)
+    return own.filter(({ description }) => description.checks && now - (this.#ownSince.get(description.id) ?? now) >= tenureMilliseconds)
   }
 
   /** Gives one endpoint to the VM with the fewest when this VM has clearly more than its share. */
--- a/packages/daemon/src/coordinator/grant-keeper.ts
+++ b/packages/daemon/src/coordinator/grant-keeper.ts
@@ -34,6 +34,8 @@
 const longestStepMilliseconds = 2 * controlCallTimeoutMilliseconds + 100
 const lostRetryMilliseconds = 500
 const offerMilliseconds = 50
+// No call is made while waiting, so looking often costs little; at the renewal interval service began up to 100 ms late.
+const takeoverPollMilliseconds = 10
 
 /** Offers the coordinator token to one endpoint and renews its grants while this VM has the right to. */
 export class GrantKeeper {
@@ -161,6 +163,7 @@
     const elapsed = this.#clock.now() - startedAt
     if (this.#state === 'lost' || this.#state === 'fenced') return await delay(Math.max(1, lostRetryMilliseconds - elapsed), signal)
     if (this.#hello === undefined) return await delay(Math.max(1, offerMilliseconds - elapsed), signal)
+    if (this.#state === 'waiting') return await delay(takeoverPollMilliseconds, signal)
     // A call that lasted longer than the interval is followed by the next one at once.
     if (elapsed < this.#timing.renewMilliseconds) await processTicker.wait(this.#timing.renewMilliseconds, signal)
   }
