Leave refusals by shedding endpoints out of the retry budget

Change: a shed request of a pool without keys goes to another endpoint without a token, and waits with backoff when all shed, for at most 2 s as before.

--- a/packages/daemon/src/entry/entry.test.ts
+++ b/packages/daemon/src/entry/entry.test.ts
@@ -258,6 +258,16 @@
     for (let index = 0; index < 4; index++) expect((await call('POST', '/crews')).status).to.equal(200)
   })
 
+  it('goes on when endpoints of a pool shed, however often, or the retry budget would fail requests that another endpoint can run', async () => {
+    let shedding = true
+    peers.script = () => shedding ? notRunAnswer('endpoint_shed') : Answer.create({ outcome: Outcome.OUTCOME_ANSWERED, status: 200 })
+    const replies = [call('POST', '/crews'), call('POST', '/crews')]
+    await delay(400)
+    shedding = false
+    expect((await Promise.all(replies)).map(({ status }) => status)).to.deep.equal([200, 200])
+    expect(peers.sent.length, 'more refusals than the budget allows').to.be.greaterThan(10)
+  })
+
   it('sets aside an endpoint that sheds (one that has little outstanding work because it runs nothing)', async () => {
     peers.script = forward => forward.endpoint === 'c1' ? notRunAnswer('endpoint_shed') : Answer.create({ outcome: Outcome.OUTCOME_ANSWERED, status: 200 })
     for (let index = 0; index < 30; index++) await call('POST', '/crews')
--- a/packages/daemon/src/entry/request-router.ts
+++ b/packages/daemon/src/entry/request-router.ts
@@ -297,7 +297,7 @@
       if (!await this.#waits.forMove(attempt, place, Math.min(backoffEndsAt, endsAt))) return false
       if (this.#waits.hasMoved(attempt, place)) return true
       if (this.#clock.now() >= endsAt) return false
-      if (verdict === 'unreachable' || this.#spendRetry(attempt, place, verdict)) return true
+      if (verdict === 'unreachable' || verdict === 'shed' || this.#spendRetry(attempt, place, verdict)) return true
       if (!awaitsMove(answer, verdict)) return false
     }
   }
--- a/packages/daemon/src/entry/resend-policy.ts
+++ b/packages/daemon/src/entry/resend-policy.ts
@@ -6,9 +6,11 @@
  * `unreachable`: no frame left this VM; it costs nobody anything to try again.
  * `moved`: the request belongs elsewhere, and the control state shows or will soon show where.
  * `refused`: the right place could not run the request just now.
+ * `shed`: the endpoint runs nothing just now, as during its start. It costs the endpoint little to refuse, so that the
+ *   retry budget, which protects against overload, does not count it.
  * `broken`: the outcome is unknown, but the request is idempotent and may run again.
  */
-export type Verdict = 'final' | 'unreachable' | 'moved' | 'refused' | 'broken'
+export type Verdict = 'final' | 'unreachable' | 'moved' | 'refused' | 'shed' | 'broken'
 
 const movedReasons: ReadonlySet<string> = new Set(['not_coordinator', 'not_owner', 'draining', 'endpoint_lost', peerReasons.goingAway])
 
@@ -16,7 +18,7 @@
 const passingReasons: ReadonlySet<string> = new Set(['right_expired', 'endpoint_unavailable', 'endpoint_refused', 'effect_refused'])
 
 // Refusals by one endpoint that say nothing about the others of its pool.
-const endpointReasons: ReadonlySet<string> = new Set([...passingReasons, 'endpoint_shed', 'queue_full', 'deadline_unreachable', peerReasons.congested])
+const endpointReasons: ReadonlySet<string> = new Set([...passingReasons, 'queue_full', 'deadline_unreachable', peerReasons.congested])
 
 /** Reasons of an UNKNOWN answer that leave time to send an idempotent request again. */
 const brokenReasons: ReadonlySet<string> = new Set([peerReasons.lost, 'connection_broken'])
@@ -35,6 +37,7 @@
   if (answer.outcome === Outcome.OUTCOME_UNKNOWN) return idempotent && brokenReasons.has(answer.reason) ? 'broken' : 'final'
   if (answer.reason === peerReasons.unreachable) return 'unreachable'
   if (movedReasons.has(answer.reason)) return 'moved'
+  if (answer.reason === 'endpoint_shed' && !keyed) return 'shed'
   return (keyed ? passingReasons : endpointReasons).has(answer.reason) ? 'refused' : 'final'
 }
 
