Count replaced rules in the wait of endpoints that do not check

Rules with a shorter deadline, published while a request under the former ones still ran, cut the wait too short, and two VMs could give orders side by side. Read in the code; no run showed it.

--- a/packages/daemon/src/control-plane.ts
+++ b/packages/daemon/src/control-plane.ts
@@ -17,6 +17,7 @@
 import { RecordWriter } from './control/record-writer.js'
 import { ReviewLoop } from './control/review-loop.js'
 import { RightKeeper } from './control/right-keeper.js'
+import { RuleDeadlines } from './control/rule-deadlines.js'
 import { TakeAwayWait } from './control/take-away.js'
 import { Upkeep } from './control/upkeep.js'
 import { Witness } from './control/witness.js'
@@ -82,7 +83,9 @@
       endpoints: () => this.coordinator.sessions.map(({ description }) => description.id),
       provisional: endpoint => this.coordinator.isProvisional(endpoint)
     })
+    const deadlines = new RuleDeadlines(clock)
     this.coordinator = new Coordinator({
+      longestDeadline: pool => deadlines.longest(pool),
       settings,
       view: this.follower,
       clock,
@@ -96,7 +99,7 @@
       lifeCycle: this.#loops
     })
     const history = new MoveHistory(this.follower, clock)
-    this.#assignments = new Assignments({ history, follower: this.follower, membership: this.membership, coordinator: this.coordinator, writer: this.writer, takeAway, clock, lifeCycle: this.#loops })
+    this.#assignments = new Assignments({ history, deadlines, follower: this.follower, membership: this.membership, coordinator: this.coordinator, writer: this.writer, takeAway, clock, lifeCycle: this.#loops })
     this.#coordination = new Coordination({
       self,
       follower: this.follower,
@@ -120,7 +123,7 @@
       unsettled: () => this.#isUnsettled(),
       onError: error => logger.error('task failed', { task: 'review', reason: describeError(error) })
     })
-    this.follower.observe(new StateEvents(this.coordinator, this.rights, history, this.#reviews))
+    this.follower.observe(new StateEvents({ coordinator: this.coordinator, rights: this.rights, history, reviews: this.#reviews, observeRules: () => deadlines.rulesRead(this.follower.rules) }))
   }
 
   /** Creates the control plane and listens for other VMs. Throws `listen_failed`. */
@@ -205,30 +208,34 @@
   }
 }
 
+interface StateListeners {
+  readonly coordinator: Coordinator
+  readonly rights: RightKeeper
+  readonly history: MoveHistory
+  readonly reviews: ReviewLoop
+  readonly observeRules: () => void
+}
+
 class StateEvents extends FollowerObserver {
-  readonly #coordinator: Coordinator
-  readonly #rights: RightKeeper
-  readonly #history: MoveHistory
-  readonly #reviews: ReviewLoop
+  readonly #listeners: StateListeners
 
-  constructor (coordinator: Coordinator, rights: RightKeeper, history: MoveHistory, reviews: ReviewLoop) {
+  constructor (listeners: StateListeners) {
     super()
-    this.#coordinator = coordinator
-    this.#rights = rights
-    this.#history = history
-    this.#reviews = reviews
+    this.#listeners = listeners
   }
 
   override stateChanged (state: ControlState, read: readonly ReadRecord[]): void {
-    this.#history.recordsRead(read)
-    this.#coordinator.stateChanged(state, read)
+    const { coordinator, history, reviews, observeRules } = this.#listeners
+    observeRules()
+    history.recordsRead(read)
+    coordinator.stateChanged(state, read)
     // A checkpoint alone changes nothing; a state without records came from a peer.
-    if (read.length === 0 || read.some(({ record }) => record.kind !== 'checkpoint')) this.#reviews.changed()
+    if (read.length === 0 || read.some(({ record }) => record.kind !== 'checkpoint')) reviews.changed()
   }
 
   override readToEnd (startedAt: number): void {
-    this.#coordinator.caughtUp()
-    this.#rights.readToEnd(startedAt)
+    this.#listeners.coordinator.caughtUp()
+    this.#listeners.rights.readToEnd(startedAt)
   }
 }
 
--- a/packages/daemon/src/control/assignments.ts
+++ b/packages/daemon/src/control/assignments.ts
@@ -7,6 +7,7 @@
 import type { MoveHistory } from './move-history.js'
 import { poolsWithBuckets } from './pools.js'
 import type { RecordWriter } from './record-writer.js'
+import type { RuleDeadlines } from './rule-deadlines.js'
 import type { TakeAwayWait } from './take-away.js'
 
 const logger = new Logger('assignments')
@@ -25,6 +26,7 @@
   readonly #writer: RecordWriter
   readonly #takeAway: TakeAwayWait
   readonly #history: MoveHistory
+  readonly #deadlines: RuleDeadlines
   readonly #clock: Clock
   readonly #lifeCycle: LifeCycle
   readonly #lastBalance = new Map<string, number>()
@@ -38,6 +40,7 @@
     readonly writer: RecordWriter
     readonly takeAway: TakeAwayWait
     readonly history: MoveHistory
+    readonly deadlines: RuleDeadlines
     readonly clock: Clock
     readonly lifeCycle: LifeCycle
   }) {
@@ -47,6 +50,7 @@
     this.#writer = options.writer
     this.#takeAway = options.takeAway
     this.#history = options.history
+    this.#deadlines = options.deadlines
     this.#clock = options.clock
     this.#lifeCycle = options.lifeCycle
   }
@@ -158,7 +162,7 @@
       if (formerUntil === undefined) return
       const ownUntil = Math.max(...leaving.map(({ bucket }) => session.grants.lastGrantEnd(bucket)))
       // An endpoint that does not check runs its work to the end; the longest deadline of the pool bounds it.
-      const extra = checks ? 0 : this.#longestDeadline(session.description.pool)
+      const extra = checks ? 0 : this.#deadlines.longest(session.description.pool)
       const wait = Math.max(othersUntil, formerUntil, ownUntil) + extra - this.#clock.now()
       if (wait > 0) await new Promise(resolve => setTimeout(resolve, wait))
       // The endpoint may have come back meanwhile; its acknowledgement then decides.
@@ -168,10 +172,6 @@
     }
   }
 
-  #longestDeadline (pool: string): number {
-    return Math.max(0, ...this.#follower.rules.rules.filter(rule => rule.pool === pool).map(rule => rule.deadlineMilliseconds))
-  }
-
   async #release (endpoint: string, buckets: readonly number[]): Promise<void> {
     const byAssignment = new Map<number, number[]>()
     const wanted = new Set(buckets)
--- a/packages/daemon/src/coordinator/coordinator.ts
+++ b/packages/daemon/src/coordinator/coordinator.ts
@@ -52,6 +52,8 @@
   readonly journalSink: JournalSink
   readonly journalSource: JournalSource
   readonly formerRights: FormerRights
+  /** Longest time in milliseconds that a request of the pool may run. */
+  readonly longestDeadline: (pool: string) => number
   readonly observer: SessionObserver
   readonly createPolicy: () => QueuePolicy
   readonly lifeCycle: LifeCycle
@@ -223,8 +225,7 @@
 
   #takeEffect (coordinated: Coordinated, end: number | undefined, clock: Clock): void {
     if (end === undefined) return
-    const { pool } = coordinated.session.description
-    const longest = Math.max(0, ...this.#options.view.rules.rules.filter(rule => rule.pool === pool).map(rule => rule.deadlineMilliseconds))
+    const longest = this.#options.longestDeadline(coordinated.session.description.pool)
     const timer = setTimeout(() => { coordinated.takeoverEffective = true }, Math.max(0, end + longest - clock.now()))
     if (coordinated.lifeCycle.closed) clearTimeout(timer)
     else coordinated.lifeCycle.own('takeover wait', () => clearTimeout(timer))
