--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -6,11 +6,26 @@
 /** Levels are the last part of the namespace, so `DEBUG=briarsaddle:*:error` selects errors only. */
 export type LogLevel = 'debug' | 'info' | 'warning' | 'error'
 
+/** Receives log lines instead of `debug`, for example to write them as JSON. */
+export abstract class LogSink {
+  abstract write (component: string, level: LogLevel, message: string, fields: LogFields): void
+}
+
+let sink: LogSink | undefined
+
+/** Sends the lines of all loggers to the sink; undefined returns to `debug`. */
+export function setLogSink (newSink: LogSink | undefined): void {
+  sink = newSink
+}
+
 /** Writes structured log lines: a namespace with level, a message and `key=value` fields. */
 export class Logger {
   readonly #writers: Readonly<Record<LogLevel, createDebug.Debugger>>
 
+  readonly #component: string
+
   constructor (component: string) {
+    this.#component = component
     const writer = (level: LogLevel): createDebug.Debugger => createDebug(`briarsaddle:${component}:${level}`)
     this.#writers = { debug: writer('debug'), info: writer('info'), warning: writer('warning'), error: writer('error') }
   }
@@ -21,6 +36,7 @@
   error (message: string, fields?: LogFields): void { this.#write('error', message, fields) }
 
   #write (level: LogLevel, message: string, fields: LogFields = {}): void {
+    if (sink !== undefined) return sink.write(this.#component, level, message, fields)
     const writer = this.#writers[level]
     if (writer.enabled) writer('%s', formatLine(message, fields))
   }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,4 +1,5 @@
 import { LifeCycle } from '@briarsaddle/common'
+import { EntryServer } from '@briarsaddle/entry'
 import type { Answer, Forward } from '@briarsaddle/protocol'
 import { RandomChoice, RetryBudget, TwoChoices, UnlimitedRetries } from '@briarsaddle/scheduling'
 import { administrationToken, type Address, type Settings } from '@briarsaddle/settings'
@@ -6,7 +7,7 @@
 import { ControlPlane } from './control-plane.js'
 import { PoolForwarder } from './control/inner-adapters.js'
 import { PoolRunner } from './coordinator/coordinator.js'
-import { EntryServer, RequestRouter } from './entry/index.js'
+import { RequestRouter, type AcceptedRequest } from './entry/index.js'
 import { MeasureReporter } from './measure-reporter.js'
 import { Metrics } from './metrics.js'
 
@@ -25,7 +26,7 @@
   readonly #settings: Settings
   readonly #lifeCycle = new LifeCycle('daemon')
   #control: ControlPlane | undefined
-  #entry: EntryServer | undefined
+  #entry: EntryServer<AcceptedRequest> | undefined
   #stopping: Promise<void> | undefined
 
   constructor (settings: Settings) {
@@ -41,7 +42,7 @@
     this.#control = control
     const router = this.#createRouter(control, metrics)
     control.coordinator.usePoolRunner(new RouterPoolRunner(router))
-    const entry = new EntryServer({ ...listen.callers, ...limits, clock: control.clock, random: control.random }, router)
+    const entry = new EntryServer({ ...listen.callers, ...limits, clock: control.clock }, router)
     this.#entry = entry
     const callersPort = await entry.listen()
     this.#lifeCycle.own('entry', async () => await entry.stop(0))
@@ -86,7 +87,7 @@
     })
   }
 
-  async #startAdministration (control: ControlPlane, router: RequestRouter, entry: EntryServer): Promise<number> {
+  async #startAdministration (control: ControlPlane, router: RequestRouter, entry: EntryServer<AcceptedRequest>): Promise<number> {
     const administration = new AdministrationServer({
       ...this.#settings.listen.administration,
       token: administrationToken(this.#settings),
@@ -118,9 +119,9 @@
 class DaemonDump extends StateDump {
   readonly #control: ControlPlane
   readonly #router: RequestRouter
-  readonly #entry: EntryServer
+  readonly #entry: EntryServer<AcceptedRequest>
 
-  constructor (control: ControlPlane, router: RequestRouter, entry: EntryServer) {
+  constructor (control: ControlPlane, router: RequestRouter, entry: EntryServer<AcceptedRequest>) {
     super()
     this.#control = control
     this.#router = router
--- a/packages/daemon/src/entry/caller-answer.ts
+++ b/packages/daemon/src/entry/caller-answer.ts
@@ -1,15 +1,13 @@
 import type { Random } from '@briarsaddle/common'
+import { headerValue, type CallerAnswer } from '@briarsaddle/entry'
 import { Outcome, type Answer, type Header } from '@briarsaddle/protocol'
-import { callerHeaders, headerValue } from './headers.js'
+import { callerHeaders } from './headers.js'
 
-/** What a caller gets. */
-export interface CallerAnswer {
-  readonly status: number
+/** What a caller gets, with the outcome that it states. */
+export interface OutcomeAnswer extends CallerAnswer {
   readonly outcome: 'answered' | 'not-run' | 'unknown'
   /** Empty when the endpoint answered. */
   readonly reason: string
-  readonly headers: readonly Header[]
-  readonly body: Buffer
 }
 
 const defaultRetryAfterMilliseconds = 1_000
@@ -34,17 +32,17 @@
 ])
 
 /** Creates the answer to a request that surely did not run. */
-export function refusal (reason: string, random: Random, retryAfterMilliseconds = defaultRetryAfterMilliseconds): CallerAnswer {
+export function refusal (reason: string, random: Random, retryAfterMilliseconds = defaultRetryAfterMilliseconds): OutcomeAnswer {
   return ownAnswer(statusByReason.get(reason) ?? 503, 'not-run', reason, random, retryAfterMilliseconds)
 }
 
 /** Creates the answer to a request that may have run. */
-export function unknownOutcome (reason: string, random: Random, retryAfterMilliseconds = defaultRetryAfterMilliseconds): CallerAnswer {
+export function unknownOutcome (reason: string, random: Random, retryAfterMilliseconds = defaultRetryAfterMilliseconds): OutcomeAnswer {
   return ownAnswer(504, 'unknown', reason, random, retryAfterMilliseconds)
 }
 
 /** Turns the answer of a coordinator into the answer for the caller. */
-export function callerAnswer (answer: Answer, method: string, random: Random): CallerAnswer {
+export function callerAnswer (answer: Answer, method: string, random: Random): OutcomeAnswer {
   const retryAfter = answer.retryAfterMilliseconds > 0 ? answer.retryAfterMilliseconds : defaultRetryAfterMilliseconds
   if (answer.outcome === Outcome.OUTCOME_NOT_RUN) return refusal(answer.reason, random, retryAfter)
   if (answer.outcome === Outcome.OUTCOME_UNKNOWN) return unknownOutcome(answer.reason, random, retryAfter)
@@ -65,7 +63,7 @@
   return length === undefined ? [] : [{ name: 'Content-Length', value: length }]
 }
 
-function ownAnswer (status: number, outcome: 'not-run' | 'unknown', reason: string, random: Random, retryAfterMilliseconds: number): CallerAnswer {
+function ownAnswer (status: number, outcome: 'not-run' | 'unknown', reason: string, random: Random, retryAfterMilliseconds: number): OutcomeAnswer {
   const body = Buffer.from(JSON.stringify({ outcome, reason }))
   const headers = [
     { name: 'Content-Type', value: 'application/json' },
--- a/packages/daemon/src/entry/caller-request.ts
+++ b/packages/daemon/src/entry/caller-request.ts
@@ -1,19 +1,6 @@
+import type { CallerRequest } from '@briarsaddle/entry'
 import type { Rule } from '@briarsaddle/rules'
 
-/** What the entry has read of a request before its body. */
-export interface CallerRequest {
-  readonly method: string
-  /** Path and query as received, without scheme and authority. */
-  readonly target: string
-  /** All values of each header by lower-case name, as `headersDistinct` of `node:http` gives them. */
-  readonly headers: Readonly<Record<string, readonly string[] | undefined>>
-  /** Alternating names and values as received. */
-  readonly rawHeaders: readonly string[]
-  readonly remoteAddress: string
-  /** Monotonic time of arrival in milliseconds. */
-  readonly arrivedAt: number
-}
-
 /** A request that matched a rule and whose own headers are valid. */
 export interface AcceptedRequest {
   readonly request: CallerRequest
@@ -42,9 +29,3 @@
   if (value === undefined) return ''
   return others.length === 0 && idempotencyKeyPattern.test(value) ? value : undefined
 }
-
-/** Removes scheme and authority of a target in absolute form, which HTTP/1.1 servers must accept. */
-export function originForm (target: string): string {
-  const rest = target.replace(/^https?:\/\/[^/?#]*/i, '')
-  return rest === '' || rest.startsWith('?') ? `/${rest}` : rest
-}
--- a/packages/daemon/src/entry/entry.test.ts
+++ b/packages/daemon/src/entry/entry.test.ts
@@ -1,3 +1,4 @@
+import { EntryServer } from '@briarsaddle/entry'
 import { expect } from 'chai'
 import { request as httpRequest, type IncomingHttpHeaders, type OutgoingHttpHeaders } from 'node:http'
 import { connect } from 'node:net'
@@ -8,7 +9,7 @@
 import { TwoChoices } from '@briarsaddle/scheduling'
 import { ControlView, ForwardHandler, PeerForwarder } from '../contracts.js'
 import { Metrics } from '../metrics.js'
-import { EntryServer, RequestRouter } from './index.js'
+import { RequestRouter, type AcceptedRequest } from './index.js'
 
 class TestControl extends ControlView {
   state: ControlState = {
@@ -86,7 +87,7 @@
   let control: TestControl
   let peers: TestPeers
   let router: RequestRouter
-  let server: EntryServer
+  let server: EntryServer<AcceptedRequest>
   let port: number
   let hasher: KeyHasher
 
@@ -100,7 +101,7 @@
     const metrics = new Metrics({ host: '127.0.0.1', port: 1, prefix: '', vm: 'vm1', mock: true })
     const createChooser = (): TwoChoices => new TwoChoices({ clock, random })
     router = new RequestRouter({ vm: 'vm1', control, local: new LocalHandler(), peers, hasher, createChooser, metrics, clock, random, maximumWaiting: 2 })
-    server = new EntryServer({ host: '127.0.0.1', port: 0, maximumHeaderBytes: 4_096, maximumBodyBytes: 1_000, maximumCallerConnections: 50, clock, random }, router)
+    server = new EntryServer({ host: '127.0.0.1', port: 0, maximumHeaderBytes: 4_096, maximumBodyBytes: 1_000, maximumCallerConnections: 50, clock }, router)
     port = await server.listen()
   })
 
--- a/packages/daemon/src/entry/index.ts
+++ b/packages/daemon/src/entry/index.ts
@@ -1,4 +1,3 @@
-export { EntryServer, type EntryServerOptions } from './entry-server.js'
 export { RequestRouter, type RequestRouterOptions } from './request-router.js'
-export type { AcceptedRequest, CallerRequest } from './caller-request.js'
-export type { CallerAnswer } from './caller-answer.js'
+export type { AcceptedRequest } from './caller-request.js'
+export type { OutcomeAnswer } from './caller-answer.js'
--- a/packages/daemon/src/entry/request-router.ts
+++ b/packages/daemon/src/entry/request-router.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import type { Clock, Random } from '@briarsaddle/common'
+import { CallerRequestHandler, type CallerRequest } from '@briarsaddle/entry'
 import { bucketsPerPool, type KeyHasher } from '@briarsaddle/ownership'
 import { Outcome, ServiceClass, notRunAnswer, peerReasons, type Answer, type Forward } from '@briarsaddle/protocol'
 import { RuleMatcher, type MatchResult, type RuleFile } from '@briarsaddle/rules'
@@ -8,8 +9,8 @@
 import type { Metrics } from '../metrics.js'
 import { noBucket, type Attempt, type RequestTemplate } from './attempt.js'
 import { BoundedForwarder, deadlineReserveMilliseconds } from './bounded-forwarder.js'
-import { callerAnswer, refusal, type CallerAnswer } from './caller-answer.js'
-import { idempotencyKeyOf, requestedDeadline, type AcceptedRequest, type CallerRequest } from './caller-request.js'
+import { callerAnswer, refusal, unknownOutcome, type OutcomeAnswer } from './caller-answer.js'
+import { idempotencyKeyOf, requestedDeadline, type AcceptedRequest } from './caller-request.js'
 import { endpointHeaders } from './headers.js'
 import { LongPlacement } from './long-placement.js'
 import { PoolMembers, placeOfBucket, placeOfEndpoint, type NoPlace, type Place } from './place.js'
@@ -55,7 +56,7 @@
 }
 
 /** Routes the requests of callers to the coordinators of their endpoints. */
-export class RequestRouter {
+export class RequestRouter extends CallerRequestHandler<AcceptedRequest> {
   readonly #options: RequestRouterOptions
   readonly #clock: Clock
   readonly #members = new PoolMembers()
@@ -70,6 +71,7 @@
   #matcher = new RuleMatcher({ rules: [] })
 
   constructor (options: RequestRouterOptions) {
+    super()
     this.#options = options
     this.#clock = options.clock
     this.#budgets = new RetryBudgets(options.createBudget)
@@ -92,8 +94,7 @@
     }
   }
 
-  /** Matches a request before its body is read. Returns the final answer when it is refused. */
-  accept (request: CallerRequest): AcceptedRequest | CallerAnswer {
+  override accept (request: CallerRequest): AcceptedRequest | OutcomeAnswer {
     const match = this.#match(request)
     if (match.outcome !== 'matched') return this.#refuse(matchReason(match))
     const requested = requestedDeadline(request.headers)
@@ -104,8 +105,7 @@
     return { request, rule: match.rule, key: match.key, idempotencyKey, deadlineAt: request.arrivedAt + milliseconds }
   }
 
-  /** Routes an accepted request. Always resolves to the final answer; an abort ends it truthfully at once. */
-  async route (accepted: AcceptedRequest, body: Buffer, signal: AbortSignal): Promise<CallerAnswer> {
+  override async route (accepted: AcceptedRequest, body: Buffer, signal: AbortSignal): Promise<OutcomeAnswer> {
     const { request, rule, deadlineAt } = accepted
     const answer = await this.#run(this.#createTemplate(accepted, body), deadlineAt, signal)
     const final = callerAnswer(answer, request.method, this.#options.random)
@@ -119,6 +119,14 @@
     return final
   }
 
+  override refusal (reason: string): OutcomeAnswer {
+    return refusal(reason, this.#options.random)
+  }
+
+  override unknownOutcome (reason: string): OutcomeAnswer {
+    return unknownOutcome(reason, this.#options.random)
+  }
+
   #match (request: CallerRequest): MatchResult {
     const rules = this.#options.control.rules
     if (rules !== this.#rules) {
@@ -242,6 +250,7 @@
       idempotent: rule.idempotent,
       idempotencyKey,
       rule: rule.line,
+      objectiveMilliseconds: 0,
       method: request.method,
       target: request.target,
       headers: endpointHeaders(request.rawHeaders, request.remoteAddress),
@@ -315,7 +324,7 @@
     return deadlineAt - this.#clock.now()
   }
 
-  #refuse (reason: string): CallerAnswer {
+  #refuse (reason: string): OutcomeAnswer {
     const answer = refusal(reason, this.#options.random)
     this.#options.metrics.request({ pool: 'none', serviceClass: 'none', outcome: answer.outcome, reason, milliseconds: 0 })
     return answer
--- a/packages/daemon/src/entry/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -1,11 +1,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import polka from 'polka'
-import { BriarsaddleError, delay, Logger, describeError, errorCode, type Clock, type Random } from '@briarsaddle/common'
+import { BriarsaddleError, delay, Logger, describeError, errorCode, type Clock } from '@briarsaddle/common'
 import { hasBody, readBody } from './body.js'
-import { refusal, unknownOutcome, type CallerAnswer } from './caller-answer.js'
-import { originForm, type AcceptedRequest, type CallerRequest } from './caller-request.js'
-import type { RequestRouter } from './request-router.js'
+import { originForm, type CallerAnswer, type CallerRequest, type CallerRequestHandler } from './request-handler.js'
 
 const logger = new Logger('entry')
 
@@ -26,7 +24,15 @@
   /** Time that an idle connection stays open. Default 65 s, more than usual balancers keep theirs. */
   readonly keepAliveMilliseconds?: number
   readonly clock: Clock
-  readonly random: Random
+}
+
+/** Limits that may change while the server listens. */
+export interface CallerLimits {
+  readonly maximumBodyBytes: number
+  /** Longest time to receive the headers of a request, in milliseconds. */
+  readonly headersMilliseconds: number
+  /** Time that an idle connection stays open, in milliseconds. */
+  readonly keepAliveMilliseconds: number
 }
 
 const defaultMaximumBufferedBytes = 256 * 1024 * 1024
@@ -50,18 +56,20 @@
 }
 
 /** Accepts the requests of callers over HTTP/1.1 and answers them by a router. */
-export class EntryServer {
+export class EntryServer<Accepted extends object> {
   readonly #options: EntryServerOptions
-  readonly #router: RequestRouter
+  readonly #handler: CallerRequestHandler<Accepted>
   readonly #server: Server
   readonly #exchanges = new Set<Exchange>()
+  #maximumBodyBytes: number
   #bufferedBytes = 0
   #stopping: Promise<void> | undefined
   #onIdle: (() => void) | undefined
 
-  constructor (options: EntryServerOptions, router: RequestRouter) {
+  constructor (options: EntryServerOptions, handler: CallerRequestHandler<Accepted>) {
     this.#options = options
-    this.#router = router
+    this.#handler = handler
+    this.#maximumBodyBytes = options.maximumBodyBytes
     this.#server = createServer({
       maxHeaderSize: options.maximumHeaderBytes,
       headersTimeout: options.headersMilliseconds ?? defaultHeadersMilliseconds,
@@ -74,10 +82,10 @@
     this.#server.on('clientError', (error, socket) => this.#clientFailed(error, socket as Socket))
     const application = polka({ server: this.#server, onNoMatch: (request, response) => this.#handle(request, response) })
     // polka completes the request object itself and creates `next` when it is missing.
-    const handler = application.handler as unknown as (request: IncomingMessage, response: ServerResponse) => void
+    const onRequest = application.handler as unknown as (request: IncomingMessage, response: ServerResponse) => void
     // Without a listener, node sends `100 Continue` before the request has been matched.
-    this.#server.on('checkContinue', handler)
-    this.#server.on('request', handler)
+    this.#server.on('checkContinue', onRequest)
+    this.#server.on('request', onRequest)
   }
 
   /** Requests that have no final answer yet. */
@@ -90,6 +98,13 @@
     return this.#server.listening && this.#stopping === undefined
   }
 
+  /** Applies new limits to requests and connections from now on. */
+  setLimits ({ maximumBodyBytes, headersMilliseconds, keepAliveMilliseconds }: CallerLimits): void {
+    this.#maximumBodyBytes = maximumBodyBytes
+    this.#server.headersTimeout = headersMilliseconds
+    this.#server.keepAliveTimeout = keepAliveMilliseconds
+  }
+
   /** Starts to listen and resolves to the port. Throws `listen_failed`. */
   async listen (): Promise<number> {
     const { host, port } = this.#options
@@ -149,36 +164,37 @@
     } catch (error) {
       logger.error('request failed unexpectedly', { step: 'answer request', error: describeError(error) })
       if (response.headersSent) response.destroy()
-      else this.#write(exchange, unknownOutcome('internal_error', this.#options.random))
+      else this.#write(exchange, this.#handler.unknownOutcome('internal_error'))
     }
   }
 
   /** Returns the final answer, or undefined when the caller is gone. */
   async #answer (exchange: Exchange): Promise<CallerAnswer | undefined> {
     const { request, response, controller } = exchange
-    const accepted = this.#router.accept(this.#describe(exchange))
-    if ('outcome' in accepted) return accepted
+    const accepted = this.#handler.accept(this.#describe(exchange))
+    if (isAnswer(accepted)) return accepted
     if (!hasBody(request)) return await this.#route(exchange, accepted, Buffer.alloc(0))
-    const { maximumBodyBytes, maximumBufferedBytes = defaultMaximumBufferedBytes, random } = this.#options
+    const { maximumBufferedBytes = defaultMaximumBufferedBytes } = this.#options
+    const maximumBodyBytes = this.#maximumBodyBytes
     // A body of unknown length counts as the longest one.
     const reserved = Math.min(maximumBodyBytes, Number(request.headers['content-length'] ?? maximumBodyBytes))
-    if (this.#bufferedBytes + reserved > maximumBufferedBytes) return refusal('memory_limit', random)
+    if (this.#bufferedBytes + reserved > maximumBufferedBytes) return this.#handler.refusal('memory_limit')
     this.#bufferedBytes += reserved
     try {
       if (request.headers.expect !== undefined && Number(request.headers['content-length'] ?? 0) <= maximumBodyBytes) response.writeContinue()
       exchange.reading = true
       const result = await readBody(request, maximumBodyBytes)
       exchange.reading = false
-      if (result.kind !== 'body') return result.kind === 'too_large' ? refusal('body_too_large', random) : undefined
-      if (controller.signal.aborted) return refusal('stopping', random)
+      if (result.kind !== 'body') return result.kind === 'too_large' ? this.#handler.refusal('body_too_large') : undefined
+      if (controller.signal.aborted) return this.#handler.refusal('stopping')
       return await this.#route(exchange, accepted, result.body)
     } finally {
       this.#bufferedBytes -= reserved
     }
   }
 
-  async #route (exchange: Exchange, accepted: AcceptedRequest, body: Buffer): Promise<CallerAnswer | undefined> {
-    const answer = await this.#router.route(accepted, body, exchange.controller.signal)
+  async #route (exchange: Exchange, accepted: Accepted, body: Buffer): Promise<CallerAnswer | undefined> {
+    const answer = await this.#handler.route(accepted, body, exchange.controller.signal)
     return exchange.response.closed ? undefined : answer
   }
 
@@ -196,7 +212,7 @@
   #write ({ request, response }: Exchange, answer: CallerAnswer): void {
     const headers = answer.headers.flatMap(({ name, value }) => [name, value])
     const unread = hasBody(request) && !request.complete
-    if (unread || this.#stopping !== undefined) headers.push('Connection', 'close')
+    if (unread || (this.#stopping !== undefined && this.#isLastOnConnection(request))) headers.push('Connection', 'close')
     response.writeHead(answer.status, headers)
     if (unread) {
       response.write(answer.body)
@@ -206,6 +222,12 @@
     }
   }
 
+  // Node drops the answers of pipelined requests that follow an answer which closes the connection.
+  #isLastOnConnection (request: IncomingMessage): boolean {
+    const open = [...this.#exchanges].filter(exchange => exchange.request.socket === request.socket)
+    return open.at(-1)?.request === request
+  }
+
   /** Ends the answer after the rest of the body was dropped or the time for that is over. */
   #linger (request: IncomingMessage, response: ServerResponse): void {
     const timer = setTimeout(() => response.end(), lingerMilliseconds)
@@ -225,12 +247,16 @@
       socket.destroy()
       return
     }
-    const answer = refusal(clientErrorReasons.get(errorCode(error)) ?? 'bad_request', this.#options.random)
+    const answer = this.#handler.refusal(clientErrorReasons.get(errorCode(error)) ?? 'bad_request')
     const head = answer.headers.map(({ name, value }) => `${name}: ${value}\r\n`).join('')
     socket.end(`HTTP/1.1 ${answer.status} Refused\r\n${head}Connection: close\r\n\r\n${answer.body.toString()}`)
   }
 }
 
+function isAnswer (accepted: object): accepted is CallerAnswer {
+  return 'status' in accepted
+}
+
 const clientErrorReasons: ReadonlyMap<string, string> = new Map([
   ['HPE_HEADER_OVERFLOW', 'header_too_large'],
   ['ERR_HTTP_REQUEST_TIMEOUT', 'request_timeout']
--- /dev/null
+++ b/packages/key-ranges/src/edit.ts
@@ -0,0 +1,100 @@
+import type { Holder, KeyMap, KeyRange, Segment, VmEntry } from './key-map.js'
+
+/** Keys that get another owner. */
+export interface RangeMove extends KeyRange {
+  readonly pool: string
+  readonly owner: Holder
+  /** False when the present owner surely holds nothing, because that process has ended. */
+  readonly ownerMayHold: boolean
+}
+
+/** Begins to give keys to another owner under a new fencing token. The keys are moving until `settleRange`. */
+export function assignRange (map: KeyMap, move: RangeMove): KeyMap {
+  const fence = map.fence + 1
+  const before = map.pools[move.pool] ?? []
+  const after = before.length === 0
+    ? [newSegment(move, fence)]
+    : before.flatMap(segment => assignWithin(segment, move, fence))
+  // The first assignments of a pool arrive one after the other.
+  const covered = before.some(segment => segment.from <= move.to && segment.to >= move.from)
+  const segments = covered || before.length === 0 ? after : [...before, newSegment(move, fence)].sort((one, other) => one.from - other.from)
+  return { ...map, fence, pools: { ...map.pools, [move.pool]: segments } }
+}
+
+/** Ends a move: the owner has acknowledged its grant. Ignores segments that have meanwhile changed. */
+export function settleRange (map: KeyMap, pool: string, range: KeyRange & { readonly fence: number }): KeyMap {
+  const segments = (map.pools[pool] ?? []).map(segment => {
+    const same = segment.from === range.from && segment.to === range.to && segment.fence === range.fence
+    return same ? { ...segment, moving: false, former: [], handover: '' } : segment
+  })
+  return { ...map, pools: { ...map.pools, [pool]: segments } }
+}
+
+/**
+ * Gives every segment one new fencing token. Its owners keep their keys; grants that a former leader still sends are
+ * refused by every endpoint that has acknowledged the new token.
+ */
+export function raiseFences (map: KeyMap): KeyMap {
+  const fence = map.fence + 1
+  const pools = Object.fromEntries(Object.entries(map.pools).map(([pool, segments]) => [pool, segments.map(segment => ({ ...segment, fence }))]))
+  return { ...map, fence, pools }
+}
+
+/** Gives the settled segments of one endpoint a new fencing token, because its process may have started again. */
+export function raiseFencesOf (map: KeyMap, endpoint: string): KeyMap {
+  const fence = map.fence + 1
+  const raise = (segment: Segment): Segment => segment.owner.endpoint === endpoint && !segment.moving ? { ...segment, fence } : segment
+  return { ...map, fence, pools: Object.fromEntries(Object.entries(map.pools).map(([pool, segments]) => [pool, segments.map(raise)])) }
+}
+
+/** Joins neighbouring segments that one grant can cover. */
+export function joinSegments (map: KeyMap): KeyMap {
+  return { ...map, pools: Object.fromEntries(Object.entries(map.pools).map(([pool, segments]) => [pool, joined(segments)])) }
+}
+
+/** Replaces the list of VMs. */
+export function withVms (map: KeyMap, vms: readonly VmEntry[]): KeyMap {
+  return { ...map, vms }
+}
+
+function newSegment ({ from, to, owner }: RangeMove, fence: number): Segment {
+  return { from, to, owner, fence, moving: true, former: [], handover: '' }
+}
+
+function assignWithin (segment: Segment, move: RangeMove, fence: number): Segment[] {
+  if (segment.to < move.from || segment.from > move.to) return [segment]
+  const pieces: Segment[] = []
+  if (segment.from < move.from) pieces.push({ ...segment, to: move.from - 1 })
+  pieces.push({
+    from: Math.max(segment.from, move.from),
+    to: Math.min(segment.to, move.to),
+    owner: move.owner,
+    fence,
+    moving: true,
+    former: formerOf(segment, move),
+    handover: ''
+  })
+  if (segment.to > move.to) pieces.push({ ...segment, from: move.to + 1 })
+  return pieces
+}
+
+function formerOf (segment: Segment, { owner, ownerMayHold }: RangeMove): readonly Holder[] {
+  const holders = ownerMayHold ? [...segment.former, segment.owner] : segment.former
+  const others = holders.filter(holder => holder.endpoint !== owner.endpoint || holder.life !== owner.life)
+  return others.filter((holder, index) => others.findIndex(other => other.endpoint === holder.endpoint && other.life === holder.life) === index)
+}
+
+function joined (segments: readonly Segment[]): readonly Segment[] {
+  const result: Segment[] = []
+  for (const segment of segments) {
+    const last = result.at(-1)
+    if (last !== undefined && mayJoin(last, segment)) result[result.length - 1] = { ...last, to: segment.to }
+    else result.push(segment)
+  }
+  return result
+}
+
+function mayJoin (one: Segment, other: Segment): boolean {
+  return !one.moving && !other.moving && one.to + 1 === other.from && one.fence === other.fence &&
+    one.owner.endpoint === other.owner.endpoint && one.owner.life === other.owner.life
+}
--- /dev/null
+++ b/packages/key-ranges/src/index.ts
@@ -0,0 +1,9 @@
+export {
+  emptyKeyMap, firstKey, keyMapSchema, lastKey, rangeText, sizeOf,
+  type Holder, type KeyMap, type KeyRange, type Segment, type VmEntry
+} from './key-map.js'
+export { segmentAt, segmentsIn, holdersOf } from './lookup.js'
+export { assignRange, joinSegments, raiseFences, raiseFencesOf, settleRange, withVms, type RangeMove } from './edit.js'
+export { planMembership, type PoolMember } from './membership-plan.js'
+export { defaultSpreadSettings, planSpread, type KeyDemand, type MemberDemand, type SpreadSettings } from './spread-plan.js'
+export { GrantLedger, type GrantLedgerOptions } from './grant-ledger.js'
--- /dev/null
+++ b/packages/key-ranges/src/membership-plan.ts
@@ -0,0 +1,130 @@
+import { assignRange, type RangeMove } from './edit.js'
+import { firstKey, lastKey, sizeOf, type Holder, type KeyMap, type KeyRange } from './key-map.js'
+
+/** An endpoint that may own keys of a pool. */
+export interface PoolMember extends Holder {
+  readonly slots: number
+  /** False while it leaves; it then keeps no keys. */
+  readonly accepting: boolean
+  /** Slots that its present keys keep busy; 0 when not known. */
+  readonly busySlots: number
+}
+
+// A lost endpoint's keys go to several others, so that none of them gets twice its load.
+const piecesOfLostSegment = 3
+
+/** Returns the map in which every key of the pool belongs to an endpoint that is there, with as few moves as possible. */
+export function planMembership (map: KeyMap, pool: string, members: readonly PoolMember[]): KeyMap {
+  const accepting = members.filter(member => member.accepting)
+  if (accepting.length === 0) return map
+  const segments = map.pools[pool] ?? []
+  if (segments.length === 0) return assignEvenly(map, pool, accepting)
+  return giveToNewMembers(replaceLostOwners(map, pool, members, accepting), pool, accepting)
+}
+
+function assignEvenly (map: KeyMap, pool: string, members: readonly PoolMember[]): KeyMap {
+  const totalSlots = sum(members, member => member.slots)
+  let next = firstKey
+  let slotsBefore = 0
+  return members.reduce((result, member, index) => {
+    slotsBefore += member.slots
+    const to = index === members.length - 1 ? lastKey : Math.floor((lastKey + 1) * slotsBefore / totalSlots) - 1
+    const from = next
+    next = to + 1
+    return assignRange(result, { pool, from, to, owner: holderOf(member), ownerMayHold: false })
+  }, map)
+}
+
+function replaceLostOwners (map: KeyMap, pool: string, members: readonly PoolMember[], accepting: readonly PoolMember[]): KeyMap {
+  const byId = new Map(members.map(member => [member.endpoint, member]))
+  const load = new LoadEstimate(map, pool, accepting)
+  return (map.pools[pool] ?? []).reduce((result, segment) => {
+    const member = byId.get(segment.owner.endpoint)
+    if (member?.accepting === true && member.life === segment.owner.life) return result
+    // A later life under the same id proves that the earlier one has ended.
+    const restarted = member !== undefined && member.life > segment.owner.life
+    if (restarted && member.accepting) return assignRange(result, { ...segment, pool, owner: holderOf(member), ownerMayHold: false })
+    return cut(segment, Math.min(piecesOfLostSegment, accepting.length)).reduce((next, piece) => {
+      const owner = load.least(segment.owner.endpoint)
+      if (owner === undefined) return next
+      load.add(owner, piece)
+      return assignRange(next, { ...piece, pool, owner: holderOf(owner), ownerMayHold: !restarted })
+    }, result)
+  }, map)
+}
+
+/** Gives members without keys a share of those of the most loaded owners. */
+function giveToNewMembers (map: KeyMap, pool: string, accepting: readonly PoolMember[]): KeyMap {
+  const owners = new Set((map.pools[pool] ?? []).map(segment => segment.owner.endpoint))
+  const newcomers = accepting.filter(member => !owners.has(member.endpoint))
+  const load = new LoadEstimate(map, pool, accepting)
+  return newcomers.reduce((result, newcomer) => {
+    const move = shareFor(result, pool, newcomer, load)
+    return move === undefined ? result : assignRange(result, move)
+  }, map)
+}
+
+function shareFor (map: KeyMap, pool: string, newcomer: PoolMember, load: LoadEstimate): RangeMove | undefined {
+  const settled = (map.pools[pool] ?? []).filter(segment => !segment.moving && sizeOf(segment) > 1)
+  const donor = load.most(new Set(settled.map(segment => segment.owner.endpoint)))
+  const largest = settled.filter(segment => segment.owner.endpoint === donor?.endpoint).sort((one, other) => sizeOf(other) - sizeOf(one))[0]
+  if (donor === undefined || largest === undefined) return undefined
+  const [kept, given] = cut(largest, 2) as [KeyRange, KeyRange]
+  load.add(donor, kept, load.of(donor) / 2 - load.of(donor))
+  load.add(newcomer, given)
+  return { ...given, pool, owner: holderOf(newcomer), ownerMayHold: true }
+}
+
+/** Expected load of the members while keys are given away, in keys and measured work per slot. */
+class LoadEstimate {
+  readonly #members: readonly PoolMember[]
+  readonly #load: Map<string, number>
+  readonly #perKey: number
+
+  constructor (map: KeyMap, pool: string, members: readonly PoolMember[]) {
+    this.#members = members
+    const keys = new Map<string, number>()
+    for (const segment of map.pools[pool] ?? []) keys.set(segment.owner.endpoint, (keys.get(segment.owner.endpoint) ?? 0) + sizeOf(segment))
+    const slots = Math.max(1, sum(members, member => member.slots))
+    // Keys stand in for work that has not been measured: as if all of them together kept half of the slots busy.
+    this.#perKey = (sum(members, member => member.busySlots) + slots / 2) / (lastKey + 1)
+    this.#load = new Map(members.map(member => [member.endpoint, member.busySlots + (keys.get(member.endpoint) ?? 0) * slots / 2 / (lastKey + 1)]))
+  }
+
+  of (member: PoolMember): number {
+    return (this.#load.get(member.endpoint) ?? 0) / Math.max(1, member.slots)
+  }
+
+  add (member: PoolMember, range: KeyRange, loadPerSlot = sizeOf(range) * this.#perKey / Math.max(1, member.slots)): void {
+    this.#load.set(member.endpoint, (this.#load.get(member.endpoint) ?? 0) + loadPerSlot * Math.max(1, member.slots))
+  }
+
+  least (excluded: string): PoolMember | undefined {
+    return this.#sorted().find(member => member.endpoint !== excluded)
+  }
+
+  most (among: ReadonlySet<string>): PoolMember | undefined {
+    return this.#sorted().reverse().find(member => among.has(member.endpoint))
+  }
+
+  #sorted (): PoolMember[] {
+    return [...this.#members].sort((one, other) => this.of(one) - this.of(other))
+  }
+}
+
+function cut ({ from, to }: KeyRange, pieces: number): readonly KeyRange[] {
+  const count = Math.min(pieces, to - from + 1)
+  return Array.from({ length: count }, (_, index) => ({
+    from: from + Math.floor((to - from + 1) * index / count),
+    to: from + Math.floor((to - from + 1) * (index + 1) / count) - 1
+  }))
+}
+
+/** The holder that a member is. */
+export function holderOf ({ endpoint, life, address }: Holder): Holder {
+  return { endpoint, life, address }
+}
+
+function sum<Item> (items: readonly Item[], value: (item: Item) => number): number {
+  return items.reduce((total, item) => total + value(item), 0)
+}
--- /dev/null
+++ b/packages/key-ranges/src/spread-plan.ts
@@ -0,0 +1,143 @@
+import { assignRange } from './edit.js'
+import { holderOf, type PoolMember } from './membership-plan.js'
+import type { KeyMap, KeyRange, Segment } from './key-map.js'
+
+/** Recent demand for one key. */
+export interface KeyDemand {
+  readonly key: number
+  /** Slots that the demand for the key would keep busy at its present owner. */
+  readonly busySlots: number
+}
+
+/** Recent demand at one endpoint, whether or not it was met. */
+export interface MemberDemand extends PoolMember {
+  /** Requests that wait on average. */
+  readonly queued: number
+  /** Time for which a request holds a slot there, in milliseconds; 0 when not known. */
+  readonly serviceMilliseconds: number
+  readonly keys: readonly KeyDemand[]
+}
+
+/** Thresholds of `planSpread`, in demand per slot unless stated otherwise. */
+export interface SpreadSettings {
+  /** An endpoint above this gives keys away. */
+  readonly overloaded: number
+  /** It gives so much that it is left with this. */
+  readonly relievedTo: number
+  /** An endpoint takes keys up to this. */
+  readonly fillTo: number
+  /** Least demand that is worth a move, in slots. */
+  readonly leastSlots: number
+  /** Most moves of one plan. */
+  readonly mostMoves: number
+}
+
+/** Defaults: with 2 or 3 slots, waiting exceeds the running time from about 0.85 on. */
+export const defaultSpreadSettings: SpreadSettings = { overloaded: 0.85, relievedTo: 0.6, fillTo: 0.7, leastSlots: 0.1, mostMoves: 12 }
+
+interface Candidate extends KeyRange {
+  readonly busySlots: number
+}
+
+/**
+ * Gives busy neighbouring keys of overloaded endpoints to endpoints with room. Only the busy part of a segment moves, in
+ * pieces that fit the takers, so that one run of hot keys spreads over several endpoints and cold keys stay.
+ */
+export function planSpread (map: KeyMap, pool: string, members: readonly MemberDemand[], settings: SpreadSettings = defaultSpreadSettings): KeyMap {
+  const takers = new Takers(members.filter(member => member.accepting), settings)
+  const overloaded = members
+    .filter(member => demandPerSlot(member) > settings.overloaded)
+    .sort((one, other) => demandPerSlot(other) - demandPerSlot(one))
+  let result = map
+  let moves = 0
+  for (const member of overloaded) {
+    let excess = demandOf(member) - settings.relievedTo * member.slots
+    while (excess > settings.leastSlots && moves < settings.mostMoves) {
+      const taker = takers.best(member)
+      if (taker === undefined) return result
+      const piece = nextPiece(result, pool, member, Math.min(excess, taker.room))
+      if (piece === undefined) break
+      result = assignRange(result, { ...piece, pool, owner: holderOf(taker.member), ownerMayHold: true })
+      takers.take(taker.member, piece.busySlots * taker.costRatio)
+      excess -= piece.busySlots
+      moves++
+    }
+  }
+  return result
+}
+
+function demandOf (member: MemberDemand): number {
+  return member.busySlots + member.queued
+}
+
+function demandPerSlot (member: MemberDemand): number {
+  return demandOf(member) / Math.max(1, member.slots)
+}
+
+interface Taker {
+  readonly member: MemberDemand
+  /** Demand that still fits, in slots of the giver. */
+  readonly room: number
+  /** Slots that the taker needs for what keeps one slot of the giver busy. */
+  readonly costRatio: number
+}
+
+class Takers {
+  readonly #members: readonly MemberDemand[]
+  readonly #settings: SpreadSettings
+  readonly #taken = new Map<string, number>()
+
+  constructor (members: readonly MemberDemand[], settings: SpreadSettings) {
+    this.#members = members
+    this.#settings = settings
+  }
+
+  /** The member with the most room for demand of the giver. */
+  best (giver: MemberDemand): Taker | undefined {
+    const takers = this.#members
+      .filter(member => member.endpoint !== giver.endpoint)
+      .map(member => this.#taker(member, giver))
+      .filter(taker => taker.room >= this.#settings.leastSlots)
+    return takers.sort((one, other) => other.room - one.room)[0]
+  }
+
+  take (member: MemberDemand, slots: number): void {
+    this.#taken.set(member.endpoint, (this.#taken.get(member.endpoint) ?? 0) + slots)
+  }
+
+  #taker (member: MemberDemand, giver: MemberDemand): Taker {
+    const known = member.serviceMilliseconds > 0 && giver.serviceMilliseconds > 0
+    const costRatio = known ? member.serviceMilliseconds / giver.serviceMilliseconds : 1
+    const free = this.#settings.fillTo * member.slots - demandOf(member) - (this.#taken.get(member.endpoint) ?? 0)
+    return { member, room: free / costRatio, costRatio }
+  }
+}
+
+/** The next run of busy keys of the member with at most the given demand. */
+function nextPiece (map: KeyMap, pool: string, member: MemberDemand, mostSlots: number): Candidate | undefined {
+  const segments = (map.pools[pool] ?? []).filter(segment => !segment.moving && segment.owner.endpoint === member.endpoint)
+  const runs = segments.flatMap(segment => densestRun(segment, member.keys, mostSlots))
+  return runs.sort((one, other) => other.busySlots - one.busySlots)[0]
+}
+
+/** The run of keys of a segment with the most demand that stays within the limit. */
+function densestRun (segment: Segment, keys: readonly KeyDemand[], mostSlots: number): Candidate[] {
+  const inside = keys.filter(({ key }) => key >= segment.from && key <= segment.to).sort((one, other) => one.key - other.key)
+  let best: Candidate | undefined
+  let start = 0
+  let busySlots = 0
+  inside.forEach(({ key, busySlots: demand }, index) => {
+    busySlots += demand
+    while (start < index && busySlots > mostSlots) busySlots -= (inside[start++] as KeyDemand).busySlots
+    const candidate = { from: (inside[start] as KeyDemand).key, to: key, busySlots }
+    // A key with more demand than fits elsewhere stays; its neighbours make room for it.
+    if (busySlots > mostSlots) return
+    if (best === undefined || isBetter(candidate, best)) best = candidate
+  })
+  return best === undefined ? [] : [best]
+}
+
+/** More demand is better; with about as much, fewer keys change hands. */
+function isBetter (one: Candidate, other: Candidate): boolean {
+  return one.busySlots - (one.to - one.from) * 1e-6 > other.busySlots - (other.to - other.from) * 1e-6
+}
--- a/packages/protocol/src/handlers.ts
+++ b/packages/protocol/src/handlers.ts
@@ -1,4 +1,5 @@
-import type { Answer, ConfirmRequest, ConfirmResponse, FetchJournalRequest, FetchJournalResponse, FetchLoadsRequest, FetchLoadsResponse, FetchStateResponse, Forward, HeartbeatRequest, HeartbeatResponse, Journal, JournalAcknowledgement } from './generated/inner.js'
+import { BriarsaddleError } from '@briarsaddle/common'
+import type { Answer, ConfirmRequest, ConfirmResponse, FetchJournalRequest, FetchJournalResponse, FetchControlRequest, FetchControlResponse, FetchKeyLoadsRequest, FetchKeyLoadsResponse, FetchLoadsRequest, FetchLoadsResponse, FetchStateResponse, Forward, HeartbeatRequest, HeartbeatResponse, Journal, JournalAcknowledgement } from './generated/inner.js'
 
 /** Receives the frames of peers. Ids of answers are set by the server. */
 export abstract class FrameHandler {
@@ -16,4 +17,13 @@
   abstract fetchState (): Promise<FetchStateResponse>
   abstract fetchJournal (request: FetchJournalRequest): Promise<FetchJournalResponse>
   abstract fetchLoads (request: FetchLoadsRequest): Promise<FetchLoadsResponse>
+  /** Rejects unless the VM assigns keys in ranges. */
+  async fetchKeyLoads (_request: FetchKeyLoadsRequest): Promise<FetchKeyLoadsResponse> { throw unsupported('fetch key loads') }
+  /** Rejects unless the VM assigns keys in ranges. */
+  async fetchControl (_request: FetchControlRequest): Promise<FetchControlResponse> { throw unsupported('fetch control') }
+}
+
+/** Error of a call that this kind of VM does not serve. */
+export function unsupported (step: string): BriarsaddleError {
+  return new BriarsaddleError(`${step} is not served by this VM`, { code: 'unsupported', step })
 }
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,10 +1,10 @@
 export {
-  Answer, Cancel, ConfirmRequest, ConfirmResponse, EndpointVersion, EndpointLoad, FetchJournalRequest, FetchJournalResponse, FetchLoadsRequest, FetchLoadsResponse, FetchStateRequest,
+  Answer, Cancel, ConfirmRequest, ConfirmResponse, EndpointVersion, EndpointLoad, EndpointKeyLoad, FetchControlRequest, FetchControlResponse, FetchJournalRequest, FetchJournalResponse, FetchKeyLoadsRequest, FetchKeyLoadsResponse, FetchLoadsRequest, FetchLoadsResponse, FetchStateRequest,
   FetchStateResponse, Forward, Frame, GoingAway, Header, Heartbeat, HeartbeatAnswer, HeartbeatRequest, HeartbeatResponse, Journal, JournalAcknowledgement,
-  BucketImport, JournalEntry, JournalStage, Outcome, ServiceClass
+  BucketImport, JournalEntry, JournalStage, KeyLoad, Outcome, ServiceClass
 } from './generated/inner.js'
 export { answerBytes, forwardBytes, notRunAnswer, peerReasons, unknownAnswer } from './answers.js'
-export { ControlHandler, FrameHandler } from './handlers.js'
+export { ControlHandler, FrameHandler, unsupported } from './handlers.js'
 export { InnerServer, type InnerServerOptions } from './inner-server.js'
 export { defaultMaximumMessageBytes, formatAddress, type ConnectionOptions } from './options.js'
 export { PeerClient, type PeerClientOptions } from './peer-client.js'
--- a/packages/protocol/src/inner-server.ts
+++ b/packages/protocol/src/inner-server.ts
@@ -99,7 +99,9 @@
       confirm: unary(async request => await control.confirm(request)),
       fetchState: unary(async () => await control.fetchState()),
       fetchJournal: unary(async request => await control.fetchJournal(request)),
-      fetchLoads: unary(async request => await control.fetchLoads(request))
+      fetchLoads: unary(async request => await control.fetchLoads(request)),
+      fetchKeyLoads: unary(async request => await control.fetchKeyLoads(request)),
+      fetchControl: unary(async request => await control.fetchControl(request))
     }
   }
 }
--- /dev/null
+++ b/packages/router/src/control/control-relay.ts
@@ -0,0 +1,49 @@
+import { describeError, Logger, type LifeCycle, type Random } from '@briarsaddle/common'
+import { keyMapSchema, type KeyMap } from '@briarsaddle/key-ranges'
+import type { PeerPool } from '@briarsaddle/protocol'
+import { routingTableSchema, type RoutingTable } from '../routing-table.js'
+import type { TopicFollower } from './topic-follower.js'
+
+const logger = new Logger('relay')
+
+/** What the relay needs from the VM. */
+export interface ControlRelayOptions {
+  readonly peers: PeerPool
+  readonly map: TopicFollower<KeyMap>
+  readonly routing: TopicFollower<RoutingTable>
+  readonly random: Random
+}
+
+const askEveryMilliseconds = 400
+const callMilliseconds = 300
+
+/** Asks other VMs for the key map and the routing table while this VM cannot read the log. */
+export class ControlRelay {
+  readonly #options: ControlRelayOptions
+
+  constructor (options: ControlRelayOptions) {
+    this.#options = options
+  }
+
+  start (lifeCycle: LifeCycle): void {
+    lifeCycle.every('control relay', askEveryMilliseconds, async () => await this.#ask(), error => logger.warning('relay failed', { error: describeError(error) }))
+  }
+
+  async #ask (): Promise<void> {
+    const { map, routing, peers, random } = this.#options
+    if (map.connected && routing.connected) return
+    const vms = peers.vms.filter(vm => peers.get(vm)?.connected === true)
+    if (vms.length === 0) return
+    const vm = random.pick(vms)
+    try {
+      const request = { keyMapPosition: map.current?.position ?? 0, routingVersion: routing.current?.state.version ?? 0 }
+      const response = await peers.get(vm)?.fetchControl(request, callMilliseconds)
+      if (response === undefined) return
+      if (response.keyMap !== '') map.offer({ position: response.keyMapPosition, state: keyMapSchema.parse(JSON.parse(response.keyMap)) })
+      if (response.routingTable !== '') routing.offer({ position: routing.current?.position ?? 0, state: routingTableSchema.parse(JSON.parse(response.routingTable)) })
+      if (response.keyMap !== '' || response.routingTable !== '') logger.info('control state taken from another VM', { vm, position: response.keyMapPosition, routingVersion: response.routingVersion })
+    } catch (error) {
+      logger.info('another VM did not hand out its control state', { vm, error: describeError(error) })
+    }
+  }
+}
--- /dev/null
+++ b/packages/router/src/control/grant-renewal.ts
@@ -0,0 +1,144 @@
+import { Logger, type Clock } from '@briarsaddle/common'
+import { rangeText, type GrantLedger, type Holder, type Segment } from '@briarsaddle/key-ranges'
+import type { EndpointTransport, GrantReply } from '../endpoint-transport.js'
+import type { ControlTiming } from './timing.js'
+
+const logger = new Logger('grants')
+
+/** What the renewal needs from the leader. */
+export interface GrantRenewalOptions {
+  readonly clock: Clock
+  readonly timing: ControlTiming
+  readonly transport: EndpointTransport
+  readonly ledger: GrantLedger
+  /** Whether the segment is still assigned as it was; asked right before a grant is sent. */
+  readonly mayRenew: (pool: string, segment: Segment) => boolean
+}
+
+interface SegmentState {
+  dueAt: number
+  /** Undefined until the endpoint has accepted this token. */
+  connection: number | undefined
+  inFlight: boolean
+}
+
+/** Renews the grants of settled segments and finds endpoints that cannot be reached. */
+export class GrantRenewal {
+  readonly #options: GrantRenewalOptions
+  readonly #segments = new Map<string, SegmentState>()
+  readonly #failingSince = new Map<string, number>()
+  readonly #disconnected = new Set<string>()
+
+  constructor (options: GrantRenewalOptions) {
+    this.#options = options
+  }
+
+  /** Endpoints that cannot be reached at the moment. */
+  get unreachable (): readonly string[] {
+    return [...this.#failingSince.keys()].filter(endpoint => this.isUnreachable(endpoint))
+  }
+
+  /** True for an endpoint that could not be reached for some time. */
+  isUnreachable (endpoint: string): boolean {
+    const since = this.#failingSince.get(endpoint)
+    return since !== undefined && this.#options.clock.now() - since > this.#options.timing.suspectMilliseconds
+  }
+
+  /** Forgets everything, since a new leadership gives new tokens. */
+  reset (): void {
+    this.#segments.clear()
+    this.#failingSince.clear()
+    this.#disconnected.clear()
+  }
+
+  /** Returns the endpoints whose connection was lost since the last call; their segments need new tokens. */
+  takeDisconnected (): readonly string[] {
+    const endpoints = [...this.#disconnected]
+    this.#disconnected.clear()
+    return endpoints
+  }
+
+  /** Records that the endpoint has accepted the first grant of a segment. */
+  accepted (pool: string, segment: Segment, connection: number): void {
+    this.#segments.set(keyOf(pool, segment), { connection, dueAt: this.#options.clock.now() + this.#options.timing.renewMilliseconds / 2, inFlight: false })
+  }
+
+  /** Records whether a call about grants reached the endpoint. */
+  observe (endpoint: string, result: GrantReply['kind']): void {
+    if (result === 'granted' || result === 'fenced') {
+      if (this.#failingSince.delete(endpoint)) logger.info('endpoint reached again', { endpoint })
+    } else if (result !== 'disconnected' && !this.#failingSince.has(endpoint)) {
+      this.#failingSince.set(endpoint, this.#options.clock.now())
+      logger.warning('endpoint not reached', { endpoint, step: 'grant', result })
+    }
+  }
+
+  /** Tries endpoints that could not be reached; one that owns nothing any more gets no grant that would show that it is back. */
+  async probeUnreachable (holders: readonly Holder[]): Promise<void> {
+    const unreachable = holders.filter(holder => this.isUnreachable(holder.endpoint))
+    await Promise.all(unreachable.map(async holder => {
+      if (await this.#options.transport.reach(holder)) this.observe(holder.endpoint, 'granted')
+    }))
+  }
+
+  /** Sends the grants that are due. */
+  renewDue (pools: Readonly<Record<string, readonly Segment[]>>): void {
+    const now = this.#options.clock.now()
+    const present = new Set<string>()
+    for (const [pool, segments] of Object.entries(pools)) {
+      for (const segment of segments) {
+        const key = keyOf(pool, segment)
+        present.add(key)
+        const state = this.#stateOf(key, segment)
+        if (!segment.moving && !state.inFlight && state.dueAt <= now) void this.#renew(pool, segment, state)
+      }
+    }
+    for (const key of this.#segments.keys()) if (!present.has(key)) this.#segments.delete(key)
+  }
+
+  /** A segment that was joined or cut keeps the connection on which its token was accepted. */
+  #stateOf (key: string, segment: Segment): SegmentState {
+    let state = this.#segments.get(key)
+    if (state === undefined) {
+      const tokenKey = `${segment.owner.endpoint} ${segment.owner.life} ${segment.fence} `
+      const known = [...this.#segments].find(([other]) => other.includes(tokenKey))?.[1]
+      this.#segments.set(key, state = { dueAt: 0, connection: known?.connection, inFlight: false })
+    }
+    return state
+  }
+
+  async #renew (pool: string, segment: Segment, state: SegmentState): Promise<void> {
+    const { transport, ledger, timing, clock, mayRenew } = this.#options
+    if (!mayRenew(pool, segment)) return
+    state.inFlight = true
+    state.dueAt = clock.now() + timing.renewMilliseconds
+    const takeBack = ledger.sending(holderKey(segment.owner))
+    const { from, to, fence } = segment
+    const reply = await transport.grant(segment.owner, { from, to, fence, holdMilliseconds: timing.holdMilliseconds, handover: '', connection: state.connection })
+    state.inFlight = false
+    if (reply.kind === 'unreachable' || reply.kind === 'disconnected') takeBack()
+    this.#judge(reply, pool, segment, state)
+  }
+
+  #judge (reply: GrantReply, pool: string, segment: Segment, state: SegmentState): void {
+    const { endpoint } = segment.owner
+    this.observe(endpoint, reply.kind)
+    if (reply.kind === 'granted') {
+      state.connection = reply.connection
+      this.#options.ledger.acknowledged(holderKey(segment.owner))
+      return
+    }
+    if (reply.kind === 'disconnected') this.#disconnected.add(endpoint)
+    else if (reply.kind === 'fenced') logger.warning('renewal refused: the endpoint has seen a higher token', { pool, endpoint, keys: rangeText(segment), fence: segment.fence })
+    state.dueAt = this.#options.clock.now() + this.#options.timing.renewMilliseconds / 4
+  }
+}
+
+function keyOf (pool: string, { from, to, fence, owner }: Segment): string {
+  return `${pool} ${owner.endpoint} ${owner.life} ${fence} ${from}-${to}`
+}
+
+/** Name of a holder in the grant ledger. */
+export function holderKey ({ endpoint, life }: Holder): string {
+  return `${endpoint} ${life}`
+}
--- /dev/null
+++ b/packages/router/src/control/key-leader.ts
@@ -0,0 +1,283 @@
+import { describeError, errorCode, Logger, type Clock, type LifeCycle } from '@briarsaddle/common'
+import {
+  emptyKeyMap, GrantLedger, joinSegments, planMembership, planSpread, raiseFences, raiseFencesOf, rangeText, settleRange, withVms,
+  type KeyMap, type MemberDemand, type PoolMember, type Segment, type VmEntry
+} from '@briarsaddle/key-ranges'
+import type { Directory, EndpointEntry } from '../endpoint-entry.js'
+import type { EndpointTransport } from '../endpoint-transport.js'
+import type { RoutingTable } from '../routing-table.js'
+import { GrantRenewal } from './grant-renewal.js'
+import type { Member } from './member.js'
+import { RangeHandover } from './range-handover.js'
+import type { WritableTopic } from './state-topic.js'
+import type { ControlTiming } from './timing.js'
+import type { TopicFollower } from './topic-follower.js'
+
+const logger = new Logger('leader')
+
+/** Demand that coordinators measured at an endpoint. */
+export type MeasuredDemand = Pick<MemberDemand, 'busySlots' | 'queued' | 'serviceMilliseconds' | 'keys'>
+
+/** Collects the demand at the endpoints from their coordinators. */
+export abstract class DemandSource {
+  abstract collect (): Promise<ReadonlyMap<string, MeasuredDemand>>
+}
+
+/** What the leader needs from the VM. */
+export interface KeyLeaderOptions {
+  readonly self: VmEntry
+  readonly clock: Clock
+  readonly timing: ControlTiming
+  readonly member: Member
+  readonly topic: WritableTopic<KeyMap>
+  readonly map: TopicFollower<KeyMap>
+  readonly directory: TopicFollower<Directory>
+  readonly routing: TopicFollower<RoutingTable>
+  readonly transport: EndpointTransport
+  readonly demand: DemandSource
+}
+
+const tickMilliseconds = 100
+
+/**
+ * Assigns keys to endpoints while this VM leads: plans, writes the plan, carries out the moves and renews the grants.
+ * Every plan is a conditional write, so two VMs that believe they lead cannot both succeed.
+ */
+export class KeyLeader {
+  readonly #options: KeyLeaderOptions
+  readonly #ledger: GrantLedger
+  readonly #renewal: GrantRenewal
+  readonly #handovers = new Map<string, RangeHandover>()
+  /** Moves whose owner has its grant and that are not written yet. */
+  readonly #settled = new Map<string, { readonly pool: string, readonly segment: Segment }>()
+  readonly #changedAt = new Map<string, number>()
+  #leading = false
+  #generation: number | undefined
+  #vms: readonly VmEntry[] = []
+  #demand: ReadonlyMap<string, MeasuredDemand> = new Map()
+  #spreadAt = 0
+  #lastJoinOfPool = new Map<string, { readonly count: number, readonly at: number }>()
+
+  constructor (options: KeyLeaderOptions) {
+    this.#options = options
+    const { clock, timing, transport } = options
+    this.#ledger = new GrantLedger({
+      clock,
+      holdMilliseconds: timing.holdMilliseconds,
+      clockSlack: timing.clockSlack,
+      transitMilliseconds: timing.grantCallMilliseconds,
+      staleLeaderMilliseconds: timing.staleLeaderMilliseconds
+    })
+    this.#renewal = new GrantRenewal({ clock, timing, transport, ledger: this.#ledger, mayRenew: (pool, segment) => this.#mayRenew(pool, segment) })
+  }
+
+  /** True while this VM assigns keys. */
+  get leading (): boolean { return this.#leading }
+
+  start (lifeCycle: LifeCycle): void {
+    lifeCycle.every('key leader', tickMilliseconds, async () => await this.#tick(lifeCycle.signal), error => {
+      logger.warning('plan could not be written', { code: errorCode(error), error: describeError(error), position: this.#options.map.current?.position })
+    })
+    lifeCycle.own('key leader', () => this.#end('closed'))
+  }
+
+  /** Returns the state as plain data for the state dump. */
+  snapshot (): Readonly<Record<string, unknown>> {
+    return { leading: this.#leading, handovers: [...this.#handovers.keys()], unreachable: this.#renewal.unreachable, vms: this.#vms }
+  }
+
+  async #tick (signal: AbortSignal): Promise<void> {
+    const { member } = this.#options
+    if (!member.leads) {
+      if (this.#leading) this.#end('another VM leads')
+      return
+    }
+    if (!this.#leading) return await this.#begin(signal)
+    if (this.#isStale()) return this.#end('the log was out of reach for too long')
+    this.#renewal.renewDue(this.#map.pools)
+    await this.#refreshMembers()
+    await this.#plan(signal)
+    this.#startHandovers(signal)
+    this.#renewal.renewDue(this.#map.pools)
+  }
+
+  get #map (): KeyMap {
+    return this.#options.map.current?.state ?? emptyKeyMap
+  }
+
+  /** Takes over: no grant of a former leader is accepted by an endpoint that has seen the new tokens. */
+  async #begin (signal: AbortSignal): Promise<void> {
+    const { map, self, directory, routing } = this.#options
+    if (directory.current === undefined || routing.current === undefined) return
+    await map.refresh(AbortSignal.any([signal, AbortSignal.timeout(this.#options.timing.logCallMilliseconds)]))
+    this.#generation = undefined
+    await this.#refreshMembers()
+    await this.#write(joinSegments(raiseFences({ ...this.#map, author: self.id })), 'take over', signal)
+    this.#ledger.begin()
+    this.#renewal.reset()
+    this.#leading = true
+    logger.info('leadership begins', { fence: this.#map.fence, position: map.current?.position, pools: Object.keys(this.#map.pools).length })
+  }
+
+  #end (reason: string): void {
+    if (!this.#leading) return
+    this.#leading = false
+    for (const handover of this.#handovers.values()) handover.stop()
+    this.#handovers.clear()
+    this.#settled.clear()
+    logger.info('leadership ends', { reason })
+  }
+
+  #isStale (): boolean {
+    const { clock, member, map, timing } = this.#options
+    return clock.now() - Math.max(member.confirmedAt, map.confirmedAt) > timing.staleLeaderMilliseconds
+  }
+
+  async #refreshMembers (): Promise<void> {
+    const { member } = this.#options
+    const generation = member.report?.generation
+    if (generation === this.#generation) return
+    try {
+      this.#vms = [...await member.members()].sort((one, other) => one.id < other.id ? -1 : 1)
+      this.#generation = generation
+    } catch (error) {
+      logger.warning('members could not be listed', { code: errorCode(error), error: describeError(error), known: this.#vms.length })
+    }
+  }
+
+  async #plan (signal: AbortSignal): Promise<void> {
+    const before = this.#map
+    let next = this.#settle(before)
+    next = this.#renewal.takeDisconnected().reduce(raiseFencesOf, next)
+    const settledOnly = next
+    for (const pool of this.#keyedPools()) next = this.#planPool(next, pool)
+    if (next !== settledOnly) this.#noteChanges(settledOnly, next)
+    if (!sameVms(this.#vms, next.vms) && this.#vms.length > 0) next = withVms(next, this.#vms)
+    if (next === before) return
+    const settled = [...this.#settled.keys()]
+    await this.#write(joinSegments(next), 'assign keys', signal)
+    for (const key of settled) this.#settled.delete(key)
+  }
+
+  #settle (map: KeyMap): KeyMap {
+    return [...this.#settled.values()].reduce((result, { pool, segment }) => settleRange(result, pool, segment), map)
+  }
+
+  #keyedPools (): readonly string[] {
+    return (this.#options.routing.current?.state.pools ?? []).filter(pool => pool.keyed).map(pool => pool.name)
+  }
+
+  #planPool (map: KeyMap, pool: string): KeyMap {
+    const members = this.#membersOf(pool)
+    if (map.pools[pool] === undefined && !this.#hasSettled(pool, members.length)) return map
+    const planned = planMembership(map, pool, members)
+    const now = this.#options.clock.now()
+    if (planned !== map || now < this.#spreadAt) return planned
+    this.#spreadAt = now + this.#options.timing.spreadMilliseconds
+    void this.#collectDemand()
+    void this.#renewal.probeUnreachable(members)
+    return planSpread(planned, pool, members.map(member => this.#rested(member) ? member : { ...member, accepting: false, busySlots: 0, queued: 0, keys: [] }))
+  }
+
+  async #collectDemand (): Promise<void> {
+    try {
+      this.#demand = await this.#options.demand.collect()
+    } catch (error) {
+      logger.warning('demand could not be collected', { code: errorCode(error), error: describeError(error) })
+    }
+  }
+
+  #membersOf (pool: string): MemberDemand[] {
+    const members: MemberDemand[] = []
+    for (const entry of this.#options.directory.current?.state.values() ?? []) {
+      if (entry.pool !== pool) continue
+      const demand = this.#demand.get(entry.id) ?? { busySlots: 0, queued: 0, serviceMilliseconds: 0, keys: [] }
+      members.push({ ...memberOf(entry), ...demand, accepting: !entry.leaving && !this.#renewal.isUnreachable(entry.id) })
+    }
+    return members.sort((one, other) => one.endpoint < other.endpoint ? -1 : 1)
+  }
+
+  #hasSettled (pool: string, count: number): boolean {
+    const now = this.#options.clock.now()
+    const last = this.#lastJoinOfPool.get(pool)
+    if (last === undefined || last.count !== count) {
+      this.#lastJoinOfPool.set(pool, { count, at: now })
+      return false
+    }
+    return count > 0 && now - last.at >= this.#options.timing.settleMilliseconds
+  }
+
+  #rested (member: MemberDemand): boolean {
+    return this.#options.clock.now() - (this.#changedAt.get(member.endpoint) ?? -Infinity) > this.#options.timing.restMilliseconds
+  }
+
+  #noteChanges (before: KeyMap, after: KeyMap): void {
+    const now = this.#options.clock.now()
+    for (const [pool, segments] of Object.entries(after.pools)) {
+      for (const segment of segments) {
+        if (!segment.moving || segment.fence <= before.fence) continue
+        logger.info('keys get another owner', {
+          pool, keys: rangeText(segment), owner: segment.owner.endpoint, former: segment.former.map(former => former.endpoint).join(','), fence: segment.fence
+        })
+        for (const holder of [segment.owner, ...segment.former]) this.#changedAt.set(holder.endpoint, now)
+      }
+    }
+  }
+
+  async #write (map: KeyMap, purpose: string, signal: AbortSignal): Promise<void> {
+    const { topic, map: follower, timing } = this.#options
+    const position = follower.current?.position ?? 0
+    const limit = AbortSignal.any([signal, AbortSignal.timeout(timing.logCallMilliseconds)])
+    try {
+      follower.offer({ position: await topic.write(map, position, limit), state: map })
+    } catch (error) {
+      logger.info('write of the key map failed', { purpose, position, code: errorCode(error) })
+      // Whoever was faster, or an append of this VM that got no answer, is the base of the next plan.
+      await follower.refresh(AbortSignal.any([signal, AbortSignal.timeout(timing.logCallMilliseconds)]))
+      if (errorCode(error) === 'lost_race' && follower.current?.state.author !== this.#options.self.id) this.#end('another VM wrote the key map')
+      throw error
+    }
+  }
+
+  #mayRenew (pool: string, segment: Segment): boolean {
+    if (!this.#leading) return false
+    const current = this.#map.pools[pool]?.find(other => other.from === segment.from && other.fence === segment.fence)
+    return current?.moving === false && current.to >= segment.to && current.owner.life === segment.owner.life
+  }
+
+  #startHandovers (signal: AbortSignal): void {
+    const wanted = new Map<string, { readonly pool: string, readonly segment: Segment }>()
+    for (const [pool, segments] of Object.entries(this.#map.pools)) {
+      for (const segment of segments) if (segment.moving) wanted.set(`${pool} ${rangeText(segment)} ${segment.fence}`, { pool, segment })
+    }
+    for (const [key, handover] of this.#handovers) {
+      if (wanted.has(key)) continue
+      handover.stop()
+      this.#handovers.delete(key)
+      this.#settled.delete(key)
+    }
+    for (const [key, { pool, segment }] of wanted) if (!this.#handovers.has(key)) this.#startHandover(key, pool, segment, signal)
+  }
+
+  #startHandover (key: string, pool: string, segment: Segment, signal: AbortSignal): void {
+    const { clock, timing, transport, directory } = this.#options
+    const handover = new RangeHandover({ clock, timing, transport, ledger: this.#ledger, directory: () => directory.current?.state ?? new Map(), segment, pool, observe: (endpoint, result) => this.#renewal.observe(endpoint, result) })
+    this.#handovers.set(key, handover)
+    void handover.run(signal).then(result => {
+      if (this.#handovers.get(key) !== handover) return
+      if (result.kind === 'granted') {
+        this.#renewal.accepted(pool, segment, result.connection)
+        this.#settled.set(key, { pool, segment })
+      } else if (result.kind === 'fenced') this.#end('an endpoint has seen a higher token')
+    })
+  }
+}
+
+/** Returns an endpoint as a possible owner of keys. */
+export function memberOf (entry: EndpointEntry): PoolMember {
+  return { endpoint: entry.id, life: entry.life, address: `${entry.host}:${entry.port}`, slots: entry.slots, accepting: !entry.leaving, busySlots: 0 }
+}
+
+function sameVms (one: readonly VmEntry[], other: readonly VmEntry[]): boolean {
+  return one.length === other.length && one.every((vm, index) => vm.id === other[index]?.id && vm.host === other[index]?.host && vm.port === other[index]?.port)
+}
--- /dev/null
+++ b/packages/router/src/control/member.ts
@@ -0,0 +1,71 @@
+import { describeError, errorCode, Logger, type Clock, type LifeCycle } from '@briarsaddle/common'
+import type { VmEntry } from '@briarsaddle/key-ranges'
+import type { MembershipReport, MembershipService } from './leadership.js'
+
+const logger = new Logger('membership')
+
+/** Settings of a member; times in milliseconds. */
+export interface MemberOptions {
+  readonly self: VmEntry
+  readonly service: MembershipService
+  readonly clock: Clock
+  readonly confirmEveryMilliseconds: number
+  readonly callMilliseconds: number
+}
+
+/** This VM as a member: confirms the membership and knows whether it leads. */
+export class Member {
+  readonly #options: MemberOptions
+  #report: MembershipReport | undefined
+  #confirmedAt = -Infinity
+  #lost = false
+  #leaving = false
+
+  constructor (options: MemberOptions) {
+    this.#options = options
+  }
+
+  /** The last report; kept while the service is away. */
+  get report (): MembershipReport | undefined { return this.#report }
+  /** Start of the last call that succeeded, in clock milliseconds. */
+  get confirmedAt (): number { return this.#confirmedAt }
+  get leads (): boolean { return this.#report?.leads === true && !this.#leaving }
+
+  start (lifeCycle: LifeCycle): void {
+    const confirm = async (): Promise<void> => await this.#confirm(lifeCycle.signal)
+    lifeCycle.every('membership', this.#options.confirmEveryMilliseconds, confirm, error => this.#failed(error))
+  }
+
+  /** Leaves, so that another VM leads at once. */
+  async leave (): Promise<void> {
+    this.#leaving = true
+    try {
+      await this.#options.service.leave(this.#options.self, AbortSignal.timeout(this.#options.callMilliseconds))
+      logger.info('left the members', { vm: this.#options.self.id })
+    } catch (error) {
+      logger.warning('could not leave the members; the membership expires by itself', { code: errorCode(error), error: describeError(error) })
+    }
+  }
+
+  /** Lists the members. Throws `log_unavailable`. */
+  async members (): Promise<readonly VmEntry[]> {
+    return await this.#options.service.members(AbortSignal.timeout(this.#options.callMilliseconds))
+  }
+
+  async #confirm (signal: AbortSignal): Promise<void> {
+    if (this.#leaving) return
+    const startedAt = this.#options.clock.now()
+    const report = await this.#options.service.join(this.#options.self, AbortSignal.any([signal, AbortSignal.timeout(this.#options.callMilliseconds)]))
+    if (this.#leaving) return
+    if (this.#lost) logger.info('dependency regained', { dependency: 'membership' })
+    this.#lost = false
+    this.#confirmedAt = startedAt
+    if (report.leads !== this.#report?.leads) logger.info(report.leads ? 'this VM leads' : 'this VM does not lead', { generation: report.generation })
+    this.#report = report
+  }
+
+  #failed (error: unknown): void {
+    if (!this.#lost) logger.warning('dependency lost', { dependency: 'membership', code: errorCode(error), error: describeError(error) })
+    this.#lost = true
+  }
+}
--- /dev/null
+++ b/packages/router/src/control/topic-follower.ts
@@ -0,0 +1,111 @@
+import { delay, describeError, errorCode, Logger, type Clock, type LifeCycle } from '@briarsaddle/common'
+import type { StateTopic, TopicState } from './state-topic.js'
+
+const logger = new Logger('log')
+
+/** Settings of a follower; times in milliseconds. */
+export interface TopicFollowerOptions<State> {
+  readonly name: string
+  readonly topic: StateTopic<State>
+  readonly clock: Clock
+  /** How long one read may wait for a change. */
+  readonly waitMilliseconds: number
+  /** Pause between reads. */
+  readonly pauseMilliseconds: number
+  /** True when the first state replaces the second; guards against states that are older than what is in force. */
+  readonly isNewer: (one: TopicState<State>, other: TopicState<State>) => boolean
+}
+
+const firstBackoffMilliseconds = 100
+// A log that is back is noticed within this time.
+const longestBackoffMilliseconds = 800
+
+/** Follows a topic and holds its newest state. */
+export class TopicFollower<State> {
+  readonly #options: TopicFollowerOptions<State>
+  readonly #listeners: Array<(state: State) => void> = []
+  #current: TopicState<State> | undefined
+  #confirmedAt = -Infinity
+  #failures = 0
+
+  constructor (options: TopicFollowerOptions<State>) {
+    this.#options = options
+  }
+
+  /** The newest state; undefined before the first read. */
+  get current (): TopicState<State> | undefined { return this.#current }
+  /** Start of the last read that succeeded, in clock milliseconds. */
+  get confirmedAt (): number { return this.#confirmedAt }
+  /** False while reads fail. */
+  get connected (): boolean { return this.#failures === 0 && this.#current !== undefined }
+
+  /** Calls the listener after each change. */
+  onChange (listener: (state: State) => void): void {
+    this.#listeners.push(listener)
+  }
+
+  /** Reads until the life cycle closes. */
+  start (lifeCycle: LifeCycle): void {
+    void this.#run(lifeCycle.signal)
+  }
+
+  /** Takes a state that was learned in another way, for example written by this VM, unless it is older. */
+  offer (state: TopicState<State>): void {
+    if (this.#current !== undefined && !this.#options.isNewer(state, this.#current)) {
+      this.#current = { position: Math.max(state.position, this.#current.position), state: this.#current.state }
+      return
+    }
+    const changed = state.state !== this.#current?.state
+    this.#current = state
+    if (changed) for (const listener of this.#listeners) listener(state.state)
+  }
+
+  /** Reads the newest state now. Throws `log_unavailable`. */
+  async refresh (signal: AbortSignal): Promise<TopicState<State>> {
+    const startedAt = this.#options.clock.now()
+    const state = await this.#options.topic.read(signal)
+    this.offer(state)
+    this.#confirm(startedAt)
+    return this.#current ?? state
+  }
+
+  async #run (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      try {
+        await this.#read(signal)
+        if (this.#failures > 0) logger.info('dependency regained', { topic: this.#options.name, failures: this.#failures })
+        this.#failures = 0
+        await delay(this.#options.pauseMilliseconds, signal)
+      } catch (error) {
+        if (signal.aborted) return
+        this.#failed(error)
+        await delay(Math.min(longestBackoffMilliseconds, firstBackoffMilliseconds * 2 ** (this.#failures - 1)), signal)
+      }
+    }
+  }
+
+  async #read (signal: AbortSignal): Promise<void> {
+    const current = this.#current
+    if (current === undefined) return void await this.refresh(signal)
+    const startedAt = this.#options.clock.now()
+    const next = await this.#options.topic.next(current, this.#options.waitMilliseconds, signal)
+    if (next !== undefined) this.offer(next)
+    this.#confirm(startedAt)
+  }
+
+  #confirm (startedAt: number): void {
+    this.#confirmedAt = Math.max(this.#confirmedAt, startedAt)
+  }
+
+  #failed (error: unknown): void {
+    this.#failures++
+    const fields = { topic: this.#options.name, code: errorCode(error), error: describeError(error), positionHeld: this.#current?.position }
+    if (errorCode(error) === 'log_forgotten') {
+      // The next read starts from the newest state; what is in force stays until then.
+      logger.info('log forgot records that were not read yet', fields)
+      void this.refresh(AbortSignal.timeout(longestBackoffMilliseconds)).catch((failure: unknown) => logger.warning('newest state could not be read', { topic: this.#options.name, error: describeError(failure) }))
+      return
+    }
+    if (this.#failures === 1) logger.warning('dependency lost', fields)
+  }
+}
--- /dev/null
+++ b/packages/router/src/range-node.ts
@@ -0,0 +1,245 @@
+import { randomInt } from 'node:crypto'
+import { LifeCycle, Logger, MonotonicClock, Random, type Clock } from '@briarsaddle/common'
+import { EntryServer } from '@briarsaddle/entry'
+import type { KeyMap, VmEntry } from '@briarsaddle/key-ranges'
+import { InnerServer, PeerPool, type Answer, type Forward } from '@briarsaddle/protocol'
+import { ControlRelay } from './control/control-relay.js'
+import { KeyLeader } from './control/key-leader.js'
+import type { MembershipService } from './control/leadership.js'
+import { Member } from './control/member.js'
+import { PeerDemand } from './control/peer-demand.js'
+import type { StateTopic, WritableTopic } from './control/state-topic.js'
+import { TopicFollower } from './control/topic-follower.js'
+import type { Directory } from './endpoint-entry.js'
+import type { EndpointTransport } from './endpoint-transport.js'
+import type { RangeNodeSettings } from './node-settings.js'
+import type { CallerProtocol } from './request/caller-protocol.js'
+import { Changes } from './request/changes.js'
+import { Coordinators } from './request/coordinators.js'
+import { Dispatcher, PeerForwarder } from './request/dispatcher.js'
+import { RangeControlHandler, RangeFrameHandler } from './request/inner-handlers.js'
+import { RangeRouter, type RoutedRequest } from './request/range-router.js'
+import { RetryShare } from './retry-share.js'
+import { RouterMetrics } from './router-metrics.js'
+import type { RoutingTable } from './routing-table.js'
+import { StatusServer, type StatusPage } from './status-server.js'
+
+const logger = new Logger('node')
+
+/** What the platform provides. */
+export interface RangeNodePlatform {
+  readonly keyMap: WritableTopic<KeyMap>
+  readonly routing: StateTopic<RoutingTable>
+  readonly directory: StateTopic<Directory>
+  readonly membership: MembershipService
+  readonly transport: EndpointTransport
+  readonly callers: CallerProtocol
+}
+
+const maximumHeaderBytes = 64 * 1024
+const maximumBodyBytes = 64 * 1024 * 1024
+const reportMilliseconds = 2_000
+// Streams between VMs are replaced sooner than a caller's usual deadline.
+const peerConnectMilliseconds = 400
+const peerSilenceMilliseconds = 400
+
+/** One VM: entry for callers, coordinator of endpoints and, when elected, leader that assigns keys. */
+export class RangeNode {
+  readonly #settings: RangeNodeSettings
+  readonly #platform: RangeNodePlatform
+  readonly #lifeCycle = new LifeCycle('node')
+  readonly #clock: Clock = new MonotonicClock()
+  readonly #random = new Random(randomInt(2 ** 31))
+  readonly #changes = new Changes()
+  readonly #coordinators = new Coordinators()
+  readonly #metrics = new RouterMetrics()
+  readonly #self: VmEntry
+  readonly #map: TopicFollower<KeyMap>
+  readonly #routing: TopicFollower<RoutingTable>
+  readonly #directory: TopicFollower<Directory>
+  readonly #member: Member
+  readonly #peers: PeerPool
+  readonly #dispatcher: Dispatcher
+  readonly #router: RangeRouter
+  readonly #control: RangeControlHandler
+  readonly #leader: KeyLeader
+  readonly #inner: InnerServer
+  readonly #entry: EntryServer<RoutedRequest>
+  #stopping: Promise<void> | undefined
+
+  constructor (settings: RangeNodeSettings, platform: RangeNodePlatform) {
+    this.#settings = settings
+    this.#platform = platform
+    const { timing, listen } = settings
+    const clock = this.#clock
+    this.#self = { ...settings.vm, host: listen.inner.host, port: listen.inner.port }
+    const byPosition = (one: { readonly position: number }, other: { readonly position: number }): boolean => one.position > other.position
+    this.#map = new TopicFollower({ name: 'key map', topic: platform.keyMap, clock, waitMilliseconds: timing.logWaitMilliseconds, pauseMilliseconds: 0, isNewer: byPosition })
+    this.#routing = new TopicFollower({
+      name: 'routing table', topic: platform.routing, clock, waitMilliseconds: timing.logWaitMilliseconds, pauseMilliseconds: 0, isNewer: (one, other) => one.state.version > other.state.version
+    })
+    this.#directory = new TopicFollower({ name: 'directory', topic: platform.directory, clock, waitMilliseconds: 0, pauseMilliseconds: timing.directoryMilliseconds, isNewer: byPosition })
+    this.#member = new Member({ self: this.#self, service: platform.membership, clock, confirmEveryMilliseconds: timing.confirmMilliseconds, callMilliseconds: timing.logCallMilliseconds })
+    this.#peers = new PeerPool(this.#lifeCycle, { connectTimeoutMilliseconds: peerConnectMilliseconds, silenceMilliseconds: peerSilenceMilliseconds, clock, random: this.#random })
+    this.#dispatcher = this.#createDispatcher()
+    this.#router = this.#createRouter()
+    this.#control = new RangeControlHandler({ vm: settings.vm.id, dispatcher: this.#dispatcher, map: this.#map, routing: this.#routing, leaving: () => this.#stopping !== undefined })
+    this.#leader = this.#createLeader()
+    this.#inner = new InnerServer({ ...listen.inner }, new RangeFrameHandler(this.#dispatcher), this.#control)
+    this.#entry = new EntryServer({ ...listen.callers, ...settings.limits, maximumHeaderBytes, maximumBodyBytes, clock }, this.#router)
+  }
+
+  /** Starts all parts. Throws `listen_failed`. */
+  async start (): Promise<void> {
+    this.#followChanges()
+    await this.#inner.listen()
+    this.#lifeCycle.own('inner server', async () => await this.#inner.stop(0))
+    await this.#entry.listen()
+    this.#lifeCycle.own('entry', async () => await this.#entry.stop(0))
+    await new StatusServer({ '/ready': async () => this.#readiness() }).listen(this.#settings.listen.readiness, this.#lifeCycle)
+    await new StatusServer({ '/metrics': async () => await this.#metricsPage(), '/state': async () => this.#statePage() }).listen(this.#settings.listen.administration, this.#lifeCycle)
+    for (const follower of [this.#map, this.#routing, this.#directory]) follower.start(this.#lifeCycle)
+    this.#member.start(this.#lifeCycle)
+    this.#leader.start(this.#lifeCycle)
+    new ControlRelay({ peers: this.#peers, map: this.#map, routing: this.#routing, random: this.#random }).start(this.#lifeCycle)
+    this.#lifeCycle.every('state metrics', reportMilliseconds, () => this.#reportState(), error => logger.error('state metrics failed', { error: String(error) }))
+    logger.info('started', { vm: this.#self.id, dataCentre: this.#self.dataCentre, inner: `${this.#self.host}:${this.#self.port}` })
+  }
+
+  /** Leaves the members and the balancer's rotation, finishes what is in flight and stops. */
+  async stop (): Promise<void> {
+    this.#stopping ??= this.#stop()
+    return await this.#stopping
+  }
+
+  async #stop (): Promise<void> {
+    const { lameDuckMilliseconds, finishMilliseconds } = this.#settings.stop
+    logger.info('stopping', { inFlight: this.#entry.inFlight, leading: this.#leader.leading })
+    const left = this.#member.leave()
+    await this.#entry.stop(finishMilliseconds, lameDuckMilliseconds)
+    await left
+    await this.#inner.stop(finishMilliseconds)
+    await this.#lifeCycle.close()
+    logger.info('stopped')
+  }
+
+  #createDispatcher (): Dispatcher {
+    return new Dispatcher({
+      vm: this.#settings.vm.id,
+      coordinators: this.#coordinators,
+      peers: new PoolForwarder(this.#peers),
+      transport: this.#platform.transport,
+      directory: () => this.#endpoints,
+      clock: this.#clock,
+      random: this.#random
+    })
+  }
+
+  #createRouter (): RangeRouter {
+    return new RangeRouter({
+      dataCentre: this.#settings.vm.dataCentre,
+      clock: this.#clock,
+      random: this.#random,
+      protocol: this.#platform.callers,
+      dispatcher: this.#dispatcher,
+      retries: new RetryShare(this.#clock, this.#settings.retries, () => this.#map.current?.state.vms.length ?? 1),
+      map: () => this.#map.current?.state,
+      directory: () => this.#endpoints,
+      changes: this.#changes,
+      metrics: this.#metrics
+    })
+  }
+
+  #createLeader (): KeyLeader {
+    return new KeyLeader({
+      self: this.#self,
+      clock: this.#clock,
+      timing: this.#settings.timing,
+      member: this.#member,
+      topic: this.#platform.keyMap,
+      map: this.#map,
+      directory: this.#directory,
+      routing: this.#routing,
+      transport: this.#platform.transport,
+      demand: new PeerDemand(this.#peers, this.#control)
+    })
+  }
+
+  get #endpoints (): Directory {
+    return this.#directory.current?.state ?? new Map()
+  }
+
+  #followChanges (): void {
+    this.#map.onChange(map => {
+      this.#coordinators.update(map.vms)
+      this.#peers.update(map.vms.filter(vm => vm.id !== this.#self.id).map(({ id, host, port }) => ({ vm: id, host, port })))
+      this.#changes.notify()
+    })
+    this.#directory.onChange(directory => {
+      this.#dispatcher.update(directory)
+      this.#platform.transport.keepOnly(directory)
+      this.#changes.notify()
+    })
+    this.#routing.onChange(table => this.#useRouting(table))
+  }
+
+  #useRouting (table: RoutingTable): void {
+    logger.info('routing table in force', { version: table.version, before: this.#router.version, routes: table.routes.length })
+    this.#router.use(table)
+    if (table.limits !== undefined) this.#entry.setLimits(table.limits)
+    this.#changes.notify()
+  }
+
+  #readiness (): StatusPage {
+    const table = this.#routing.current?.state
+    const keysAssigned = table?.pools.every(pool => !pool.keyed || this.#map.current?.state.pools[pool.name] !== undefined) === true
+    const ready = this.#stopping === undefined && keysAssigned
+    return { status: ready ? 200 : 503, type: 'text/plain', text: ready ? 'ready\n' : 'not ready\n' }
+  }
+
+  async #metricsPage (): Promise<StatusPage> {
+    this.#reportState()
+    return { status: 200, type: 'text/plain; version=0.0.4', text: await this.#metrics.text() }
+  }
+
+  #statePage (): StatusPage {
+    const gates = Object.fromEntries([...this.#dispatcher.gates].map(([endpoint, gate]) => [endpoint, gate.snapshot()]))
+    const state = {
+      vm: this.#self,
+      keyMap: this.#map.current,
+      routing: this.#routing.current,
+      directory: [...this.#endpoints.values()],
+      member: this.#member.report,
+      leader: this.#leader.snapshot(),
+      router: this.#router.snapshot(),
+      gates,
+      entry: { serving: this.#entry.serving, inFlight: this.#entry.inFlight }
+    }
+    return { status: 200, type: 'application/json', text: JSON.stringify(state) }
+  }
+
+  #reportState (): void {
+    const { rss } = process.memoryUsage()
+    this.#metrics.state({
+      leading: Number(this.#leader.leading),
+      routingVersion: this.#router.version ?? 0,
+      keyMapPosition: this.#map.current?.position ?? 0,
+      endpoints: this.#endpoints.size,
+      callersInFlight: this.#entry.inFlight,
+      residentBytes: rss
+    })
+  }
+}
+
+class PoolForwarder extends PeerForwarder {
+  readonly #peers: PeerPool
+
+  constructor (peers: PeerPool) {
+    super()
+    this.#peers = peers
+  }
+
+  override async forward (vm: string, forward: Forward, signal: AbortSignal): Promise<Answer> {
+    return await this.#peers.forward(vm, forward, signal)
+  }
+}
--- /dev/null
+++ b/packages/router/src/request/changes.ts
@@ -0,0 +1,27 @@
+/** Lets requests wait for a change of what this VM believes. */
+export class Changes {
+  readonly #waiting = new Set<() => void>()
+
+  /** Wakes everyone who waits. */
+  notify (): void {
+    const waiting = [...this.#waiting]
+    this.#waiting.clear()
+    for (const wake of waiting) wake()
+  }
+
+  /** Resolves at the next change, after the time, or when the signal aborts. */
+  async next (milliseconds: number, signal: AbortSignal): Promise<void> {
+    if (signal.aborted || milliseconds <= 0) return
+    await new Promise<void>(resolve => {
+      const finish = (): void => {
+        clearTimeout(timer)
+        this.#waiting.delete(finish)
+        signal.removeEventListener('abort', finish)
+        resolve()
+      }
+      const timer = setTimeout(finish, milliseconds)
+      this.#waiting.add(finish)
+      signal.addEventListener('abort', finish)
+    })
+  }
+}
--- /dev/null
+++ b/packages/router/src/request/coordinators.ts
@@ -0,0 +1,35 @@
+import { createHash } from 'node:crypto'
+import type { VmEntry } from '@briarsaddle/key-ranges'
+import type { EndpointEntry } from '../endpoint-entry.js'
+
+/**
+ * Chooses the VM that queues the requests for an endpoint, by rendezvous hashing: every VM that knows the same VMs
+ * chooses the same, and the loss of one VM moves only its own endpoints. A VM in the endpoint's data centre is
+ * preferred, so that a request crosses data centres once.
+ */
+export class Coordinators {
+  readonly #chosen = new Map<string, string | undefined>()
+  #vms: readonly VmEntry[] = []
+
+  /** Takes a new list of VMs. */
+  update (vms: readonly VmEntry[]): void {
+    if (vms === this.#vms) return
+    this.#vms = vms
+    this.#chosen.clear()
+  }
+
+  /** Returns the id of the coordinating VM; undefined while no VM is known. */
+  of ({ id, dataCentre }: EndpointEntry): string | undefined {
+    const key = `${dataCentre} ${id}`
+    if (!this.#chosen.has(key)) {
+      const near = this.#vms.filter(vm => vm.dataCentre === dataCentre)
+      this.#chosen.set(key, highest(near.length > 0 ? near : this.#vms, id))
+    }
+    return this.#chosen.get(key)
+  }
+}
+
+function highest (vms: readonly VmEntry[], endpoint: string): string | undefined {
+  const scored = vms.map(vm => ({ id: vm.id, score: createHash('sha256').update(`${vm.id} ${endpoint}`).digest('hex') }))
+  return scored.sort((one, other) => one.score < other.score ? 1 : -1)[0]?.id
+}
--- /dev/null
+++ b/packages/router/src/request/dispatcher.ts
@@ -0,0 +1,77 @@
+import { Logger, type Clock, type Random } from '@briarsaddle/common'
+import { notRunAnswer, Outcome, peerReasons, type Answer, type Forward } from '@briarsaddle/protocol'
+import type { Directory, EndpointEntry } from '../endpoint-entry.js'
+import type { EndpointTransport } from '../endpoint-transport.js'
+import type { Coordinators } from './coordinators.js'
+import { EndpointGate } from './endpoint-gate.js'
+
+const logger = new Logger('dispatch')
+
+/** Forwards requests to other VMs. Always resolves. */
+export abstract class PeerForwarder {
+  abstract forward (vm: string, forward: Forward, signal: AbortSignal): Promise<Answer>
+}
+
+/** What the dispatcher needs from the VM. */
+export interface DispatcherOptions {
+  /** Id of this VM. */
+  readonly vm: string
+  readonly coordinators: Coordinators
+  readonly peers: PeerForwarder
+  readonly transport: EndpointTransport
+  readonly directory: () => Directory
+  readonly clock: Clock
+  readonly random: Random
+}
+
+/** Reasons of a peer that took no part in the request: this VM may send it itself. */
+const absentPeerReasons: ReadonlySet<string> = new Set([peerReasons.unreachable, peerReasons.goingAway, peerReasons.congested, 'endpoint_unknown'])
+
+/** Brings a request to the VM that queues for its endpoint, or queues it here. */
+export class Dispatcher {
+  readonly #options: DispatcherOptions
+  readonly #gates = new Map<string, EndpointGate>()
+
+  constructor (options: DispatcherOptions) {
+    this.#options = options
+  }
+
+  /** Gates that this VM has opened, by endpoint. */
+  get gates (): ReadonlyMap<string, EndpointGate> { return this.#gates }
+
+  /** Sends a request towards an endpoint. Always resolves. */
+  async dispatch (endpoint: EndpointEntry, forward: Forward, signal: AbortSignal): Promise<Answer> {
+    const coordinator = this.#options.coordinators.of(endpoint)
+    if (coordinator === undefined || coordinator === this.#options.vm) return await this.#gate(endpoint).handle(forward, signal)
+    const answer = await this.#options.peers.forward(coordinator, forward, signal)
+    if (answer.outcome !== Outcome.OUTCOME_NOT_RUN || !absentPeerReasons.has(answer.reason) || signal.aborted) return answer
+    logger.info('coordinator absent, sending directly', { request: forward.requestId, endpoint: endpoint.id, coordinator, reason: answer.reason })
+    return await this.#gate(endpoint).handle(forward, signal)
+  }
+
+  /** Handles a request that another VM forwarded. Always resolves. */
+  async accept (forward: Forward, signal: AbortSignal): Promise<Answer> {
+    const endpoint = this.#options.directory().get(forward.endpoint)
+    return endpoint === undefined ? notRunAnswer('endpoint_unknown') : await this.#gate(endpoint).handle(forward, signal)
+  }
+
+  /** Takes a new directory. */
+  update (directory: Directory): void {
+    for (const [id, gate] of this.#gates) {
+      const entry = directory.get(id)
+      if (entry !== undefined) gate.update(entry)
+      else if (gate.outstanding === 0) this.#gates.delete(id)
+    }
+  }
+
+  /** Forgets what was learned per rule. */
+  forgetRules (): void {
+    for (const gate of this.#gates.values()) gate.forgetRules()
+  }
+
+  #gate (entry: EndpointEntry): EndpointGate {
+    let gate = this.#gates.get(entry.id)
+    if (gate === undefined) this.#gates.set(entry.id, gate = new EndpointGate({ ...this.#options, entry }))
+    return gate
+  }
+}
--- /dev/null
+++ b/packages/router/src/request/endpoint-gate.ts
@@ -0,0 +1,109 @@
+import { Logger, type Clock, type Random } from '@briarsaddle/common'
+import { Answer, notRunAnswer, Outcome, ServiceClass, unknownAnswer, type Forward } from '@briarsaddle/protocol'
+import { ClassPolicy, EndpointQueue, RefusalError, type ServiceClass as QueueClass } from '@briarsaddle/scheduling'
+import type { EndpointEntry } from '../endpoint-entry.js'
+import type { EndpointReply, EndpointTransport } from '../endpoint-transport.js'
+import { KeyWorkMeter } from './key-work.js'
+
+const logger = new Logger('gate')
+
+/** What a gate needs from the VM. */
+export interface EndpointGateOptions {
+  readonly entry: EndpointEntry
+  readonly transport: EndpointTransport
+  readonly clock: Clock
+  readonly random: Random
+}
+
+// More would wait longer than their deadlines; admission refuses most of them earlier.
+const maximumQueued = 64
+const policy = new ClassPolicy()
+
+const queueClasses: Readonly<Record<ServiceClass, QueueClass>> = {
+  [ServiceClass.SERVICE_CLASS_NORMAL]: 'normal',
+  [ServiceClass.SERVICE_CLASS_PROMPT]: 'prompt',
+  [ServiceClass.SERVICE_CLASS_LONG]: 'long'
+}
+
+/** Queues the requests for one endpoint, so that it never gets more than it has slots, and sends them. */
+export class EndpointGate {
+  readonly #options: EndpointGateOptions
+  readonly #queue: EndpointQueue
+  readonly work: KeyWorkMeter
+  #entry: EndpointEntry
+
+  constructor (options: EndpointGateOptions) {
+    this.#options = options
+    this.#entry = options.entry
+    const { clock, random } = options
+    this.#queue = new EndpointQueue({ slots: options.entry.slots, maximumQueued, clock, random, policy })
+    this.work = new KeyWorkMeter(clock)
+  }
+
+  /** Requests that run or wait. */
+  get outstanding (): number { return this.#queue.outstanding }
+  /** Requests that wait. */
+  get queued (): number { return this.#queue.queued }
+
+  /** Takes a new entry of the directory. */
+  update (entry: EndpointEntry): void {
+    this.#entry = entry
+    if (entry.slots !== this.#queue.slots) this.#queue.setSlots(entry.slots)
+  }
+
+  /** Forgets what was learned per rule. */
+  forgetRules (): void {
+    this.#queue.forgetRules()
+    this.work.forgetRules()
+  }
+
+  /** Always resolves. */
+  async handle (forward: Forward, signal: AbortSignal): Promise<Answer> {
+    const { clock } = this.#options
+    const deadlineAt = clock.now() + forward.deadlineMilliseconds
+    this.work.arrived(forward.rule, forward.bucket)
+    try {
+      const answer = await this.#queue.submit({
+        serviceClass: queueClasses[forward.serviceClass],
+        rule: forward.rule,
+        deadlineAt,
+        signal,
+        run: async runSignal => await this.#run(forward, deadlineAt, runSignal),
+        measured: result => result.outcome === Outcome.OUTCOME_ANSWERED
+      })
+      return { ...answer, outstanding: this.outstanding }
+    } catch (error) {
+      if (!(error instanceof RefusalError)) throw error
+      const fields = { request: forward.requestId, endpoint: this.#entry.id, reason: error.code, outstanding: this.outstanding, remainingMilliseconds: Math.round(deadlineAt - clock.now()) }
+      logger.info('request refused by the queue', fields)
+      return notRunAnswer(error.code, { retryAfterMilliseconds: error.retryAfterMilliseconds, outstanding: this.outstanding })
+    }
+  }
+
+  snapshot (): Readonly<Record<string, unknown>> {
+    return { endpoint: this.#entry, queue: this.#queue.snapshot(), work: this.work.snapshot() }
+  }
+
+  async #run (forward: Forward, deadlineAt: number, signal: AbortSignal): Promise<Answer> {
+    const { clock, transport } = this.#options
+    const startedAt = clock.now()
+    const { requestId, method, target, headers, body } = forward
+    const reply = await transport.send(this.#entry, { requestId, method, target, headers, body, remainingMilliseconds: deadlineAt - startedAt }, signal)
+    const milliseconds = clock.now() - startedAt
+    if (reply.kind === 'answered') this.work.served(forward.rule, milliseconds)
+    else logger.info('endpoint did not answer', { request: requestId, endpoint: this.#entry.id, result: reply.kind, reason: 'reason' in reply ? reply.reason : undefined, milliseconds: Math.round(milliseconds) })
+    return answerOf(reply, milliseconds)
+  }
+}
+
+// Long enough for the endpoint to end a request; the next caller may find room.
+const fullRetryMilliseconds = 100
+
+function answerOf (reply: EndpointReply, serviceMilliseconds: number): Answer {
+  switch (reply.kind) {
+    case 'answered': return { ...Answer.create(), outcome: Outcome.OUTCOME_ANSWERED, status: reply.status, headers: [...reply.headers], body: reply.body, serviceMilliseconds }
+    case 'refused': return notRunAnswer(reply.reason, { retryAfterMilliseconds: fullRetryMilliseconds })
+    case 'unreachable': return notRunAnswer('endpoint_unreachable', { retryAfterMilliseconds: fullRetryMilliseconds })
+    case 'broken': return unknownAnswer(reply.reason)
+  }
+}
--- /dev/null
+++ b/packages/router/src/request/range-router.ts
@@ -0,0 +1,265 @@
+import { Logger, type Clock, type Random } from '@briarsaddle/common'
+import { CallerRequestHandler, endToEndHeaders, headerPairs, headerValue, isValidHeader, type CallerAnswer, type CallerHeader, type CallerRequest } from '@briarsaddle/entry'
+import { segmentAt, type KeyMap, type Segment } from '@briarsaddle/key-ranges'
+import { notRunAnswer, Outcome, ServiceClass, type Answer, type Forward } from '@briarsaddle/protocol'
+import type { Directory, EndpointEntry } from '../endpoint-entry.js'
+import { RouteMatcher } from '../route-matcher.js'
+import type { Pool, Route, RoutingTable } from '../routing-table.js'
+import type { RouterMetrics } from '../router-metrics.js'
+import { TargetRotation } from '../target-rotation.js'
+import type { RetryShare } from '../retry-share.js'
+import type { CallerFields, CallerProtocol } from './caller-protocol.js'
+import type { Changes } from './changes.js'
+import type { Dispatcher } from './dispatcher.js'
+import { refusalFor, renderOwnAnswer, unknownFor, type OwnAnswer } from './own-answer.js'
+import { PoolChooser } from './pool-chooser.js'
+
+const logger = new Logger('requests')
+
+/** What the router needs from the VM. */
+export interface RangeRouterOptions {
+  readonly dataCentre: string
+  readonly clock: Clock
+  readonly random: Random
+  readonly protocol: CallerProtocol
+  readonly dispatcher: Dispatcher
+  readonly retries: RetryShare
+  readonly map: () => KeyMap | undefined
+  readonly directory: () => Directory
+  readonly changes: Changes
+  readonly metrics: RouterMetrics
+}
+
+/** A request that matched a route. */
+export interface RoutedRequest {
+  readonly request: CallerRequest
+  readonly fields: CallerFields
+  readonly route: Route
+  readonly pool: Pool
+  /** When the caller gets its final answer, in clock milliseconds. */
+  readonly deadlineAt: number
+  readonly objectiveMilliseconds: number
+}
+
+interface Attempt {
+  readonly routed: RoutedRequest
+  readonly body: Buffer
+  readonly signal: AbortSignal
+  readonly excluded: Set<string>
+  sent: number
+  mayHaveRun: boolean
+}
+
+const notForwarded: ReadonlySet<string> = new Set(['content-length', 'expect'])
+const noKey = -1
+// A planned move takes as long as the work that runs on the keys; one after a loss takes seconds, which nobody waits for.
+const plannedMoveWaitShare = 0.5
+const lossWaitShare = 0.125
+// An endpoint that sheds has room again after a part of its running time.
+const againAfterMilliseconds = 30
+// Time for a grant that is on its way, or for the news that the key has moved.
+const ownerWaitMilliseconds = 60
+// Less is not worth a sending.
+const leastRemainingMilliseconds = 5
+
+/** Routes the requests of callers to the endpoints that own their keys, or to any endpoint of a pool without keys. */
+export class RangeRouter extends CallerRequestHandler<RoutedRequest> {
+  readonly #options: RangeRouterOptions
+  readonly #clock: Clock
+  readonly #rotation = new TargetRotation()
+  readonly #chooser: PoolChooser
+  #table: RoutingTable | undefined
+  #matcher: RouteMatcher | undefined
+  #pools = new Map<string, Pool>()
+  #ruleNumbers = new Map<string, number>()
+  #leastUrgentRank = 0
+
+  constructor (options: RangeRouterOptions) {
+    super()
+    this.#options = options
+    this.#clock = options.clock
+    this.#chooser = new PoolChooser(options.dataCentre, options.clock, options.random)
+  }
+
+  /** Version of the routing table in force; undefined before the first. */
+  get version (): number | undefined { return this.#table?.version }
+
+  /** Puts a routing table in force. */
+  use (table: RoutingTable): void {
+    this.#table = table
+    this.#matcher = new RouteMatcher(table)
+    this.#pools = new Map(table.pools.map(pool => [pool.name, pool]))
+    // Routes that stay keep their numbers, and with them what was learned about their running times.
+    const before = this.#ruleNumbers
+    let next = Math.max(0, ...before.values()) + 1
+    this.#ruleNumbers = new Map(table.routes.map(route => [route.name, before.get(route.name) ?? next++]))
+    this.#leastUrgentRank = Math.max(0, ...table.routes.map(route => route.rank))
+  }
+
+  override accept (request: CallerRequest): RoutedRequest | CallerAnswer {
+    const fields = this.#options.protocol.read(request)
+    if ('invalid' in fields) return this.#own(refusalFor(fields.invalid), '')
+    if (this.#matcher === undefined) return this.#own(refusalFor('no_configuration'), fields.requestId)
+    const route = this.#matcher.match(fields.host, request.target)
+    if (route === undefined) return this.#own(refusalFor('no_route'), fields.requestId)
+    const pool = this.#pools.get(this.#rotation.choose(route))
+    if (pool === undefined) return this.#own(refusalFor('no_pool'), fields.requestId)
+    if (pool.keyed && fields.key === undefined) return this.#own(refusalFor('key_missing'), fields.requestId)
+    const waits = Math.min(fields.deadlineMilliseconds ?? Infinity, route.timeoutMilliseconds)
+    const objectiveMilliseconds = Math.min(waits, route.objectiveMilliseconds > 0 ? route.objectiveMilliseconds : waits)
+    this.#options.retries.requested(pool.name)
+    return { request, fields, route, pool, deadlineAt: request.arrivedAt + waits, objectiveMilliseconds }
+  }
+
+  override async route (routed: RoutedRequest, body: Buffer, signal: AbortSignal): Promise<CallerAnswer> {
+    const timeout = new AbortController()
+    const timer = setTimeout(() => timeout.abort(), Math.max(0, routed.deadlineAt - this.#clock.now()))
+    const attempt: Attempt = { routed, body, signal: AbortSignal.any([signal, timeout.signal]), excluded: new Set(), sent: 0, mayHaveRun: false }
+    try {
+      const answer = await this.#run(attempt)
+      return this.#finish(attempt, attempt.mayHaveRun && answer.outcome === Outcome.OUTCOME_NOT_RUN ? { ...answer, outcome: Outcome.OUTCOME_UNKNOWN } : answer)
+    } finally {
+      clearTimeout(timer)
+    }
+  }
+
+  override refusal (reason: string): CallerAnswer {
+    return this.#own(refusalFor(reason), '')
+  }
+
+  override unknownOutcome (reason: string): CallerAnswer {
+    return this.#own(unknownFor(reason), '')
+  }
+
+  snapshot (): Readonly<Record<string, unknown>> {
+    return { version: this.version, choosers: this.#chooser.snapshot() }
+  }
+
+  async #run (attempt: Attempt): Promise<Answer> {
+    for (;;) {
+      const endpoint = await this.#locate(attempt)
+      if ('outcome' in endpoint) return endpoint
+      const answer = await this.#send(attempt, endpoint)
+      if (!await this.#maySendAgain(attempt, endpoint, answer)) return answer
+      this.#options.metrics.resent(attempt.routed.pool.name, answer.reason)
+    }
+  }
+
+  /** Finds the endpoint for a request; waits a little for keys that are about to arrive at their new owner. */
+  async #locate (attempt: Attempt): Promise<EndpointEntry | Answer> {
+    const { routed } = attempt
+    const startedAt = this.#clock.now()
+    for (;;) {
+      if (this.#remaining(attempt) < leastRemainingMilliseconds) return notRunAnswer('deadline_exceeded')
+      const endpoint = routed.pool.keyed ? this.#ownerOf(routed) : this.#anyOf(attempt)
+      if (typeof endpoint === 'object') return endpoint
+      const share = endpoint === 'keys_moving' ? plannedMoveWaitShare : lossWaitShare
+      const left = startedAt + share * routed.objectiveMilliseconds - this.#clock.now()
+      if (left <= 0 || attempt.signal.aborted) return notRunAnswer(endpoint)
+      await this.#options.changes.next(Math.min(left, this.#remaining(attempt)), attempt.signal)
+    }
+  }
+
+  #ownerOf ({ pool, fields }: RoutedRequest): EndpointEntry | 'keys_moving' | 'owner_lost' | 'no_owner' {
+    const map = this.#options.map()
+    const segment = map === undefined ? undefined : segmentAt(map, pool.name, fields.key ?? 0)
+    if (segment === undefined) return 'no_owner'
+    const directory = this.#options.directory()
+    if (segment.moving) return this.#isPlanned(segment, directory) ? 'keys_moving' : 'owner_lost'
+    const entry = directory.get(segment.owner.endpoint)
+    return entry?.life === segment.owner.life && !entry.leaving ? entry : 'owner_lost'
+  }
+
+  #isPlanned (segment: Segment, directory: Directory): boolean {
+    return segment.former.every(former => directory.get(former.endpoint)?.life === former.life)
+  }
+
+  #anyOf ({ routed, excluded }: Attempt): EndpointEntry | 'no_endpoint' {
+    const endpoints = [...this.#options.directory().values()].filter(entry => entry.pool === routed.pool.name && !entry.leaving)
+    return this.#chooser.choose(routed.pool.name, endpoints, excluded) ?? 'no_endpoint'
+  }
+
+  async #send (attempt: Attempt, endpoint: EndpointEntry): Promise<Answer> {
+    const { pool } = attempt.routed
+    const startedAt = this.#clock.now()
+    attempt.sent++
+    this.#chooser.started(pool.name, endpoint.id)
+    const answer = await this.#options.dispatcher.dispatch(endpoint, this.#forward(attempt, endpoint), attempt.signal)
+    this.#chooser.finished(pool.name, endpoint.id, answer, this.#clock.now() - startedAt)
+    if (answer.outcome === Outcome.OUTCOME_UNKNOWN) attempt.mayHaveRun = true
+    return answer
+  }
+
+  #forward (attempt: Attempt, endpoint: EndpointEntry): Forward {
+    const { routed: { request, fields, route, pool, objectiveMilliseconds }, body } = attempt
+    return {
+      id: 0,
+      requestId: fields.requestId,
+      endpoint: endpoint.id,
+      pool: pool.name,
+      bucket: pool.keyed ? fields.key ?? noKey : noKey,
+      key: '',
+      serviceClass: route.rank < this.#leastUrgentRank ? ServiceClass.SERVICE_CLASS_PROMPT : ServiceClass.SERVICE_CLASS_NORMAL,
+      idempotent: route.idempotent,
+      idempotencyKey: '',
+      rule: this.#ruleNumbers.get(route.name) ?? 0,
+      deadlineMilliseconds: Math.max(1, this.#remaining(attempt)),
+      method: request.method,
+      target: request.target,
+      headers: endToEndHeaders(headerPairs(request.rawHeaders)).filter(header => !notForwarded.has(header.name.toLowerCase())),
+      body,
+      position: 0,
+      anyEndpoint: false,
+      objectiveMilliseconds
+    }
+  }
+
+  async #maySendAgain (attempt: Attempt, endpoint: EndpointEntry, answer: Answer): Promise<boolean> {
+    if (answer.outcome === Outcome.OUTCOME_ANSWERED || attempt.signal.aborted) return false
+    const { route, pool } = attempt.routed
+    if (attempt.sent >= Math.max(2, route.attempts) || this.#remaining(attempt) < leastRemainingMilliseconds) return false
+    if (answer.outcome === Outcome.OUTCOME_UNKNOWN && !route.idempotent) return false
+    attempt.excluded.add(endpoint.id)
+    // What was refused before it was sent to the endpoint is no repeat there.
+    const reached = answer.outcome === Outcome.OUTCOME_UNKNOWN || answer.reason === 'endpoint_full' || answer.reason === 'not_owner'
+    if (pool.keyed && !reached && answer.reason !== 'endpoint_unreachable') return false
+    if (reached && !this.#options.retries.take(pool.name)) return false
+    if (answer.reason === 'not_owner' || answer.reason === 'endpoint_unreachable') await this.#options.changes.next(ownerWaitMilliseconds, attempt.signal)
+    else if (pool.keyed) await this.#options.changes.next(againAfterMilliseconds, attempt.signal)
+    return true
+  }
+
+  #remaining ({ routed }: Attempt): number {
+    return routed.deadlineAt - this.#clock.now()
+  }
+
+  #finish (attempt: Attempt, answer: Answer): CallerAnswer {
+    const { routed: { request, fields, route, pool }, sent } = attempt
+    const milliseconds = this.#clock.now() - request.arrivedAt
+    const outcome = outcomeName(answer.outcome)
+    this.#options.metrics.request({ pool: pool.name, outcome, reason: answer.reason, milliseconds })
+    if (answer.outcome === Outcome.OUTCOME_ANSWERED) return callerAnswer(answer, request.method)
+    logger.info('request not answered by an endpoint', {
+      request: fields.requestId, route: route.name, pool: pool.name, key: fields.key, outcome, reason: answer.reason, sent, milliseconds: Math.round(milliseconds), routingVersion: this.version
+    })
+    const own = answer.outcome === Outcome.OUTCOME_NOT_RUN ? refusalFor(answer.reason, answer.retryAfterMilliseconds || undefined) : unknownFor(answer.reason)
+    return this.#own(own, fields.requestId)
+  }
+
+  #own (answer: OwnAnswer, requestId: string): CallerAnswer {
+    return renderOwnAnswer(answer, this.#options.protocol.ownHeaders(requestId), this.#options.random)
+  }
+}
+
+function outcomeName (outcome: Outcome): string {
+  if (outcome === Outcome.OUTCOME_ANSWERED) return 'answered'
+  return outcome === Outcome.OUTCOME_NOT_RUN ? 'not-run' : 'unknown'
+}
+
+function callerAnswer (answer: Answer, method: string): CallerAnswer {
+  const headers: CallerHeader[] = endToEndHeaders(answer.headers).filter(header => header.name.toLowerCase() !== 'content-length' && isValidHeader(header))
+  const bodyless = method === 'HEAD' || answer.status === 204 || answer.status === 304
+  const length = bodyless ? headerValue(answer.headers, 'content-length') : String(answer.body.length)
+  if (length !== undefined && answer.status !== 204) headers.push({ name: 'Content-Length', value: length })
+  return { status: answer.status, headers, body: answer.body }
+}
--- /dev/null
+++ b/packages/router/src/status-server.ts
@@ -0,0 +1,43 @@
+import { createServer, type ServerResponse } from 'node:http'
+import polka from 'polka'
+import { BriarsaddleError, type LifeCycle } from '@briarsaddle/common'
+import type { ListenAddress } from './node-settings.js'
+
+/** Content of one page. */
+export interface StatusPage {
+  readonly status: number
+  readonly type: string
+  readonly text: string
+}
+
+/** Serves a few pages to the operator or the balancer. */
+export class StatusServer {
+  readonly #pages: Readonly<Record<string, () => Promise<StatusPage>>>
+
+  /** `pages` by path. */
+  constructor (pages: Readonly<Record<string, () => Promise<StatusPage>>>) {
+    this.#pages = pages
+  }
+
+  /** Starts to listen. Throws `listen_failed`. */
+  async listen ({ host, port }: ListenAddress, lifeCycle: LifeCycle): Promise<void> {
+    const server = createServer()
+    const application = polka({ server })
+    for (const [path, page] of Object.entries(this.#pages)) {
+      application.get(path, async (_request, response) => send(response, await page()))
+    }
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', error => reject(new BriarsaddleError(`cannot listen on ${host}:${port}: ${error.message}`, { code: 'listen_failed', step: 'listen', peer: `${host}:${port}`, cause: error })))
+      application.listen(port, host, () => resolve())
+    })
+    lifeCycle.own('status server', () => {
+      server.close()
+      server.closeAllConnections()
+    })
+  }
+}
+
+function send (response: ServerResponse, { status, type, text }: StatusPage): void {
+  response.writeHead(status, { 'Content-Type': type, 'Content-Length': Buffer.byteLength(text) })
+  response.end(text)
+}
--- a/packages/scheduling/src/two-choices.ts
+++ b/packages/scheduling/src/two-choices.ts
@@ -81,6 +81,12 @@
     else if (now >= record.asideUntil && this.#isOutlier(endpoint, record)) this.#setAside(record, now)
   }
 
+  /** Expected outstanding requests of an endpoint, of all callers together. */
+  load (endpoint: string): number {
+    const record = this.#records.get(endpoint)
+    return record === undefined ? 0 : this.#load(record, this.clock.now())
+  }
+
   override snapshot (): Readonly<Record<string, unknown>> {
     const now = this.clock.now()
     return Object.fromEntries([...this.#records].map(([endpoint, record]) => [endpoint, {
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,17 @@
+// Bundles the program for the platform into target/, so that a VM starts with one file.
+import { build } from 'esbuild'
+
+const require = 'import { createRequire as createRequireForBundle } from "node:module"; const require = createRequireForBundle(import.meta.url);'
+
+await build({
+  entryPoints: ['platform/src/start.ts'],
+  outfile: 'target/briarsaddle.js',
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  sourcemap: 'linked',
+  // Libraries in CommonJS load Node's modules with `require`.
+  banner: { js: require },
+  logLevel: 'warning'
+})
