--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 export default [
   ...neostandard({
     ts: true,
-    ignores: ['**/dist/**', '**/generated/**', '**/node_modules/**', 'results/**']
+    ignores: ['**/dist/**', '**/generated/**', '**/node_modules/**', 'results/**', 'target/**']
   }),
   {
     files: ['**/*.ts'],
--- /dev/null
+++ b/packages/key-ranges/src/codec.ts
@@ -0,0 +1,58 @@
+import { z } from 'zod'
+import { keyMapSchema, type Holder, type KeyMap, type Segment } from './key-map.js'
+
+const segmentRowSchema = z.tuple([
+  z.int().describe('first key'),
+  z.int().describe('last key'),
+  z.int().describe('index of the owner'),
+  z.int().describe('fencing token'),
+  z.union([z.literal(0), z.literal(1)]).describe('1 while moving'),
+  z.array(z.int()).describe('indexes of former holders'),
+  z.string().describe('handover')
+])
+
+const encodedSchema = z.object({
+  fence: z.int(),
+  author: z.string(),
+  vms: z.array(z.unknown()),
+  holders: z.array(z.tuple([z.string(), z.int(), z.string()])),
+  pools: z.record(z.string(), z.array(segmentRowSchema))
+})
+
+type SegmentRow = z.infer<typeof segmentRowSchema>
+
+/** Encodes a key map as JSON in which each holder stands once, since a record of the log has a limited size. */
+export function encodeKeyMap (map: KeyMap): string {
+  const holders = new HolderTable()
+  const row = ({ from, to, owner, fence, moving, former, handover }: Segment): SegmentRow =>
+    [from, to, holders.indexOf(owner), fence, moving ? 1 : 0, former.map(holder => holders.indexOf(holder)), handover]
+  const pools = Object.fromEntries(Object.entries(map.pools).map(([pool, segments]) => [pool, segments.map(row)]))
+  return JSON.stringify({ fence: map.fence, author: map.author, vms: map.vms, holders: holders.rows, pools })
+}
+
+/** Decodes what `encodeKeyMap` returned. Throws when the text is anything else. */
+export function decodeKeyMap (text: string): KeyMap {
+  const { fence, author, vms, holders, pools } = encodedSchema.parse(JSON.parse(text))
+  const holder = (index: number): Holder => {
+    const [endpoint, life, address] = holders[index] ?? ['', 0, '']
+    return { endpoint, life, address }
+  }
+  const segment = ([from, to, owner, token, moving, former, handover]: SegmentRow): Segment =>
+    ({ from, to, owner: holder(owner), fence: token, moving: moving === 1, former: former.map(holder), handover })
+  return keyMapSchema.parse({ fence, author, vms, pools: Object.fromEntries(Object.entries(pools).map(([pool, rows]) => [pool, rows.map(segment)])) })
+}
+
+class HolderTable {
+  readonly rows: Array<[string, number, string]> = []
+  readonly #indexes = new Map<string, number>()
+
+  indexOf ({ endpoint, life, address }: Holder): number {
+    const key = `${endpoint} ${life}`
+    let index = this.#indexes.get(key)
+    if (index === undefined) {
+      this.#indexes.set(key, index = this.rows.length)
+      this.rows.push([endpoint, life, address])
+    }
+    return index
+  }
+}
--- a/packages/key-ranges/src/edit.ts
+++ b/packages/key-ranges/src/edit.ts
@@ -47,9 +47,19 @@
   return { ...map, fence, pools: Object.fromEntries(Object.entries(map.pools).map(([pool, segments]) => [pool, segments.map(raise)])) }
 }
 
-/** Joins neighbouring segments that one grant can cover. */
+/** Joins neighbouring segments of one owner, under a new fencing token where theirs differ, so that one grant covers them. */
 export function joinSegments (map: KeyMap): KeyMap {
-  return { ...map, pools: Object.fromEntries(Object.entries(map.pools).map(([pool, segments]) => [pool, joined(segments)])) }
+  let { fence } = map
+  const pools = Object.fromEntries(Object.entries(map.pools).map(([pool, segments]) => {
+    const result: Segment[] = []
+    for (const segment of segments) {
+      const last = result.at(-1)
+      if (last === undefined || !mayJoin(last, segment)) result.push(segment)
+      else result[result.length - 1] = { ...last, to: segment.to, fence: last.fence === segment.fence ? last.fence : ++fence }
+    }
+    return [pool, result]
+  }))
+  return { ...map, fence, pools }
 }
 
 /** Replaces the list of VMs. */
@@ -84,17 +94,7 @@
   return others.filter((holder, index) => others.findIndex(other => other.endpoint === holder.endpoint && other.life === holder.life) === index)
 }
 
-function joined (segments: readonly Segment[]): readonly Segment[] {
-  const result: Segment[] = []
-  for (const segment of segments) {
-    const last = result.at(-1)
-    if (last !== undefined && mayJoin(last, segment)) result[result.length - 1] = { ...last, to: segment.to }
-    else result.push(segment)
-  }
-  return result
-}
-
 function mayJoin (one: Segment, other: Segment): boolean {
-  return !one.moving && !other.moving && one.to + 1 === other.from && one.fence === other.fence &&
+  return !one.moving && !other.moving && one.to + 1 === other.from &&
     one.owner.endpoint === other.owner.endpoint && one.owner.life === other.owner.life
 }
--- a/packages/key-ranges/src/index.ts
+++ b/packages/key-ranges/src/index.ts
@@ -2,6 +2,7 @@
   emptyKeyMap, firstKey, keyMapSchema, lastKey, rangeText, sizeOf,
   type Holder, type KeyMap, type KeyRange, type Segment, type VmEntry
 } from './key-map.js'
+export { decodeKeyMap, encodeKeyMap } from './codec.js'
 export { segmentAt, segmentsIn, holdersOf } from './lookup.js'
 export { assignRange, joinSegments, raiseFences, raiseFencesOf, settleRange, withVms, type RangeMove } from './edit.js'
 export { planMembership, type PoolMember } from './membership-plan.js'
--- a/packages/key-ranges/src/spread-plan.ts
+++ b/packages/key-ranges/src/spread-plan.ts
@@ -33,15 +33,15 @@
 }
 
 /** Defaults: with 2 or 3 slots, waiting exceeds the running time from about 0.85 on. */
-export const defaultSpreadSettings: SpreadSettings = { overloaded: 0.85, relievedTo: 0.6, fillTo: 0.7, leastSlots: 0.1, mostMoves: 12 }
+export const defaultSpreadSettings: SpreadSettings = { overloaded: 0.85, relievedTo: 0.6, fillTo: 0.7, leastSlots: 0.1, mostMoves: 8 }
 
 interface Candidate extends KeyRange {
   readonly busySlots: number
 }
 
 /**
- * Gives busy neighbouring keys of overloaded endpoints to endpoints with room. Only the busy part of a segment moves, in
- * pieces that fit the takers, so that one run of hot keys spreads over several endpoints and cold keys stay.
+ * Gives keys of overloaded endpoints to endpoints with room, in pieces that fit the takers, so that a run of hot
+ * neighbouring keys spreads over several endpoints. Pieces are ends of segments, so the number of segments stays small.
  */
 export function planSpread (map: KeyMap, pool: string, members: readonly MemberDemand[], settings: SpreadSettings = defaultSpreadSettings): KeyMap {
   const takers = new Takers(members.filter(member => member.accepting), settings)
@@ -113,31 +113,34 @@
   }
 }
 
-/** The next run of busy keys of the member with at most the given demand. */
+/** The end of a segment of the member with the most demand that stays within the limit. */
 function nextPiece (map: KeyMap, pool: string, member: MemberDemand, mostSlots: number): Candidate | undefined {
   const segments = (map.pools[pool] ?? []).filter(segment => !segment.moving && segment.owner.endpoint === member.endpoint)
-  const runs = segments.flatMap(segment => densestRun(segment, member.keys, mostSlots))
-  return runs.sort((one, other) => other.busySlots - one.busySlots)[0]
+  const edges = segments.flatMap(segment => edgeRuns(segment, member.keys, mostSlots))
+  return edges.sort((one, other) => other.busySlots - one.busySlots)[0]
 }
 
-/** The run of keys of a segment with the most demand that stays within the limit. */
-function densestRun (segment: Segment, keys: readonly KeyDemand[], mostSlots: number): Candidate[] {
+/** Both ends of a segment with as much demand as fits, and the whole segment when that fits: a move cuts a segment once. */
+function edgeRuns (segment: Segment, keys: readonly KeyDemand[], mostSlots: number): Candidate[] {
   const inside = keys.filter(({ key }) => key >= segment.from && key <= segment.to).sort((one, other) => one.key - other.key)
-  let best: Candidate | undefined
-  let start = 0
-  let busySlots = 0
-  inside.forEach(({ key, busySlots: demand }, index) => {
-    busySlots += demand
-    while (start < index && busySlots > mostSlots) busySlots -= (inside[start++] as KeyDemand).busySlots
-    const candidate = { from: (inside[start] as KeyDemand).key, to: key, busySlots }
-    // A key with more demand than fits elsewhere stays; its neighbours make room for it.
-    if (busySlots > mostSlots) return
-    if (best === undefined || isBetter(candidate, best)) best = candidate
-  })
-  return best === undefined ? [] : [best]
+  const candidates: Candidate[] = []
+  const first = fitting(inside, mostSlots)
+  const next = inside[first.count]
+  if (first.count > 0) candidates.push({ from: segment.from, to: next === undefined ? segment.to : next.key - 1, busySlots: first.busySlots })
+  const last = fitting([...inside].reverse(), mostSlots)
+  const before = inside[inside.length - 1 - last.count]
+  if (last.count > 0) candidates.push({ from: before === undefined ? segment.from : before.key + 1, to: segment.to, busySlots: last.busySlots })
+  return candidates
 }
 
-/** More demand is better; with about as much, fewer keys change hands. */
-function isBetter (one: Candidate, other: Candidate): boolean {
-  return one.busySlots - (one.to - one.from) * 1e-6 > other.busySlots - (other.to - other.from) * 1e-6
+/** How many keys from the start on fit into the demand. */
+function fitting (keys: readonly KeyDemand[], mostSlots: number): { readonly count: number, readonly busySlots: number } {
+  let busySlots = 0
+  let count = 0
+  for (const { busySlots: demand } of keys) {
+    if (busySlots + demand > mostSlots) break
+    busySlots += demand
+    count++
+  }
+  return { count, busySlots }
 }
--- a/packages/router/src/control/control-relay.ts
+++ b/packages/router/src/control/control-relay.ts
@@ -1,5 +1,5 @@
 import { describeError, Logger, type LifeCycle, type Random } from '@briarsaddle/common'
-import { keyMapSchema, type KeyMap } from '@briarsaddle/key-ranges'
+import { decodeKeyMap, type KeyMap } from '@briarsaddle/key-ranges'
 import type { PeerPool } from '@briarsaddle/protocol'
 import { routingTableSchema, type RoutingTable } from '../routing-table.js'
 import type { TopicFollower } from './topic-follower.js'
@@ -39,7 +39,7 @@
       const request = { keyMapPosition: map.current?.position ?? 0, routingVersion: routing.current?.state.version ?? 0 }
       const response = await peers.get(vm)?.fetchControl(request, callMilliseconds)
       if (response === undefined) return
-      if (response.keyMap !== '') map.offer({ position: response.keyMapPosition, state: keyMapSchema.parse(JSON.parse(response.keyMap)) })
+      if (response.keyMap !== '') map.offer({ position: response.keyMapPosition, state: decodeKeyMap(response.keyMap) })
       if (response.routingTable !== '') routing.offer({ position: routing.current?.position ?? 0, state: routingTableSchema.parse(JSON.parse(response.routingTable)) })
       if (response.keyMap !== '' || response.routingTable !== '') logger.info('control state taken from another VM', { vm, position: response.keyMapPosition, routingVersion: response.routingVersion })
     } catch (error) {
--- a/packages/router/src/control/timing.ts
+++ b/packages/router/src/control/timing.ts
@@ -33,7 +33,7 @@
 /** Defaults. */
 export const defaultControlTiming: ControlTiming = {
   holdMilliseconds: 3_000,
-  renewMilliseconds: 600,
+  renewMilliseconds: 900,
   clockSlack: 0.02,
   grantCallMilliseconds: 400,
   suspectMilliseconds: 700,
@@ -44,6 +44,6 @@
   logWaitMilliseconds: 10_000,
   directoryMilliseconds: 700,
   settleMilliseconds: 1_500,
-  spreadMilliseconds: 500,
+  spreadMilliseconds: 1_000,
   restMilliseconds: 2_000
 }
--- a/packages/router/src/control/topic-follower.ts
+++ b/packages/router/src/control/topic-follower.ts
@@ -86,7 +86,10 @@
 
   async #read (signal: AbortSignal): Promise<void> {
     const current = this.#current
-    if (current === undefined) return void await this.refresh(signal)
+    if (current === undefined) {
+      await this.refresh(signal)
+      return
+    }
     const startedAt = this.#options.clock.now()
     const next = await this.#options.topic.next(current, this.#options.waitMilliseconds, signal)
     if (next !== undefined) this.offer(next)
--- a/packages/router/src/request/endpoint-gate.ts
+++ b/packages/router/src/request/endpoint-gate.ts
@@ -61,13 +61,16 @@
   async handle (forward: Forward, signal: AbortSignal): Promise<Answer> {
     const { clock } = this.#options
     const deadlineAt = clock.now() + forward.deadlineMilliseconds
+    // The cancellation by the VM that took the request may be late; nobody waits for the answer after the deadline.
+    const timeout = new AbortController()
+    const timer = setTimeout(() => timeout.abort(), forward.deadlineMilliseconds)
     this.work.arrived(forward.rule, forward.bucket)
     try {
       const answer = await this.#queue.submit({
         serviceClass: queueClasses[forward.serviceClass],
         rule: forward.rule,
         deadlineAt,
-        signal,
+        signal: AbortSignal.any([signal, timeout.signal]),
         run: async runSignal => await this.#run(forward, deadlineAt, runSignal),
         measured: result => result.outcome === Outcome.OUTCOME_ANSWERED
       })
@@ -77,6 +80,8 @@
       const fields = { request: forward.requestId, endpoint: this.#entry.id, reason: error.code, outstanding: this.outstanding, remainingMilliseconds: Math.round(deadlineAt - clock.now()) }
       logger.info('request refused by the queue', fields)
       return notRunAnswer(error.code, { retryAfterMilliseconds: error.retryAfterMilliseconds, outstanding: this.outstanding })
+    } finally {
+      clearTimeout(timer)
     }
   }
 
--- a/packages/router/src/request/inner-handlers.ts
+++ b/packages/router/src/request/inner-handlers.ts
@@ -3,7 +3,7 @@
   type Answer, type ConfirmResponse, type FetchControlRequest, type FetchControlResponse, type FetchJournalResponse, type FetchKeyLoadsResponse, type FetchLoadsResponse,
   type FetchStateResponse, type Forward, type HeartbeatResponse, type JournalAcknowledgement
 } from '@briarsaddle/protocol'
-import type { KeyMap } from '@briarsaddle/key-ranges'
+import { encodeKeyMap, type KeyMap } from '@briarsaddle/key-ranges'
 import type { TopicFollower } from '../control/topic-follower.js'
 import type { RoutingTable } from '../routing-table.js'
 import type { Dispatcher } from './dispatcher.js'
@@ -60,7 +60,7 @@
     const table = routing.current?.state
     return {
       keyMapPosition: keyMap?.position ?? 0,
-      keyMap: keyMap !== undefined && keyMap.position > keyMapPosition ? JSON.stringify(keyMap.state) : '',
+      keyMap: keyMap !== undefined && keyMap.position > keyMapPosition ? encodeKeyMap(keyMap.state) : '',
       routingVersion: table?.version ?? 0,
       routingTable: table !== undefined && table.version > routingVersion ? JSON.stringify(table) : ''
     }
--- a/packages/router/src/request/key-work.ts
+++ b/packages/router/src/request/key-work.ts
@@ -8,10 +8,10 @@
   readonly keys: ReadonlyArray<{ readonly key: number, readonly busySlots: number }>
 }
 
-// Short enough to notice hot keys within a second or two, long enough that a few requests are not taken for them.
-const halfLifeMilliseconds = 1_500
+// Hot keys multiply the demand and show within a second; a shorter time takes a few requests by chance for them.
+const halfLifeMilliseconds = 2_500
 const followedKeys = 256
-const reportedKeys = 96
+const reportedKeys = 128
 const smoothing = 0.1
 
 /** Measures the demand at one endpoint: requests count when they arrive, so that refused ones count as well. */
