--- a/packages/key-ranges/src/membership-plan.ts
+++ b/packages/key-ranges/src/membership-plan.ts
@@ -56,7 +56,8 @@
 /** Gives members without keys a share of those of the most loaded owners. */
 function giveToNewMembers (map: KeyMap, pool: string, accepting: readonly PoolMember[]): KeyMap {
   const owners = new Set((map.pools[pool] ?? []).map(segment => segment.owner.endpoint))
-  const newcomers = accepting.filter(member => !owners.has(member.endpoint))
+  // One with recent demand has just given its keys away because it had too many.
+  const newcomers = accepting.filter(member => !owners.has(member.endpoint) && member.busySlots === 0)
   const load = new LoadEstimate(map, pool, accepting)
   return newcomers.reduce((result, newcomer) => {
     const move = shareFor(result, pool, newcomer, load)
--- a/packages/key-ranges/src/spread-plan.ts
+++ b/packages/key-ranges/src/spread-plan.ts
@@ -1,6 +1,6 @@
 import { assignRange } from './edit.js'
 import { holderOf, type PoolMember } from './membership-plan.js'
-import type { KeyMap, KeyRange, Segment } from './key-map.js'
+import { sizeOf, type KeyMap, type KeyRange, type Segment } from './key-map.js'
 
 /** Recent demand for one key. */
 export interface KeyDemand {
@@ -11,8 +11,6 @@
 
 /** Recent demand at one endpoint, whether or not it was met. */
 export interface MemberDemand extends PoolMember {
-  /** Requests that wait on average. */
-  readonly queued: number
   /** Time for which a request holds a slot there, in milliseconds; 0 when not known. */
   readonly serviceMilliseconds: number
   readonly keys: readonly KeyDemand[]
@@ -51,7 +49,7 @@
   let result = map
   let moves = 0
   for (const member of overloaded) {
-    let excess = demandOf(member) - settings.relievedTo * member.slots
+    let excess = member.busySlots - settings.relievedTo * member.slots
     while (excess > settings.leastSlots && moves < settings.mostMoves) {
       const taker = takers.best(member)
       if (taker === undefined) return result
@@ -66,12 +64,8 @@
   return result
 }
 
-function demandOf (member: MemberDemand): number {
-  return member.busySlots + member.queued
-}
-
 function demandPerSlot (member: MemberDemand): number {
-  return demandOf(member) / Math.max(1, member.slots)
+  return member.busySlots / Math.max(1, member.slots)
 }
 
 interface Taker {
@@ -108,7 +102,7 @@
   #taker (member: MemberDemand, giver: MemberDemand): Taker {
     const known = member.serviceMilliseconds > 0 && giver.serviceMilliseconds > 0
     const costRatio = known ? member.serviceMilliseconds / giver.serviceMilliseconds : 1
-    const free = this.#settings.fillTo * member.slots - demandOf(member) - (this.#taken.get(member.endpoint) ?? 0)
+    const free = this.#settings.fillTo * member.slots - member.busySlots - (this.#taken.get(member.endpoint) ?? 0)
     return { member, room: free / costRatio, costRatio }
   }
 }
@@ -116,7 +110,7 @@
 /** The end of a segment of the member with the most demand that stays within the limit. */
 function nextPiece (map: KeyMap, pool: string, member: MemberDemand, mostSlots: number): Candidate | undefined {
   const segments = (map.pools[pool] ?? []).filter(segment => !segment.moving && segment.owner.endpoint === member.endpoint)
-  const edges = segments.flatMap(segment => edgeRuns(segment, member.keys, mostSlots))
+  const edges = segments.flatMap(segment => edgeRuns(segment, member.keys, mostSlots).filter(edge => segments.length > 1 || sizeOf(edge) < sizeOf(segment)))
   return edges.sort((one, other) => other.busySlots - one.busySlots)[0]
 }
 
--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -16,7 +16,7 @@
 const logger = new Logger('leader')
 
 /** Demand that coordinators measured at an endpoint. */
-export type MeasuredDemand = Pick<MemberDemand, 'busySlots' | 'queued' | 'serviceMilliseconds' | 'keys'>
+export type MeasuredDemand = Pick<MemberDemand, 'busySlots' | 'serviceMilliseconds' | 'keys'>
 
 /** Collects the demand at the endpoints from their coordinators. */
 export abstract class DemandSource {
@@ -55,7 +55,8 @@
   #generation: number | undefined
   #vms: readonly VmEntry[] = []
   #demand: ReadonlyMap<string, MeasuredDemand> = new Map()
-  #spreadAt = 0
+  #demandIsFresh = false
+  #collectAt = 0
   #lastJoinOfPool = new Map<string, { readonly count: number, readonly at: number }>()
 
   constructor (options: KeyLeaderOptions) {
@@ -95,6 +96,7 @@
     if (!this.#leading) return await this.#begin(signal)
     if (this.#isStale()) return this.#end('the log was out of reach for too long')
     this.#renewal.renewDue(this.#map.pools)
+    void this.#collectDemand()
     await this.#refreshMembers()
     await this.#plan(signal)
     this.#startHandovers(signal)
@@ -151,6 +153,7 @@
     next = this.#renewal.takeDisconnected().reduce(raiseFencesOf, next)
     const settledOnly = next
     for (const pool of this.#keyedPools()) next = this.#planPool(next, pool)
+    this.#demandIsFresh = false
     if (next !== settledOnly) this.#noteChanges(settledOnly, next)
     if (!sameVms(this.#vms, next.vms) && this.#vms.length > 0) next = withVms(next, this.#vms)
     if (next === before) return
@@ -171,17 +174,19 @@
     const members = this.#membersOf(pool)
     if (map.pools[pool] === undefined && !this.#hasSettled(pool, members.length)) return map
     const planned = planMembership(map, pool, members)
-    const now = this.#options.clock.now()
-    if (planned !== map || now < this.#spreadAt) return planned
-    this.#spreadAt = now + this.#options.timing.spreadMilliseconds
-    void this.#collectDemand()
-    void this.#renewal.probeUnreachable(members)
-    return planSpread(planned, pool, members.map(member => this.#rested(member) ? member : { ...member, accepting: false, busySlots: 0, queued: 0, keys: [] }))
+    if (planned !== map || !this.#demandIsFresh) return planned
+    return planSpread(planned, pool, members.map(member => this.#rested(member) ? member : { ...member, accepting: false, busySlots: 0, keys: [] }))
   }
 
+  /** Collects the demand now and then; the tick after that plans with it. */
   async #collectDemand (): Promise<void> {
+    const { clock, timing, demand, directory } = this.#options
+    if (clock.now() < this.#collectAt) return
+    this.#collectAt = clock.now() + timing.spreadMilliseconds
+    void this.#renewal.probeUnreachable([...directory.current?.state.values() ?? []].map(memberOf))
     try {
-      this.#demand = await this.#options.demand.collect()
+      this.#demand = await demand.collect()
+      this.#demandIsFresh = true
     } catch (error) {
       logger.warning('demand could not be collected', { code: errorCode(error), error: describeError(error) })
     }
@@ -191,7 +196,7 @@
     const members: MemberDemand[] = []
     for (const entry of this.#options.directory.current?.state.values() ?? []) {
       if (entry.pool !== pool) continue
-      const demand = this.#demand.get(entry.id) ?? { busySlots: 0, queued: 0, serviceMilliseconds: 0, keys: [] }
+      const demand = this.#demand.get(entry.id) ?? { busySlots: 0, serviceMilliseconds: 0, keys: [] }
       members.push({ ...memberOf(entry), ...demand, accepting: !entry.leaving && !this.#renewal.isUnreachable(entry.id) })
     }
     return members.sort((one, other) => one.endpoint < other.endpoint ? -1 : 1)
--- a/packages/router/src/control/peer-demand.ts
+++ b/packages/router/src/control/peer-demand.ts
@@ -35,11 +35,10 @@
 }
 
 /** Two VMs may both have sent to an endpoint, for example while its coordinator changed. */
-function add (before: MeasuredDemand | undefined, { busySlots, queued, serviceMilliseconds, keys }: EndpointKeyLoad): MeasuredDemand {
-  if (before === undefined) return { busySlots, queued, serviceMilliseconds, keys }
+function add (before: MeasuredDemand | undefined, { busySlots, serviceMilliseconds, keys }: EndpointKeyLoad): MeasuredDemand {
+  if (before === undefined) return { busySlots, serviceMilliseconds, keys }
   return {
     busySlots: before.busySlots + busySlots,
-    queued: before.queued + queued,
     serviceMilliseconds: before.busySlots > busySlots ? before.serviceMilliseconds : serviceMilliseconds,
     keys: [...before.keys, ...keys]
   }
--- a/packages/router/src/request/endpoint-gate.ts
+++ b/packages/router/src/request/endpoint-gate.ts
@@ -42,6 +42,8 @@
 
   /** Requests that run or wait. */
   get outstanding (): number { return this.#queue.outstanding }
+  get pool (): string { return this.#entry.pool }
+  get slots (): number { return this.#queue.slots }
   /** Requests that wait. */
   get queued (): number { return this.#queue.queued }
 
--- a/packages/router/src/request/inner-handlers.ts
+++ b/packages/router/src/request/inner-handlers.ts
@@ -1,12 +1,13 @@
 import {
   ControlHandler, FrameHandler, unsupported,
-  type Answer, type ConfirmResponse, type FetchControlRequest, type FetchControlResponse, type FetchJournalResponse, type FetchKeyLoadsResponse, type FetchLoadsResponse,
+  type Answer, type ConfirmResponse, type EndpointKeyLoad, type FetchControlRequest, type FetchControlResponse, type FetchJournalResponse, type FetchKeyLoadsResponse, type FetchLoadsResponse,
   type FetchStateResponse, type Forward, type HeartbeatResponse, type JournalAcknowledgement
 } from '@briarsaddle/protocol'
-import { encodeKeyMap, type KeyMap } from '@briarsaddle/key-ranges'
+import { encodeKeyMap, segmentAt, type KeyMap } from '@briarsaddle/key-ranges'
 import type { TopicFollower } from '../control/topic-follower.js'
 import type { RoutingTable } from '../routing-table.js'
 import type { Dispatcher } from './dispatcher.js'
+import type { EndpointGate } from './endpoint-gate.js'
 
 /** Runs the requests that other VMs forward. */
 export class RangeFrameHandler extends FrameHandler {
@@ -24,6 +25,10 @@
   override async journal (): Promise<JournalAcknowledgement> { throw unsupported('store journal entry') }
 }
 
+// Endpoints with less demand per slot give no keys away.
+const reportKeysFrom = 0.6
+const reportedKeys = 128
+
 /** What the control calls of other VMs read. */
 export interface RangeControlOptions {
   readonly vm: string
@@ -47,11 +52,7 @@
   }
 
   override async fetchKeyLoads (): Promise<FetchKeyLoadsResponse> {
-    const endpoints = [...this.#options.dispatcher.gates].map(([endpoint, gate]) => {
-      const { busySlots, serviceMilliseconds, keys } = gate.work.snapshot()
-      return { endpoint, busySlots, queued: gate.queued, serviceMilliseconds, keys: [...keys] }
-    })
-    return { endpoints }
+    return { endpoints: [...this.#options.dispatcher.gates].map(([endpoint, gate]) => this.#keyLoad(endpoint, gate)) }
   }
 
   override async fetchControl ({ keyMapPosition, routingVersion }: FetchControlRequest): Promise<FetchControlResponse> {
@@ -66,6 +67,18 @@
     }
   }
 
+  /** Keys that have moved away since they were asked for are no demand at the endpoint any more. */
+  #keyLoad (endpoint: string, gate: EndpointGate): EndpointKeyLoad {
+    const map = this.#options.map.current?.state
+    const { busySlots, serviceMilliseconds, keys } = gate.work.snapshot()
+    const isOwned = (key: number): boolean => map === undefined || segmentAt(map, gate.pool, key)?.owner.endpoint === endpoint
+    const owned = keys.filter(({ key }) => isOwned(key))
+    const gone = keys.reduce((sum, key) => sum + key.busySlots, 0) - owned.reduce((sum, key) => sum + key.busySlots, 0)
+    const left = Math.max(0, busySlots - gone)
+    const busy = left / Math.max(1, gate.slots) > reportKeysFrom
+    return { endpoint, busySlots: left, queued: gate.queued, serviceMilliseconds, keys: busy ? owned.slice(0, reportedKeys) : [] }
+  }
+
   override async confirm (): Promise<ConfirmResponse> { throw unsupported('confirm') }
   override async fetchState (): Promise<FetchStateResponse> { throw unsupported('fetch state') }
   override async fetchJournal (): Promise<FetchJournalResponse> { throw unsupported('fetch journal') }
--- a/packages/router/src/request/key-work.ts
+++ b/packages/router/src/request/key-work.ts
@@ -11,7 +11,6 @@
 // Hot keys multiply the demand and show within a second; a shorter time takes a few requests by chance for them.
 const halfLifeMilliseconds = 2_500
 const followedKeys = 256
-const reportedKeys = 128
 const smoothing = 0.1
 
 /** Measures the demand at one endpoint: requests count when they arrive, so that refused ones count as well. */
@@ -44,7 +43,7 @@
 
   snapshot (): KeyWork {
     const total = this.#sketch.busySlots()
-    const keys = this.#sketch.top(reportedKeys).filter(({ bucket, share }) => bucket >= 0 && share > 0)
+    const keys = this.#sketch.top(followedKeys).filter(({ bucket, share }) => bucket >= 0 && share > 0)
     return { busySlots: total, serviceMilliseconds: this.#mean, keys: keys.map(({ bucket, share }) => ({ key: bucket, busySlots: share * total })) }
   }
 }
