--- a/packages/router/src/control/member.ts
+++ b/packages/router/src/control/member.ts
@@ -11,6 +11,8 @@
   readonly clock: Clock
   readonly confirmEveryMilliseconds: number
   readonly callMilliseconds: number
+  /** Called when the service answers again after it did not. */
+  readonly onRegained: () => void
 }
 
 /** This VM as a member: confirms the membership and knows whether it leads. */
@@ -57,13 +59,18 @@
     const startedAt = this.#options.clock.now()
     const report = await this.#options.service.join(this.#options.self, AbortSignal.any([signal, AbortSignal.timeout(this.#options.callMilliseconds)]))
     if (this.#leaving) return
-    if (this.#lost) logger.info('dependency regained', { dependency: 'membership' })
-    this.#lost = false
+    if (this.#lost) this.#regained()
     this.#confirmedAt = startedAt
     if (report.leads !== this.#report?.leads) logger.info(report.leads ? 'this VM leads' : 'this VM does not lead', { generation: report.generation })
     this.#report = report
   }
 
+  #regained (): void {
+    this.#lost = false
+    logger.info('dependency regained', { dependency: 'membership' })
+    this.#options.onRegained()
+  }
+
   #failed (error: unknown): void {
     if (!this.#lost) logger.warning('dependency lost', { dependency: 'membership', code: errorCode(error), error: describeError(error) })
     this.#lost = true
--- a/packages/router/src/control/topic-follower.ts
+++ b/packages/router/src/control/topic-follower.ts
@@ -27,6 +27,7 @@
   #current: TopicState<State> | undefined
   #confirmedAt = -Infinity
   #failures = 0
+  #reading = new AbortController()
 
   constructor (options: TopicFollowerOptions<State>) {
     this.#options = options
@@ -60,6 +61,11 @@
     if (changed) for (const listener of this.#listeners) listener(state.state)
   }
 
+  /** Gives up a read that may wait on a dead connection and reads anew. */
+  interrupt (): void {
+    this.#reading.abort()
+  }
+
   /** Reads the newest state now. Throws `log_unavailable`. */
   async refresh (signal: AbortSignal): Promise<TopicState<State>> {
     const startedAt = this.#options.clock.now()
@@ -71,13 +77,15 @@
 
   async #run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      this.#reading = new AbortController()
       try {
-        await this.#read(signal)
+        await this.#read(AbortSignal.any([signal, this.#reading.signal]))
         if (this.#failures > 0) logger.info('dependency regained', { topic: this.#options.name, failures: this.#failures })
         this.#failures = 0
         await delay(this.#options.pauseMilliseconds, signal)
       } catch (error) {
         if (signal.aborted) return
+        if (this.#reading.signal.aborted) continue
         this.#failed(error)
         await delay(Math.min(longestBackoffMilliseconds, firstBackoffMilliseconds * 2 ** (this.#failures - 1)), signal)
       }
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -79,7 +79,15 @@
       name: 'routing table', topic: platform.routing, clock, waitMilliseconds: timing.logWaitMilliseconds, pauseMilliseconds: 0, isNewer: (one, other) => one.state.version > other.state.version
     })
     this.#directory = new TopicFollower({ name: 'directory', topic: platform.directory, clock, waitMilliseconds: 0, pauseMilliseconds: timing.directoryMilliseconds, isNewer: byPosition })
-    this.#member = new Member({ self: this.#self, service: platform.membership, clock, confirmEveryMilliseconds: timing.confirmMilliseconds, callMilliseconds: timing.logCallMilliseconds })
+    this.#member = new Member({
+      self: this.#self,
+      service: platform.membership,
+      clock,
+      confirmEveryMilliseconds: timing.confirmMilliseconds,
+      callMilliseconds: timing.logCallMilliseconds,
+      // Reads that wait since before the outage may never be answered.
+      onRegained: () => this.#followers.forEach(follower => follower.interrupt())
+    })
     this.#peers = new PeerPool(this.#lifeCycle, { connectTimeoutMilliseconds: peerConnectMilliseconds, silenceMilliseconds: peerSilenceMilliseconds, clock, random: this.#random })
     this.#dispatcher = this.#createDispatcher()
     this.#router = this.#createRouter()
@@ -98,7 +106,7 @@
     this.#lifeCycle.own('entry', async () => await this.#entry.stop(0))
     await new StatusServer({ '/ready': async () => this.#readiness() }).listen(this.#settings.listen.readiness, this.#lifeCycle)
     await new StatusServer({ '/metrics': async () => await this.#metricsPage(), '/state': async () => this.#statePage() }).listen(this.#settings.listen.administration, this.#lifeCycle)
-    for (const follower of [this.#map, this.#routing, this.#directory]) follower.start(this.#lifeCycle)
+    for (const follower of this.#followers) follower.start(this.#lifeCycle)
     this.#member.start(this.#lifeCycle)
     this.#leader.start(this.#lifeCycle)
     new ControlRelay({ peers: this.#peers, map: this.#map, routing: this.#routing, random: this.#random }).start(this.#lifeCycle)
@@ -165,6 +173,10 @@
     })
   }
 
+  get #followers (): ReadonlyArray<TopicFollower<KeyMap> | TopicFollower<RoutingTable> | TopicFollower<Directory>> {
+    return [this.#map, this.#routing, this.#directory]
+  }
+
   get #endpoints (): Directory {
     return this.#directory.current?.state ?? new Map()
   }
