Shut out late grants before keys are released, and drop work that nobody waits for

VMs that were held up while they started sent requests on whose callers had left (GONE). Ruled out: two leaders at the same time; the former leader had ended.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,6 +1,6 @@
 export { BriarsaddleError, describeError, errorCode, type ErrorDetails } from './errors.js'
 export { LifeCycle } from './life-cycle.js'
-export { Clock, ManualClock, MonotonicClock, delay } from './clock.js'
+export { Clock, ManualClock, MonotonicClock, delay, pendingEvents } from './clock.js'
 export { LogSink, Logger, enableLogs, formatLine, setLogSink, type LogFields, type LogLevel } from './logger.js'
 export { Ticker, processTicker } from './ticker.js'
 export { Random } from './random.js'
--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -1,8 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
-import { setImmediate } from 'node:timers/promises'
 import polka from 'polka'
-import { BriarsaddleError, delay, Logger, describeError, errorCode, type Clock } from '@briarsaddle/common'
+import { BriarsaddleError, delay, pendingEvents, Logger, describeError, errorCode, type Clock } from '@briarsaddle/common'
 import { hasBody, readBody } from './body.js'
 import { originForm, type CallerAnswer, type CallerRequest, type CallerRequestHandler } from './request-handler.js'
 
@@ -256,16 +255,6 @@
   }
 }
 
-/**
- * Resolves after the events that are already due. In a process that was held up, a request may be read together with
- * the end of its connection, and the caller is gone.
- */
-async function pendingEvents (): Promise<void> {
-  // The first one runs before the next poll for events, the second one after it.
-  await setImmediate()
-  await setImmediate()
-}
-
 function isAnswer (accepted: object): accepted is CallerAnswer {
   return 'status' in accepted
 }
--- a/packages/router/src/control/range-handover.ts
+++ b/packages/router/src/control/range-handover.ts
@@ -1,5 +1,5 @@
-import { delay, Logger, type Clock } from '@briarsaddle/common'
-import { rangeText, type GrantLedger, type Holder, type Segment } from '@briarsaddle/key-ranges'
+import { BriarsaddleError, delay, describeError, Logger, type Clock } from '@briarsaddle/common'
+import { rangeText, tokensPerMove, type GrantLedger, type Holder, type Segment } from '@briarsaddle/key-ranges'
 import type { Directory } from '../endpoint-entry.js'
 import type { EndpointTransport, GrantReply } from '../endpoint-transport.js'
 import { holderKey } from './grant-renewal.js'
@@ -27,6 +27,10 @@
   | { readonly kind: 'stopped' }
 
 const retryMilliseconds = 100
+// A release that got no answer is sent again, since an answer may be lost; the first answer counts.
+const releaseAgainMilliseconds = 400
+// Below this, waiting for the end of the hold is as fast as asking.
+const leastHoldMilliseconds = 200
 
 /** Carries out one move: makes sure that nobody else holds the keys, then grants them to the new owner. */
 export class RangeHandover {
@@ -51,7 +55,7 @@
     const startedAt = this.#options.clock.now()
     const handovers = await Promise.all(this.#options.segment.former.map(async former => await this.#vacate(former, limit)))
     const vacatedAt = this.#options.clock.now()
-    const result = await this.#grant(handovers.find(handover => handover !== '') ?? '', limit)
+    const result: HandoverResult = handovers.includes(undefined) ? { kind: 'fenced' } : await this.#grant(handovers.find(handover => handover !== '') ?? '', limit)
     const { pool, segment } = this.#options
     logger.info('handover ended', {
       pool,
@@ -66,22 +70,62 @@
     return result
   }
 
-  /** Resolves to what the former holder handed over, once it surely holds nothing. */
-  async #vacate (former: Holder, signal: AbortSignal): Promise<string> {
+  /**
+   * Resolves to what the former holder handed over, once it surely holds nothing; undefined when it has seen a higher token.
+   * A grant that is still on its way could give the keys back after the release. A higher token shuts it out.
+   */
+  async #vacate (former: Holder, signal: AbortSignal): Promise<string | undefined> {
     const until = this.#mayHoldUntil.get(holderKey(former)) ?? Infinity
-    while (!signal.aborted) {
+    for (let attempt = 1; !signal.aborted; attempt++) {
       const left = until - this.#options.clock.now()
       if (left <= 0 || this.#hasEnded(former)) return ''
-      const attempt = AbortSignal.any([signal, AbortSignal.timeout(Math.ceil(left))])
-      const { from, to, fence } = this.#options.segment
-      // Above every token that the former holder was given, below that of the new owner.
-      const reply = await this.#options.transport.release(former, { from, to, fence: fence - 1 }, attempt)
-      if (reply.kind === 'released') return reply.handover
-      await delay(retryMilliseconds, signal)
+      if (attempt < tokensPerMove && left > leastHoldMilliseconds) {
+        const shutOut = await this.#shutOut(former, attempt, left)
+        if (shutOut === 'fenced') return undefined
+        const handover = shutOut === 'granted' ? await this.#release(former, attempt, until, signal) : undefined
+        if (handover !== undefined) return handover
+      }
+      await delay(Math.min(retryMilliseconds, Math.max(0, until - this.#options.clock.now())), signal)
     }
     return ''
   }
 
+  /** Grants the keys once more under a higher token, for no longer than they are held anyway. */
+  async #shutOut (former: Holder, attempt: number, left: number): Promise<GrantReply['kind']> {
+    const { segment: { from, to }, transport, timing } = this.#options
+    const holdMilliseconds = Math.floor(Math.min(timing.holdMilliseconds, (left - timing.grantCallMilliseconds / 2) / (1 + timing.clockSlack)))
+    if (holdMilliseconds < leastHoldMilliseconds) return 'unreachable'
+    const reply = await transport.grant(former, { from, to, fence: this.#shutOutToken(attempt), holdMilliseconds, handover: '', connection: undefined })
+    return reply.kind
+  }
+
+  #shutOutToken (attempt: number): number {
+    return this.#options.segment.fence - tokensPerMove + attempt
+  }
+
+  async #release (former: Holder, attempt: number, until: number, signal: AbortSignal): Promise<string | undefined> {
+    const { segment: { from, to }, transport, clock } = this.#options
+    const answered = new AbortController()
+    const limit = AbortSignal.any([signal, answered.signal, AbortSignal.timeout(Math.max(1, Math.ceil(until - clock.now())))])
+    const ask = async (): Promise<string> => {
+      const reply = await transport.release(former, { from, to, fence: this.#shutOutToken(attempt) }, limit)
+      if (reply.kind === 'released') return reply.handover
+      throw new BriarsaddleError('the release was not acknowledged', { code: 'release_failed', step: 'release keys', peer: former.address })
+    }
+    const again = async (): Promise<string> => {
+      await delay(releaseAgainMilliseconds, limit)
+      return await ask()
+    }
+    try {
+      return await Promise.any([ask(), again()])
+    } catch (error) {
+      logger.info('keys not released', { endpoint: former.endpoint, keys: rangeText({ from, to }), error: describeError(error) })
+      return undefined
+    } finally {
+      answered.abort()
+    }
+  }
+
   /** A later process under the same id proves that the earlier one has ended. */
   #hasEnded ({ endpoint, life }: Holder): boolean {
     const entry = this.#options.directory().get(endpoint)
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -39,6 +39,10 @@
 const maximumHeaderBytes = 64 * 1024
 const maximumBodyBytes = 64 * 1024 * 1024
 const reportMilliseconds = 2_000
+// Without the log, a VM that starts refuses requests truthfully rather than not at all.
+const longestPreparationMilliseconds = 2_000
+// Peers send nothing more by then; what is left are answers.
+const lastPeerAnswersMilliseconds = 300
 // Streams between VMs are replaced sooner than a caller's usual deadline.
 const peerConnectMilliseconds = 400
 const peerSilenceMilliseconds = 400
@@ -102,8 +106,6 @@
     this.#followChanges()
     await this.#inner.listen()
     this.#lifeCycle.own('inner server', async () => await this.#inner.stop(0))
-    await this.#entry.listen()
-    this.#lifeCycle.own('entry', async () => await this.#entry.stop(0))
     await new StatusServer({ '/ready': async () => this.#readiness() }).listen(this.#settings.listen.readiness, this.#lifeCycle)
     await new StatusServer({ '/metrics': async () => await this.#metricsPage(), '/state': async () => this.#statePage() }).listen(this.#settings.listen.administration, this.#lifeCycle)
     for (const follower of this.#followers) follower.start(this.#lifeCycle)
@@ -111,9 +113,23 @@
     this.#leader.start(this.#lifeCycle)
     new ControlRelay({ peers: this.#peers, map: this.#map, routing: this.#routing, random: this.#random }).start(this.#lifeCycle)
     this.#lifeCycle.every('state metrics', reportMilliseconds, () => this.#reportState(), error => logger.error('state metrics failed', { error: String(error) }))
+    await this.#listenWhenPrepared()
     logger.info('started', { vm: this.#self.id, dataCentre: this.#self.dataCentre, inner: `${this.#self.host}:${this.#self.port}` })
   }
 
+  /** Requests that are read before this VM knows the routes would wait or be refused here, and served elsewhere. */
+  async #listenWhenPrepared (): Promise<void> {
+    const deadline = this.#clock.now() + longestPreparationMilliseconds
+    while (!this.#prepared && this.#clock.now() < deadline && this.#stopping === undefined) await this.#changes.next(deadline - this.#clock.now(), this.#lifeCycle.signal)
+    if (this.#stopping !== undefined) return
+    await this.#entry.listen()
+    this.#lifeCycle.own('entry', async () => await this.#entry.stop(0))
+  }
+
+  get #prepared (): boolean {
+    return (this.#routing.current?.state.version ?? 0) > 0 && this.#map.current !== undefined && this.#directory.current !== undefined
+  }
+
   /** Leaves the members and the balancer's rotation, finishes what is in flight and stops. */
   async stop (): Promise<void> {
     this.#stopping ??= this.#stop()
@@ -124,9 +140,10 @@
     const { lameDuckMilliseconds, finishMilliseconds } = this.#settings.stop
     logger.info('stopping', { inFlight: this.#entry.inFlight, leading: this.#leader.leading })
     const left = this.#member.leave()
-    await this.#entry.stop(finishMilliseconds, lameDuckMilliseconds)
+    this.#changes.notify()
+    if (this.#entry.serving) await this.#entry.stop(finishMilliseconds, lameDuckMilliseconds)
     await left
-    await this.#inner.stop(finishMilliseconds)
+    await this.#inner.stop(lastPeerAnswersMilliseconds)
     await this.#lifeCycle.close()
     logger.info('stopped')
   }
--- a/packages/router/src/request/dispatcher.ts
+++ b/packages/router/src/request/dispatcher.ts
@@ -1,4 +1,4 @@
-import { Logger, type Clock, type Random } from '@briarsaddle/common'
+import { Logger, pendingEvents, type Clock, type Random } from '@briarsaddle/common'
 import { notRunAnswer, Outcome, peerReasons, type Answer, type Forward } from '@briarsaddle/protocol'
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
 import type { EndpointTransport } from '../endpoint-transport.js'
@@ -51,6 +51,8 @@
 
   /** Handles a request that another VM forwarded. Always resolves. */
   async accept (forward: Forward, signal: AbortSignal): Promise<Answer> {
+    // A cancellation may already have arrived behind the request.
+    await pendingEvents()
     const endpoint = this.#options.directory().get(forward.endpoint)
     return endpoint === undefined ? notRunAnswer('endpoint_unknown') : await this.#gate(endpoint).handle(forward, signal)
   }
--- a/packages/router/src/request/endpoint-gate.ts
+++ b/packages/router/src/request/endpoint-gate.ts
@@ -94,6 +94,8 @@
   async #run (forward: Forward, deadlineAt: number, signal: AbortSignal): Promise<Answer> {
     const { clock, transport } = this.#options
     const startedAt = clock.now()
+    // A process that was held up looks at the clock before it sends.
+    if (signal.aborted || startedAt >= deadlineAt) return notRunAnswer('deadline_exceeded')
     const { requestId, method, target, headers, body } = forward
     const reply = await transport.send(this.#entry, { requestId, method, target, headers, body, remainingMilliseconds: deadlineAt - startedAt }, signal)
     const milliseconds = clock.now() - startedAt
