--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,12 +1,17 @@
 // Bundles the program for the platform into target/, so that a VM starts with one file.
+import { readdirSync } from 'node:fs'
+import { resolve } from 'node:path'
 import { build } from 'esbuild'
 
 const require = 'import { createRequire as createRequireForBundle } from "node:module"; const require = createRequireForBundle(import.meta.url);'
+// The sources themselves, so that nothing has to be built before.
+const alias = Object.fromEntries(readdirSync('packages').map(name => [`@briarsaddle/${name}`, resolve('packages', name, 'src/index.ts')]))
 
 await build({
   entryPoints: ['platform/src/start.ts'],
   outfile: 'target/briarsaddle.js',
   bundle: true,
+  alias,
   platform: 'node',
   target: 'node20',
   format: 'esm',
