Wait for the answers to grants before keys are released, and do not cut moving ranges

Changes: a release waits until the grants to the holder have been answered, and a grant without an answer runs out; only settled, large ranges are cut; an endpoint is suspected after three failures, not one.

--- a/packages/key-ranges/src/edit.ts
+++ b/packages/key-ranges/src/edit.ts
@@ -8,15 +8,9 @@
   readonly ownerMayHold: boolean
 }
 
-/**
- * Fencing tokens that a move uses: the last one for the new owner, those before it to shut out older grants that may
- * still be on their way to a former holder, a new one for each attempt.
- */
-export const tokensPerMove = 8
-
 /** Begins to give keys to another owner under a new fencing token. The keys are moving until `settleRange`. */
 export function assignRange (map: KeyMap, move: RangeMove): KeyMap {
-  const fence = map.fence + tokensPerMove
+  const fence = map.fence + 1
   const before = map.pools[move.pool] ?? []
   const after = before.length === 0
     ? [newSegment(move, fence)]
@@ -41,8 +35,7 @@
  * refused by every endpoint that has acknowledged the new token.
  */
 export function raiseFences (map: KeyMap): KeyMap {
-  // Moves go on under the new token and need those before it as well.
-  const fence = map.fence + tokensPerMove
+  const fence = map.fence + 1
   const pools = Object.fromEntries(Object.entries(map.pools).map(([pool, segments]) => [pool, segments.map(segment => ({ ...segment, fence }))]))
   return { ...map, fence, pools }
 }
--- a/packages/key-ranges/src/grant-ledger.ts
+++ b/packages/key-ranges/src/grant-ledger.ts
@@ -13,12 +13,29 @@
   readonly staleLeaderMilliseconds: number
 }
 
+/** One grant on its way. Exactly one of its methods is to be called. */
+export interface GrantTicket {
+  /** The endpoint has answered. */
+  readonly answered: () => void
+  /** No answer came; the grant may still take effect. */
+  readonly lost: () => void
+  /** Nothing was sent after all. */
+  readonly notSent: () => void
+}
+
+interface HolderRecord {
+  lastSent: number
+  /** When the last grant without an answer was sent. */
+  lastLost: number
+  pending: number
+  /** The endpoint has acknowledged a fencing token of the present leadership and so refuses every earlier leader. */
+  acknowledged: boolean
+}
+
 /** Knows until when an endpoint may hold keys that it does not release: what this VM sent, and what others may have sent. */
 export class GrantLedger {
   readonly #options: GrantLedgerOptions
-  readonly #lastSent = new Map<string, number>()
-  /** Endpoints that have acknowledged a fencing token of the present leadership and so refuse every earlier leader. */
-  readonly #acknowledged = new Set<string>()
+  readonly #holders = new Map<string, HolderRecord>()
   #leaderSince: number
 
   constructor (options: GrantLedgerOptions) {
@@ -29,39 +46,61 @@
   /** A new leadership begins: whoever led before may go on for a while. */
   begin (): void {
     this.#leaderSince = this.#options.clock.now()
-    this.#acknowledged.clear()
+    for (const record of this.#holders.values()) record.acknowledged = false
   }
 
-  /** Records that a grant is about to be sent. The returned function takes that back when nothing was sent after all. */
-  sending (holder: string): () => void {
-    const before = this.#lastSent.get(holder) ?? -Infinity
-    const now = this.#options.clock.now()
-    this.#lastSent.set(holder, now)
-    return () => { if (this.#lastSent.get(holder) === now) this.#lastSent.set(holder, before) }
+  /** Records that a grant is about to be sent. */
+  sending (holder: string): GrantTicket {
+    const record = this.#recordOf(holder)
+    const before = record.lastSent
+    const sentAt = this.#options.clock.now()
+    record.lastSent = sentAt
+    record.pending++
+    return {
+      answered: () => { record.pending-- },
+      lost: () => {
+        record.pending--
+        record.lastLost = Math.max(record.lastLost, sentAt)
+      },
+      notSent: () => {
+        record.pending--
+        if (record.lastSent === sentAt) record.lastSent = before
+      }
+    }
   }
 
   /** Records that the endpoint accepted a fencing token of this leadership. */
   acknowledged (holder: string): void {
-    this.#acknowledged.add(holder)
+    this.#recordOf(holder).acknowledged = true
+  }
+
+  /** Grants that are on their way. */
+  pending (holder: string): number {
+    return this.#holders.get(holder)?.pending ?? 0
+  }
+
+  /** Returns the time from which no grant without an answer can give keys back that were released, in clock milliseconds. */
+  lostUntil (holder: string): number {
+    return (this.#holders.get(holder)?.lastLost ?? -Infinity) + this.#longestHold
   }
 
   /** Returns the time from which the holder surely holds nothing that it was granted, in clock milliseconds. */
   mayHoldUntil (holder: string): number {
-    const { holdMilliseconds, clockSlack, transitMilliseconds, staleLeaderMilliseconds } = this.#options
-    const afterLastSend = holdMilliseconds * (1 + clockSlack) + transitMilliseconds
-    const own = (this.#lastSent.get(holder) ?? -Infinity) + afterLastSend
-    if (this.#acknowledged.has(holder)) return own
-    return Math.max(own, this.#leaderSince + staleLeaderMilliseconds + afterLastSend)
+    const record = this.#holders.get(holder)
+    const own = (record?.lastSent ?? -Infinity) + this.#longestHold
+    if (record?.acknowledged === true) return own
+    return Math.max(own, this.#leaderSince + this.#options.staleLeaderMilliseconds + this.#longestHold)
   }
 
-  /** Forgets holders that own nothing any more and whose time is over. */
-  prune (): void {
-    const now = this.#options.clock.now()
-    for (const holder of this.#lastSent.keys()) {
-      if (this.mayHoldUntil(holder) < now) {
-        this.#lastSent.delete(holder)
-        this.#acknowledged.delete(holder)
-      }
-    }
+  /** Time from sending a grant until it has surely run out. */
+  get #longestHold (): number {
+    const { holdMilliseconds, clockSlack, transitMilliseconds } = this.#options
+    return holdMilliseconds * (1 + clockSlack) + transitMilliseconds
+  }
+
+  #recordOf (holder: string): HolderRecord {
+    let record = this.#holders.get(holder)
+    if (record === undefined) this.#holders.set(holder, record = { lastSent: -Infinity, lastLost: -Infinity, pending: 0, acknowledged: false })
+    return record
   }
 }
--- a/packages/key-ranges/src/membership-plan.ts
+++ b/packages/key-ranges/src/membership-plan.ts
@@ -1,5 +1,5 @@
 import { assignRange, type RangeMove } from './edit.js'
-import { firstKey, lastKey, sizeOf, type Holder, type KeyMap, type KeyRange } from './key-map.js'
+import { firstKey, lastKey, sizeOf, type Holder, type KeyMap, type KeyRange, type Segment } from './key-map.js'
 
 /** An endpoint that may own keys of a pool. */
 export interface PoolMember extends Holder {
@@ -12,6 +12,8 @@
 
 // A lost endpoint's keys go to several others, so that none of them gets twice its load.
 const piecesOfLostSegment = 3
+// About a hundredth of the keys; fewer are not worth another grant.
+const leastCutKeys = 512
 
 /** Returns the map in which every key of the pool belongs to an endpoint that is there, with as few moves as possible. */
 export function planMembership (map: KeyMap, pool: string, members: readonly PoolMember[]): KeyMap {
@@ -44,7 +46,7 @@
     // A later life under the same id proves that the earlier one has ended.
     const restarted = member !== undefined && member.life > segment.owner.life
     if (restarted && member.accepting) return assignRange(result, { ...segment, pool, owner: holderOf(member), ownerMayHold: false })
-    return cut(segment, Math.min(piecesOfLostSegment, accepting.length)).reduce((next, piece) => {
+    return cut(segment, piecesFor(segment, accepting.length)).reduce((next, piece) => {
       const owner = load.least(segment.owner.endpoint)
       if (owner === undefined) return next
       load.add(owner, piece)
@@ -113,6 +115,11 @@
   }
 }
 
+/** Small segments and those that are already on their way stay whole, or one loss after another would leave single keys. */
+function piecesFor (segment: Segment, accepting: number): number {
+  return segment.moving || sizeOf(segment) < leastCutKeys ? 1 : Math.min(piecesOfLostSegment, accepting)
+}
+
 function cut ({ from, to }: KeyRange, pieces: number): readonly KeyRange[] {
   const count = Math.min(pieces, to - from + 1)
   return Array.from({ length: count }, (_, index) => ({
--- a/packages/key-ranges/src/plans.test.ts
+++ b/packages/key-ranges/src/plans.test.ts
@@ -42,6 +42,18 @@
     for (const segment of moving) expect(segment.former.map(former => former.endpoint)).to.deep.equal(['a'])
   })
 
+  // Pattern: one endpoint after the other is lost before the moves of the loss before it are done.
+  it('does not cut the keys into ever smaller pieces while endpoints are lost one after another', () => {
+    const endpoints = Array.from({ length: 20 }, (_, index) => `e${index}`)
+    let map = assigned(...endpoints)
+    for (let round = 1; round < 40; round++) {
+      const away = new Set([`e${round % 20}`, `e${(round + 7) % 20}`, `e${(round * 3) % 20}`])
+      map = planMembership(map, pool, endpoints.filter(endpoint => !away.has(endpoint)).map(endpoint => member(endpoint)))
+      if (round % 3 === 0) map = settled(map)
+    }
+    expect(map.pools[pool]?.length).to.be.at.most(400)
+  })
+
   it('waits for nobody when an endpoint has started again under its id', () => {
     const after = planMembership(assigned('a', 'b'), pool, [member('a', { life: 2 }), member('b')])
     const segment = segmentAt(after, pool, 0)
--- a/packages/router/src/control/grant-renewal.ts
+++ b/packages/router/src/control/grant-renewal.ts
@@ -1,5 +1,5 @@
 import { Logger, type Clock } from '@briarsaddle/common'
-import { rangeText, type GrantLedger, type Holder, type Segment } from '@briarsaddle/key-ranges'
+import { rangeText, type GrantLedger, type GrantTicket, type Holder, type Segment } from '@briarsaddle/key-ranges'
 import type { EndpointTransport, GrantReply } from '../endpoint-transport.js'
 import type { ControlTiming } from './timing.js'
 
@@ -15,6 +15,9 @@
   readonly mayRenew: (pool: string, segment: Segment) => boolean
 }
 
+// Some answers are lost on the way.
+const suspectFailures = 3
+
 interface SegmentState {
   dueAt: number
   /** Undefined until the endpoint has accepted this token. */
@@ -26,7 +29,7 @@
 export class GrantRenewal {
   readonly #options: GrantRenewalOptions
   readonly #segments = new Map<string, SegmentState>()
-  readonly #failingSince = new Map<string, number>()
+  readonly #failing = new Map<string, { readonly since: number, failures: number }>()
   readonly #disconnected = new Set<string>()
 
   constructor (options: GrantRenewalOptions) {
@@ -35,19 +38,19 @@
 
   /** Endpoints that cannot be reached at the moment. */
   get unreachable (): readonly string[] {
-    return [...this.#failingSince.keys()].filter(endpoint => this.isUnreachable(endpoint))
+    return [...this.#failing.keys()].filter(endpoint => this.isUnreachable(endpoint))
   }
 
   /** True for an endpoint that could not be reached for some time. */
   isUnreachable (endpoint: string): boolean {
-    const since = this.#failingSince.get(endpoint)
-    return since !== undefined && this.#options.clock.now() - since > this.#options.timing.suspectMilliseconds
+    const failing = this.#failing.get(endpoint)
+    return failing !== undefined && failing.failures >= suspectFailures && this.#options.clock.now() - failing.since > this.#options.timing.suspectMilliseconds
   }
 
   /** Forgets everything, since a new leadership gives new tokens. */
   reset (): void {
     this.#segments.clear()
-    this.#failingSince.clear()
+    this.#failing.clear()
     this.#disconnected.clear()
   }
 
@@ -66,9 +69,14 @@
   /** Records whether a call about grants reached the endpoint. */
   observe (endpoint: string, result: GrantReply['kind']): void {
     if (result === 'granted' || result === 'fenced') {
-      if (this.#failingSince.delete(endpoint)) logger.info('endpoint reached again', { endpoint })
-    } else if (result !== 'disconnected' && !this.#failingSince.has(endpoint)) {
-      this.#failingSince.set(endpoint, this.#options.clock.now())
+      if (this.#failing.delete(endpoint)) logger.info('endpoint reached again', { endpoint })
+    } else if (result !== 'disconnected') {
+      const failing = this.#failing.get(endpoint)
+      if (failing !== undefined) {
+        failing.failures++
+        return
+      }
+      this.#failing.set(endpoint, { since: this.#options.clock.now(), failures: 1 })
       logger.warning('endpoint not reached', { endpoint, step: 'grant', result })
     }
   }
@@ -112,11 +120,11 @@
     if (!mayRenew(pool, segment)) return
     state.inFlight = true
     state.dueAt = clock.now() + timing.renewMilliseconds
-    const takeBack = ledger.sending(holderKey(segment.owner))
+    const ticket = ledger.sending(holderKey(segment.owner))
     const { from, to, fence } = segment
     const reply = await transport.grant(segment.owner, { from, to, fence, holdMilliseconds: timing.holdMilliseconds, handover: '', connection: state.connection })
     state.inFlight = false
-    if (reply.kind === 'unreachable' || reply.kind === 'disconnected') takeBack()
+    closeTicket(ticket, reply.kind)
     this.#judge(reply, pool, segment, state)
   }
 
@@ -142,3 +150,10 @@
 export function holderKey ({ endpoint, life }: Holder): string {
   return `${endpoint} ${life}`
 }
+
+/** Records what came of a grant. */
+export function closeTicket (ticket: GrantTicket, result: GrantReply['kind']): void {
+  if (result === 'unreachable' || result === 'disconnected') ticket.notSent()
+  else if (result === 'broken') ticket.lost()
+  else ticket.answered()
+}
--- a/packages/router/src/control/range-handover.ts
+++ b/packages/router/src/control/range-handover.ts
@@ -1,8 +1,8 @@
 import { BriarsaddleError, delay, describeError, Logger, type Clock } from '@briarsaddle/common'
-import { rangeText, tokensPerMove, type GrantLedger, type Holder, type Segment } from '@briarsaddle/key-ranges'
+import { rangeText, type GrantLedger, type Holder, type Segment } from '@briarsaddle/key-ranges'
 import type { Directory } from '../endpoint-entry.js'
 import type { EndpointTransport, GrantReply } from '../endpoint-transport.js'
-import { holderKey } from './grant-renewal.js'
+import { closeTicket, holderKey } from './grant-renewal.js'
 import type { ControlTiming } from './timing.js'
 
 const logger = new Logger('handover')
@@ -29,8 +29,8 @@
 const retryMilliseconds = 100
 // A release that got no answer is sent again, since an answer may be lost; the first answer counts.
 const releaseAgainMilliseconds = 400
-// Below this, waiting for the end of the hold is as fast as asking.
-const leastHoldMilliseconds = 200
+// Grants are answered within a few milliseconds.
+const pendingMilliseconds = 5
 
 /** Carries out one move: makes sure that nobody else holds the keys, then grants them to the new owner. */
 export class RangeHandover {
@@ -55,7 +55,7 @@
     const startedAt = this.#options.clock.now()
     const handovers = await Promise.all(this.#options.segment.former.map(async former => await this.#vacate(former, limit)))
     const vacatedAt = this.#options.clock.now()
-    const result: HandoverResult = handovers.includes(undefined) ? { kind: 'fenced' } : await this.#grant(handovers.find(handover => handover !== '') ?? '', limit)
+    const result = await this.#grant(handovers.find(handover => handover !== '') ?? '', limit)
     const { pool, segment } = this.#options
     logger.info('handover ended', {
       pool,
@@ -71,45 +71,37 @@
   }
 
   /**
-   * Resolves to what the former holder handed over, once it surely holds nothing; undefined when it has seen a higher token.
-   * A grant that is still on its way could give the keys back after the release. A higher token shuts it out.
+   * Resolves to what the former holder handed over, once it surely holds nothing. A grant that is still on its way would
+   * give the keys back after the release, so the answers to all grants come first; one without an answer has to run out.
    */
-  async #vacate (former: Holder, signal: AbortSignal): Promise<string | undefined> {
+  async #vacate (former: Holder, signal: AbortSignal): Promise<string> {
+    const { ledger, clock } = this.#options
     const until = this.#mayHoldUntil.get(holderKey(former)) ?? Infinity
-    for (let attempt = 1; !signal.aborted; attempt++) {
-      const left = until - this.#options.clock.now()
-      if (left <= 0 || this.#hasEnded(former)) return ''
-      if (attempt < tokensPerMove && left > leastHoldMilliseconds) {
-        const shutOut = await this.#shutOut(former, attempt, left)
-        if (shutOut === 'fenced') return undefined
-        const handover = shutOut === 'granted' ? await this.#release(former, attempt, until, signal) : undefined
-        if (handover !== undefined) return handover
+    while (!signal.aborted) {
+      if (until <= clock.now() || this.#hasEnded(former)) return ''
+      if (ledger.pending(holderKey(former)) > 0) {
+        await delay(pendingMilliseconds, signal)
+        continue
+      }
+      const lostUntil = ledger.lostUntil(holderKey(former))
+      const handover = await this.#release(former, until, signal)
+      if (handover !== undefined) {
+        await delay(Math.max(0, Math.min(lostUntil, until) - clock.now()), signal)
+        return handover
       }
-      await delay(Math.min(retryMilliseconds, Math.max(0, until - this.#options.clock.now())), signal)
+      await delay(Math.min(retryMilliseconds, Math.max(0, until - clock.now())), signal)
     }
     return ''
   }
 
-  /** Grants the keys once more under a higher token, for no longer than they are held anyway. */
-  async #shutOut (former: Holder, attempt: number, left: number): Promise<GrantReply['kind']> {
-    const { segment: { from, to }, transport, timing } = this.#options
-    const holdMilliseconds = Math.floor(Math.min(timing.holdMilliseconds, (left - timing.grantCallMilliseconds / 2) / (1 + timing.clockSlack)))
-    if (holdMilliseconds < leastHoldMilliseconds) return 'unreachable'
-    const reply = await transport.grant(former, { from, to, fence: this.#shutOutToken(attempt), holdMilliseconds, handover: '', connection: undefined })
-    return reply.kind
-  }
-
-  #shutOutToken (attempt: number): number {
-    return this.#options.segment.fence - tokensPerMove + attempt
-  }
-
-  async #release (former: Holder, attempt: number, until: number, signal: AbortSignal): Promise<string | undefined> {
-    const { segment: { from, to }, transport, clock } = this.#options
+  async #release (former: Holder, until: number, signal: AbortSignal): Promise<string | undefined> {
+    const { segment: { from, to, fence }, transport, clock } = this.#options
     const answered = new AbortController()
     const limit = AbortSignal.any([signal, answered.signal, AbortSignal.timeout(Math.max(1, Math.ceil(until - clock.now())))])
     const ask = async (): Promise<string> => {
       limit.throwIfAborted()
-      const reply = await transport.release(former, { from, to, fence: this.#shutOutToken(attempt) }, limit)
+      // Not below any token that the former holder was given, and below that of the new owner.
+      const reply = await transport.release(former, { from, to, fence: fence - 1 }, limit)
       if (reply.kind === 'released') return reply.handover
       throw new BriarsaddleError('the release was not acknowledged', { code: 'release_failed', step: 'release keys', peer: former.address })
     }
@@ -136,9 +128,9 @@
   async #grant (handover: string, signal: AbortSignal): Promise<HandoverResult> {
     const { segment: { from, to, fence, owner }, transport, ledger, timing } = this.#options
     while (!signal.aborted) {
-      const takeBack = ledger.sending(holderKey(owner))
+      const ticket = ledger.sending(holderKey(owner))
       const reply = await transport.grant(owner, { from, to, fence, holdMilliseconds: timing.holdMilliseconds, handover, connection: undefined })
-      if (reply.kind === 'unreachable') takeBack()
+      closeTicket(ticket, reply.kind)
       this.#options.observe(owner.endpoint, reply.kind)
       if (signal.aborted) break
       if (reply.kind === 'fenced') return { kind: 'fenced' }
