--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -4,3 +4,4 @@
 export { LogSink, Logger, enableLogs, formatLine, setLogSink, type LogFields, type LogLevel } from './logger.js'
 export { Ticker, processTicker } from './ticker.js'
 export { Random } from './random.js'
+export { withTimeLimit } from './time-limit.js'
--- /dev/null
+++ b/packages/common/src/time-limit.ts
@@ -0,0 +1,17 @@
+/**
+ * Runs a task with a signal that aborts after the time, or with the outer signal. `AbortSignal.any` and
+ * `AbortSignal.timeout` are not used for this: Node 20 may collect their combination as garbage before it fires.
+ */
+export async function withTimeLimit<Result> (milliseconds: number, outer: AbortSignal | undefined, task: (signal: AbortSignal) => Promise<Result>): Promise<Result> {
+  const controller = new AbortController()
+  const abort = (): void => controller.abort()
+  const timer = setTimeout(abort, Math.max(0, milliseconds))
+  if (outer?.aborted === true) abort()
+  outer?.addEventListener('abort', abort)
+  try {
+    return await task(controller.signal)
+  } finally {
+    clearTimeout(timer)
+    outer?.removeEventListener('abort', abort)
+  }
+}
--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -1,4 +1,4 @@
-import { describeError, errorCode, Logger, type Clock, type LifeCycle } from '@briarsaddle/common'
+import { describeError, errorCode, Logger, withTimeLimit, type Clock, type LifeCycle } from '@briarsaddle/common'
 import {
   emptyKeyMap, GrantLedger, joinSegments, planMembership, planSpread, raiseFences, raiseFencesOf, rangeText, settleRange, withVms,
   type KeyMap, type MemberDemand, type PoolMember, type Segment, type VmEntry
@@ -111,7 +111,7 @@
   async #begin (signal: AbortSignal): Promise<void> {
     const { map, self, directory, routing } = this.#options
     if (directory.current === undefined || routing.current === undefined) return
-    await map.refresh(AbortSignal.any([signal, AbortSignal.timeout(this.#options.timing.logCallMilliseconds)]))
+    await withTimeLimit(this.#options.timing.logCallMilliseconds, signal, async limited => await map.refresh(limited))
     this.#generation = undefined
     await this.#refreshMembers()
     await this.#write(joinSegments(raiseFences({ ...this.#map, author: self.id })), 'take over', signal)
@@ -232,13 +232,12 @@
   async #write (map: KeyMap, purpose: string, signal: AbortSignal): Promise<void> {
     const { topic, map: follower, timing } = this.#options
     const position = follower.current?.position ?? 0
-    const limit = AbortSignal.any([signal, AbortSignal.timeout(timing.logCallMilliseconds)])
     try {
-      follower.offer({ position: await topic.write(map, position, limit), state: map })
+      follower.offer({ position: await withTimeLimit(timing.logCallMilliseconds, signal, async limited => await topic.write(map, position, limited)), state: map })
     } catch (error) {
       logger.info('write of the key map failed', { purpose, position, code: errorCode(error) })
       // Whoever was faster, or an append of this VM that got no answer, is the base of the next plan.
-      await follower.refresh(AbortSignal.any([signal, AbortSignal.timeout(timing.logCallMilliseconds)]))
+      await withTimeLimit(timing.logCallMilliseconds, signal, async limited => await follower.refresh(limited))
       if (errorCode(error) === 'lost_race' && follower.current?.state.author !== this.#options.self.id) this.#end('another VM wrote the key map')
       throw error
     }
--- a/packages/router/src/control/member.ts
+++ b/packages/router/src/control/member.ts
@@ -1,4 +1,4 @@
-import { describeError, errorCode, Logger, type Clock, type LifeCycle } from '@briarsaddle/common'
+import { describeError, errorCode, Logger, withTimeLimit, type Clock, type LifeCycle } from '@briarsaddle/common'
 import type { VmEntry } from '@briarsaddle/key-ranges'
 import type { MembershipReport, MembershipService } from './leadership.js'
 
@@ -42,7 +42,7 @@
   async leave (): Promise<void> {
     this.#leaving = true
     try {
-      await this.#options.service.leave(this.#options.self, AbortSignal.timeout(this.#options.callMilliseconds))
+      await withTimeLimit(this.#options.callMilliseconds, undefined, async limited => await this.#options.service.leave(this.#options.self, limited))
       logger.info('left the members', { vm: this.#options.self.id })
     } catch (error) {
       logger.warning('could not leave the members; the membership expires by itself', { code: errorCode(error), error: describeError(error) })
@@ -51,13 +51,13 @@
 
   /** Lists the members. Throws `log_unavailable`. */
   async members (): Promise<readonly VmEntry[]> {
-    return await this.#options.service.members(AbortSignal.timeout(this.#options.callMilliseconds))
+    return await withTimeLimit(this.#options.callMilliseconds, undefined, async limited => await this.#options.service.members(limited))
   }
 
   async #confirm (signal: AbortSignal): Promise<void> {
     if (this.#leaving) return
     const startedAt = this.#options.clock.now()
-    const report = await this.#options.service.join(this.#options.self, AbortSignal.any([signal, AbortSignal.timeout(this.#options.callMilliseconds)]))
+    const report = await withTimeLimit(this.#options.callMilliseconds, signal, async limited => await this.#options.service.join(this.#options.self, limited))
     if (this.#leaving) return
     if (this.#lost) this.#regained()
     this.#confirmedAt = startedAt
--- a/packages/router/src/control/range-handover.ts
+++ b/packages/router/src/control/range-handover.ts
@@ -1,4 +1,4 @@
-import { BriarsaddleError, delay, describeError, Logger, type Clock } from '@briarsaddle/common'
+import { BriarsaddleError, delay, describeError, Logger, withTimeLimit, type Clock } from '@briarsaddle/common'
 import { rangeText, type GrantLedger, type Holder, type Segment } from '@briarsaddle/key-ranges'
 import type { Directory } from '../endpoint-entry.js'
 import type { EndpointTransport, GrantReply } from '../endpoint-transport.js'
@@ -51,7 +51,8 @@
 
   /** Never rejects. */
   async run (signal: AbortSignal): Promise<HandoverResult> {
-    const limit = AbortSignal.any([signal, this.#stopped.signal])
+    const limit = this.#stopped.signal
+    signal.addEventListener('abort', () => this.stop(), { once: true, signal: limit })
     const startedAt = this.#options.clock.now()
     const handovers = await Promise.all(this.#options.segment.former.map(async former => await this.#vacate(former, limit)))
     const vacatedAt = this.#options.clock.now()
@@ -95,18 +96,24 @@
   }
 
   async #release (former: Holder, until: number, signal: AbortSignal): Promise<string | undefined> {
-    const { segment: { from, to, fence }, transport, clock } = this.#options
+    const { clock } = this.#options
+    return await withTimeLimit(until - clock.now(), signal, async limited => await this.#releaseWithin(former, limited))
+  }
+
+  async #releaseWithin (former: Holder, signal: AbortSignal): Promise<string | undefined> {
+    const { segment: { from, to, fence }, transport } = this.#options
     const answered = new AbortController()
-    const limit = AbortSignal.any([signal, answered.signal, AbortSignal.timeout(Math.max(1, Math.ceil(until - clock.now())))])
+    const end = (): void => answered.abort()
+    signal.addEventListener('abort', end, { once: true })
     const ask = async (): Promise<string> => {
-      limit.throwIfAborted()
+      answered.signal.throwIfAborted()
       // Not below any token that the former holder was given, and below that of the new owner.
-      const reply = await transport.release(former, { from, to, fence: fence - 1 }, limit)
+      const reply = await transport.release(former, { from, to, fence: fence - 1 }, answered.signal)
       if (reply.kind === 'released') return reply.handover
       throw new BriarsaddleError('the release was not acknowledged', { code: 'release_failed', step: 'release keys', peer: former.address })
     }
     const again = async (): Promise<string> => {
-      await delay(releaseAgainMilliseconds, limit)
+      await delay(releaseAgainMilliseconds, answered.signal)
       return await ask()
     }
     try {
--- a/packages/router/src/control/topic-follower.ts
+++ b/packages/router/src/control/topic-follower.ts
@@ -1,4 +1,4 @@
-import { delay, describeError, errorCode, Logger, type Clock, type LifeCycle } from '@briarsaddle/common'
+import { delay, describeError, errorCode, Logger, withTimeLimit, type Clock, type LifeCycle } from '@briarsaddle/common'
 import type { StateTopic, TopicState } from './state-topic.js'
 
 const logger = new Logger('log')
@@ -77,17 +77,21 @@
 
   async #run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      this.#reading = new AbortController()
+      const reading = this.#reading = new AbortController()
+      const end = (): void => reading.abort()
+      signal.addEventListener('abort', end)
       try {
-        await this.#read(AbortSignal.any([signal, this.#reading.signal]))
+        await this.#read(reading.signal)
         if (this.#failures > 0) logger.info('dependency regained', { topic: this.#options.name, failures: this.#failures })
         this.#failures = 0
         await delay(this.#options.pauseMilliseconds, signal)
       } catch (error) {
         if (signal.aborted) return
-        if (this.#reading.signal.aborted) continue
+        if (reading.signal.aborted) continue
         this.#failed(error)
         await delay(Math.min(longestBackoffMilliseconds, firstBackoffMilliseconds * 2 ** (this.#failures - 1)), signal)
+      } finally {
+        signal.removeEventListener('abort', end)
       }
     }
   }
@@ -114,7 +118,7 @@
     if (errorCode(error) === 'log_forgotten') {
       // The next read starts from the newest state; what is in force stays until then.
       logger.info('log forgot records that were not read yet', fields)
-      void this.refresh(AbortSignal.timeout(longestBackoffMilliseconds)).catch((failure: unknown) => logger.warning('newest state could not be read', { topic: this.#options.name, error: describeError(failure) }))
+      void withTimeLimit(longestBackoffMilliseconds, undefined, async limited => await this.refresh(limited)).catch((failure: unknown) => logger.warning('newest state could not be read', { topic: this.#options.name, error: describeError(failure) }))
       return
     }
     if (this.#failures === 1) logger.warning('dependency lost', fields)
--- a/packages/router/src/request/endpoint-gate.ts
+++ b/packages/router/src/request/endpoint-gate.ts
@@ -1,4 +1,4 @@
-import { Logger, type Clock, type Random } from '@briarsaddle/common'
+import { Logger, withTimeLimit, type Clock, type Random } from '@briarsaddle/common'
 import { Answer, notRunAnswer, Outcome, ServiceClass, unknownAnswer, type Forward } from '@briarsaddle/protocol'
 import { ClassPolicy, EndpointQueue, RefusalError, type ServiceClass as QueueClass } from '@briarsaddle/scheduling'
 import type { EndpointEntry } from '../endpoint-entry.js'
@@ -63,27 +63,23 @@
   async handle (forward: Forward, signal: AbortSignal): Promise<Answer> {
     const { clock } = this.#options
     const deadlineAt = clock.now() + forward.deadlineMilliseconds
-    // The cancellation by the VM that took the request may be late; nobody waits for the answer after the deadline.
-    const timeout = new AbortController()
-    const timer = setTimeout(() => timeout.abort(), forward.deadlineMilliseconds)
     this.work.arrived(forward.rule, forward.bucket)
     try {
-      const answer = await this.#queue.submit({
+      // The cancellation by the VM that took the request may be late; nobody waits for the answer after the deadline.
+      const answer = await withTimeLimit(forward.deadlineMilliseconds, signal, async limited => await this.#queue.submit({
         serviceClass: queueClasses[forward.serviceClass],
         rule: forward.rule,
         deadlineAt,
-        signal: AbortSignal.any([signal, timeout.signal]),
+        signal: limited,
         run: async runSignal => await this.#run(forward, deadlineAt, runSignal),
         measured: result => result.outcome === Outcome.OUTCOME_ANSWERED
-      })
+      }))
       return { ...answer, outstanding: this.outstanding }
     } catch (error) {
       if (!(error instanceof RefusalError)) throw error
       const fields = { request: forward.requestId, endpoint: this.#entry.id, reason: error.code, outstanding: this.outstanding, remainingMilliseconds: Math.round(deadlineAt - clock.now()) }
       logger.info('request refused by the queue', fields)
       return notRunAnswer(error.code, { retryAfterMilliseconds: error.retryAfterMilliseconds, outstanding: this.outstanding })
-    } finally {
-      clearTimeout(timer)
     }
   }
 
--- a/packages/router/src/request/range-router.ts
+++ b/packages/router/src/request/range-router.ts
@@ -1,4 +1,4 @@
-import { Logger, type Clock, type Random } from '@briarsaddle/common'
+import { Logger, withTimeLimit, type Clock, type Random } from '@briarsaddle/common'
 import { CallerRequestHandler, endToEndHeaders, headerPairs, headerValue, isValidHeader, type CallerAnswer, type CallerHeader, type CallerRequest } from '@briarsaddle/entry'
 import { segmentAt, type KeyMap, type Segment } from '@briarsaddle/key-ranges'
 import { notRunAnswer, Outcome, ServiceClass, type Answer, type Forward } from '@briarsaddle/protocol'
@@ -112,15 +112,11 @@
   }
 
   override async route (routed: RoutedRequest, body: Buffer, signal: AbortSignal): Promise<CallerAnswer> {
-    const timeout = new AbortController()
-    const timer = setTimeout(() => timeout.abort(), Math.max(0, routed.deadlineAt - this.#clock.now()))
-    const attempt: Attempt = { routed, body, signal: AbortSignal.any([signal, timeout.signal]), excluded: new Set(), sent: 0, mayHaveRun: false }
-    try {
+    return await withTimeLimit(routed.deadlineAt - this.#clock.now(), signal, async limited => {
+      const attempt: Attempt = { routed, body, signal: limited, excluded: new Set(), sent: 0, mayHaveRun: false }
       const answer = await this.#run(attempt)
       return this.#finish(attempt, attempt.mayHaveRun && answer.outcome === Outcome.OUTCOME_NOT_RUN ? { ...answer, outcome: Outcome.OUTCOME_UNKNOWN } : answer)
-    } finally {
-      clearTimeout(timer)
-    }
+    })
   }
 
   override refusal (reason: string): CallerAnswer {
