--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -5,3 +5,4 @@
 export { Ticker, processTicker } from './ticker.js'
 export { Random } from './random.js'
 export { withTimeLimit } from './time-limit.js'
+export { LoopDelay } from './loop-delay.js'
--- /dev/null
+++ b/packages/common/src/loop-delay.ts
@@ -0,0 +1,36 @@
+import type { Clock } from './clock.js'
+import type { LifeCycle } from './life-cycle.js'
+
+const tickMilliseconds = 50
+// A tick may be late by its own interval in a process that is not held up.
+const toleratedMilliseconds = 2 * tickMilliseconds
+
+/**
+ * Bounds how long an event may have waited before it was handled. In a process that is short of processor time, a request
+ * is read long after it arrived, and what its sender said of the time left is out of date.
+ */
+export class LoopDelay {
+  readonly #clock: Clock
+  #lastTick: number
+
+  constructor (clock: Clock) {
+    this.#clock = clock
+    this.#lastTick = clock.now()
+  }
+
+  start (lifeCycle: LifeCycle): void {
+    const timer = setInterval(() => this.tick(), tickMilliseconds)
+    lifeCycle.own('loop delay', () => clearInterval(timer))
+  }
+
+  /** Records that the timers of the process have had their turn. */
+  tick (): void {
+    this.#lastTick = this.#clock.now()
+  }
+
+  /** Longest time in milliseconds that an event which is handled now may have waited; 0 while the process keeps up. */
+  get milliseconds (): number {
+    const sinceTick = this.#clock.now() - this.#lastTick
+    return sinceTick > toleratedMilliseconds ? sinceTick : 0
+  }
+}
--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import polka from 'polka'
-import { BriarsaddleError, delay, pendingEvents, Logger, describeError, errorCode, type Clock } from '@briarsaddle/common'
+import { BriarsaddleError, delay, pendingEvents, Logger, describeError, errorCode, type Clock, type LoopDelay } from '@briarsaddle/common'
 import { hasBody, readBody } from './body.js'
 import { originForm, type CallerAnswer, type CallerRequest, type CallerRequestHandler } from './request-handler.js'
 
@@ -24,6 +24,8 @@
   /** Time that an idle connection stays open. Default 65 s, more than usual balancers keep theirs. */
   readonly keepAliveMilliseconds?: number
   readonly clock: Clock
+  /** Bounds how long a request may have waited before it was read. */
+  readonly loopDelay?: LoopDelay
 }
 
 /** Limits that may change while the server listens. */
@@ -150,7 +152,7 @@
   }
 
   async #handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const exchange: Exchange = { request, response, controller: new AbortController(), arrivedAt: this.#options.clock.now(), reading: false }
+    const exchange: Exchange = { request, response, controller: new AbortController(), arrivedAt: this.#options.clock.now() - (this.#options.loopDelay?.milliseconds ?? 0), reading: false }
     this.#exchanges.add(exchange)
     response.on('close', () => {
       if (!response.writableFinished) exchange.controller.abort()
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -1,5 +1,5 @@
 import { randomInt } from 'node:crypto'
-import { LifeCycle, Logger, MonotonicClock, Random, type Clock } from '@briarsaddle/common'
+import { LifeCycle, Logger, LoopDelay, MonotonicClock, Random, type Clock } from '@briarsaddle/common'
 import { EntryServer } from '@briarsaddle/entry'
 import type { KeyMap, VmEntry } from '@briarsaddle/key-ranges'
 import { InnerServer, PeerPool, type Answer, type Forward } from '@briarsaddle/protocol'
@@ -53,6 +53,7 @@
   readonly #platform: RangeNodePlatform
   readonly #lifeCycle = new LifeCycle('node')
   readonly #clock: Clock = new MonotonicClock()
+  readonly #loopDelay = new LoopDelay(this.#clock)
   readonly #random = new Random(randomInt(2 ** 31))
   readonly #changes = new Changes()
   readonly #coordinators = new Coordinators()
@@ -98,12 +99,13 @@
     this.#control = new RangeControlHandler({ vm: settings.vm.id, dispatcher: this.#dispatcher, map: this.#map, routing: this.#routing, leaving: () => this.#stopping !== undefined })
     this.#leader = this.#createLeader()
     this.#inner = new InnerServer({ ...listen.inner }, new RangeFrameHandler(this.#dispatcher), this.#control)
-    this.#entry = new EntryServer({ ...listen.callers, ...settings.limits, maximumHeaderBytes, maximumBodyBytes, clock }, this.#router)
+    this.#entry = new EntryServer({ ...listen.callers, ...settings.limits, maximumHeaderBytes, maximumBodyBytes, clock, loopDelay: this.#loopDelay }, this.#router)
   }
 
   /** Starts all parts. Throws `listen_failed`. */
   async start (): Promise<void> {
     this.#followChanges()
+    this.#loopDelay.start(this.#lifeCycle)
     await this.#inner.listen()
     this.#lifeCycle.own('inner server', async () => await this.#inner.stop(0))
     await new StatusServer({ '/ready': async () => this.#readiness() }).listen(this.#settings.listen.readiness, this.#lifeCycle)
@@ -156,6 +158,7 @@
       transport: this.#platform.transport,
       directory: () => this.#endpoints,
       clock: this.#clock,
+      loopDelay: this.#loopDelay,
       random: this.#random
     })
   }
--- a/packages/router/src/request/dispatcher.ts
+++ b/packages/router/src/request/dispatcher.ts
@@ -1,4 +1,4 @@
-import { Logger, pendingEvents, type Clock, type Random } from '@briarsaddle/common'
+import { Logger, pendingEvents, type Clock, type LoopDelay, type Random } from '@briarsaddle/common'
 import { notRunAnswer, Outcome, peerReasons, type Answer, type Forward } from '@briarsaddle/protocol'
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
 import type { EndpointTransport } from '../endpoint-transport.js'
@@ -21,6 +21,7 @@
   readonly transport: EndpointTransport
   readonly directory: () => Directory
   readonly clock: Clock
+  readonly loopDelay: LoopDelay
   readonly random: Random
 }
 
@@ -51,10 +52,14 @@
 
   /** Handles a request that another VM forwarded. Always resolves. */
   async accept (forward: Forward, signal: AbortSignal): Promise<Answer> {
+    const waited = this.#options.loopDelay.milliseconds
     // A cancellation may already have arrived behind the request.
     await pendingEvents()
     const endpoint = this.#options.directory().get(forward.endpoint)
-    return endpoint === undefined ? notRunAnswer('endpoint_unknown') : await this.#gate(endpoint).handle(forward, signal)
+    if (endpoint === undefined) return notRunAnswer('endpoint_unknown')
+    const deadlineMilliseconds = forward.deadlineMilliseconds - waited
+    if (deadlineMilliseconds <= 0) return notRunAnswer('deadline_exceeded')
+    return await this.#gate(endpoint).handle({ ...forward, deadlineMilliseconds }, signal)
   }
 
   /** Takes a new directory. */
