Refuse what a VM short of processor time read too late, and count the whole wait

Change: it begins at the tick before; requests read later than half of their objective are refused at once.

--- a/packages/common/src/life-cycle.ts
+++ b/packages/common/src/life-cycle.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events'
 import { BriarsaddleError } from './errors.js'
 import { processTicker } from './ticker.js'
 
@@ -15,6 +16,8 @@
 
   constructor (name: string) {
     this.#name = name
+    // Everything that the component does ends with this signal.
+    setMaxListeners(0, this.#abortController.signal)
   }
 
   /** Aborted when closing begins. */
--- a/packages/common/src/loop-delay.test.ts
+++ b/packages/common/src/loop-delay.test.ts
@@ -8,8 +8,12 @@
     const delay = new LoopDelay(clock)
     clock.advance(60)
     expect(delay.milliseconds).to.equal(0)
+    delay.tick()
     clock.advance(1_440)
     expect(delay.milliseconds).to.equal(1_500)
+    // What the next poll finds has waited since the one before.
+    delay.tick()
+    expect(delay.milliseconds).to.equal(1_440)
     delay.tick()
     expect(delay.milliseconds).to.equal(0)
   })
--- a/packages/common/src/loop-delay.ts
+++ b/packages/common/src/loop-delay.ts
@@ -2,8 +2,8 @@
 import type { LifeCycle } from './life-cycle.js'
 
 const tickMilliseconds = 50
-// A tick may be late by its own interval in a process that is not held up.
-const toleratedMilliseconds = 2 * tickMilliseconds
+// Two intervals, and as much again by which a tick may be late in a process that is not held up.
+const toleratedMilliseconds = 4 * tickMilliseconds
 
 /**
  * Bounds how long an event may have waited before it was handled. In a process that is short of processor time, a request
@@ -12,10 +12,11 @@
 export class LoopDelay {
   readonly #clock: Clock
   #lastTick: number
+  #tickBefore: number
 
   constructor (clock: Clock) {
     this.#clock = clock
-    this.#lastTick = clock.now()
+    this.#tickBefore = this.#lastTick = clock.now()
   }
 
   start (lifeCycle: LifeCycle): void {
@@ -25,12 +26,14 @@
 
   /** Records that the timers of the process have had their turn. */
   tick (): void {
+    this.#tickBefore = this.#lastTick
     this.#lastTick = this.#clock.now()
   }
 
   /** Longest time in milliseconds that an event which is handled now may have waited; 0 while the process keeps up. */
   get milliseconds (): number {
-    const sinceTick = this.#clock.now() - this.#lastTick
+    // What is handled now arrived after the poll for events before this one, which followed the tick before the last.
+    const sinceTick = this.#clock.now() - this.#tickBefore
     return sinceTick > toleratedMilliseconds ? sinceTick : 0
   }
 }
--- a/packages/router/src/request/range-router.ts
+++ b/packages/router/src/request/range-router.ts
@@ -59,6 +59,9 @@
 const againAfterMilliseconds = 30
 // Time for a grant that is on its way, or for the news that the key has moved.
 const ownerWaitMilliseconds = 60
+// A VM that reads requests this late, as a share of their objective, is short of processor time: it refuses them while that
+// is cheap, rather than work for callers who leave before the answer.
+const overloadShare = 0.5
 // Less is not worth a sending.
 const leastRemainingMilliseconds = 5
 
@@ -100,6 +103,7 @@
     const fields = this.#options.protocol.read(request)
     if ('invalid' in fields) return this.#own(refusalFor(fields.invalid), '')
     if (this.#matcher === undefined) return this.#own(refusalFor('no_configuration'), fields.requestId)
+    const waited = this.#clock.now() - request.arrivedAt
     const route = this.#matcher.match(fields.host, request.target)
     if (route === undefined) return this.#own(refusalFor('no_route'), fields.requestId)
     const pool = this.#pools.get(this.#rotation.choose(route))
@@ -107,6 +111,10 @@
     if (pool.keyed && fields.key === undefined) return this.#own(refusalFor('key_missing'), fields.requestId)
     const waits = Math.min(fields.deadlineMilliseconds ?? Infinity, route.timeoutMilliseconds)
     const objectiveMilliseconds = Math.min(waits, route.objectiveMilliseconds > 0 ? route.objectiveMilliseconds : waits)
+    if (waited > overloadShare * objectiveMilliseconds) {
+      this.#options.metrics.request({ pool: pool.name, outcome: 'not-run', reason: 'overloaded', milliseconds: waited })
+      return this.#own(refusalFor('overloaded', waited), fields.requestId)
+    }
     this.#options.retries.requested(pool.name)
     return { request, fields, route, pool, deadlineAt: request.arrivedAt + waits, objectiveMilliseconds }
   }
