Handle requests in turns, so that new connections are accepted while a VM is busy

Cause: libuv 1.46 accepts one connection in each iteration of the loop. Ruled out: a stalled loop (LoopDelay shows none), frames held back between VMs. Change: each iteration handles two requests; a caller that closes its side of the connection is noticed at once.

--- a/packages/common/src/clock.ts
+++ b/packages/common/src/clock.ts
@@ -1,5 +1,3 @@
-import { setImmediate } from 'node:timers/promises'
-
 /** Monotonic time in milliseconds. Code that holds rights or deadlines takes its time from here. */
 export abstract class Clock {
   /** Milliseconds since an arbitrary fixed point; never goes back. */
@@ -27,16 +25,6 @@
   }
 }
 
-/**
- * Resolves after the events that are already due. In a process that was held up, a request may be read together with
- * the news that nobody waits for it any more.
- */
-export async function pendingEvents (): Promise<void> {
-  // The first one runs before the next poll for events, the second one after it.
-  await setImmediate()
-  await setImmediate()
-}
-
 /** Resolves after the given time, or at once when the signal aborts. */
 export async function delay (milliseconds: number, signal?: AbortSignal): Promise<void> {
   await new Promise<void>(resolve => {
--- /dev/null
+++ b/packages/common/src/turn-queue.test.ts
@@ -0,0 +1,42 @@
+import { expect } from 'chai'
+import { once } from 'node:events'
+import { connect, createServer, type AddressInfo } from 'node:net'
+import { TurnQueue } from './turn-queue.js'
+
+describe('TurnQueue', () => {
+  it('gives turns in order', async () => {
+    const queue = new TurnQueue()
+    const order: number[] = []
+    await Promise.all([1, 2, 3, 4, 5].map(async task => {
+      await queue.turn()
+      order.push(task)
+    }))
+    expect(order).to.deep.equal([1, 2, 3, 4, 5])
+    expect(queue.length).to.equal(0)
+  })
+
+  // Pattern: after a restart every caller opens a new connection at the same time, and each request takes milliseconds.
+  it('lets connections be accepted while tasks wait (callers that nobody has seen)', async () => {
+    const queue = new TurnQueue()
+    const connections = 30
+    const spinMilliseconds = 5
+    let accepted = 0
+    const acceptedAtEnd: number[] = []
+    const server = createServer(socket => {
+      accepted++
+      socket.on('error', () => {})
+      void queue.turn().then(() => {
+        const until = performance.now() + spinMilliseconds
+        while (performance.now() < until) { /* the work of a request */ }
+        acceptedAtEnd.push(accepted)
+        socket.destroy()
+      })
+    })
+    await once(server.listen(0, '127.0.0.1'), 'listening')
+    const sockets = Array.from({ length: connections }, () => connect((server.address() as AddressInfo).port, '127.0.0.1').on('error', () => {}))
+    await Promise.all(sockets.map(async socket => await once(socket, 'close')))
+    server.close()
+    // When half of the requests have been handled, about all connections have been seen.
+    expect(acceptedAtEnd[connections / 2]).to.be.at.least(connections / 2 + 1)
+  })
+})
--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import polka from 'polka'
-import { BriarsaddleError, delay, pendingEvents, Logger, describeError, errorCode, type Clock, type LoopDelay } from '@briarsaddle/common'
+import { BriarsaddleError, delay, processTurns, Logger, describeError, errorCode, type Clock, type LoopDelay } from '@briarsaddle/common'
 import { hasBody, readBody } from './body.js'
 import { originForm, type CallerAnswer, type CallerRequest, type CallerRequestHandler } from './request-handler.js'
 
@@ -154,14 +154,18 @@
   async #handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const exchange: Exchange = { request, response, controller: new AbortController(), arrivedAt: this.#options.clock.now() - (this.#options.loopDelay?.milliseconds ?? 0), reading: false }
     this.#exchanges.add(exchange)
+    const leave = (): void => exchange.controller.abort()
+    request.socket.on('end', leave)
     response.on('close', () => {
+      request.socket.off('end', leave)
       if (!response.writableFinished) exchange.controller.abort()
       this.#exchanges.delete(exchange)
       if (this.#exchanges.size === 0) this.#onIdle?.()
     })
     response.on('error', () => {})
     try {
-      await pendingEvents()
+      // The caller may have left while the request waited to be read.
+      await processTurns.turn()
       if (exchange.controller.signal.aborted) return
       const answer = await this.#answer(exchange)
       if (answer !== undefined) this.#write(exchange, answer)
--- a/packages/router/src/request/dispatcher.ts
+++ b/packages/router/src/request/dispatcher.ts
@@ -1,4 +1,4 @@
-import { Logger, pendingEvents, type Clock, type LoopDelay, type Random } from '@briarsaddle/common'
+import { Logger, processTurns, type Clock, type LoopDelay, type Random } from '@briarsaddle/common'
 import { notRunAnswer, Outcome, peerReasons, type Answer, type Forward } from '@briarsaddle/protocol'
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
 import type { EndpointTransport } from '../endpoint-transport.js'
@@ -54,10 +54,11 @@
   async accept (forward: Forward, signal: AbortSignal): Promise<Answer> {
     const waited = this.#options.loopDelay.milliseconds
     // A cancellation may already have arrived behind the request.
-    await pendingEvents()
+    const startedAt = this.#options.clock.now()
+    await processTurns.turn()
     const endpoint = this.#options.directory().get(forward.endpoint)
     if (endpoint === undefined) return notRunAnswer('endpoint_unknown')
-    const deadlineMilliseconds = forward.deadlineMilliseconds - waited
+    const deadlineMilliseconds = forward.deadlineMilliseconds - waited - (this.#options.clock.now() - startedAt)
     if (deadlineMilliseconds <= 0) return notRunAnswer('deadline_exceeded')
     return await this.#gate(endpoint).handle({ ...forward, deadlineMilliseconds }, signal)
   }
