Compare how far VMs have read, so that a read on a dead connection is given up

Change: the collection of demand, once a second, carries the positions of both sides; who is behind reads anew.

--- a/packages/protocol/src/peer-client.ts
+++ b/packages/protocol/src/peer-client.ts
@@ -2,7 +2,7 @@
 import { Metadata, credentials, status, type ServiceError } from '@grpc/grpc-js'
 import { BriarsaddleError, MonotonicClock, Random, type Clock } from '@briarsaddle/common'
 import { forwardBytes, notRunAnswer, peerReasons, unknownAnswer } from './answers.js'
-import type { FetchControlRequest, FetchControlResponse, FetchKeyLoadsResponse, FetchLoadsRequest, FetchLoadsResponse, Answer, ConfirmRequest, ConfirmResponse, FetchJournalRequest, FetchJournalResponse, FetchStateResponse, Forward, HeartbeatRequest, HeartbeatResponse, Journal, JournalAcknowledgement } from './generated/inner.js'
+import type { FetchControlRequest, FetchControlResponse, FetchKeyLoadsRequest, FetchKeyLoadsResponse, FetchLoadsRequest, FetchLoadsResponse, Answer, ConfirmRequest, ConfirmResponse, FetchJournalRequest, FetchJournalResponse, FetchStateResponse, Forward, HeartbeatRequest, HeartbeatResponse, Journal, JournalAcknowledgement } from './generated/inner.js'
 import { InnerClient } from './generated/inner.js'
 import { channelOptions, defaultMaximumMessageBytes, type ConnectionOptions } from './options.js'
 import { PeerLink, type LinkOptions, type LinkReply } from './peer-link.js'
@@ -161,8 +161,8 @@
   }
 
   /** Fetches the loads by key of the endpoints that the peer coordinates. Throws as `heartbeat`. */
-  async fetchKeyLoads (timeoutMilliseconds: number): Promise<FetchKeyLoadsResponse> {
-    return await this.#unary('fetch key loads', timeoutMilliseconds, (client, deadline, callback) => client.fetchKeyLoads({}, new Metadata(), { deadline }, callback))
+  async fetchKeyLoads (request: FetchKeyLoadsRequest, timeoutMilliseconds: number): Promise<FetchKeyLoadsResponse> {
+    return await this.#unary('fetch key loads', timeoutMilliseconds, (client, deadline, callback) => client.fetchKeyLoads(request, new Metadata(), { deadline }, callback))
   }
 
   /** Fetches what the peer has read from the control log. Throws as `heartbeat`. */
--- /dev/null
+++ b/packages/router/src/control/news.ts
@@ -0,0 +1,37 @@
+import { Logger } from '@briarsaddle/common'
+import type { KeyMap } from '@briarsaddle/key-ranges'
+import type { RoutingTable } from '../routing-table.js'
+import type { TopicFollower } from './topic-follower.js'
+
+const logger = new Logger('news')
+
+/** How far a VM has read. */
+export interface ReadPositions {
+  readonly keyMapPosition: number
+  readonly routingVersion: number
+}
+
+/** Compares how far VMs have read. A VM that is behind another one waits on a dead connection, and reads anew. */
+export class News {
+  readonly #map: TopicFollower<KeyMap>
+  readonly #routing: TopicFollower<RoutingTable>
+
+  constructor (map: TopicFollower<KeyMap>, routing: TopicFollower<RoutingTable>) {
+    this.#map = map
+    this.#routing = routing
+  }
+
+  get own (): ReadPositions {
+    return { keyMapPosition: this.#map.current?.position ?? 0, routingVersion: this.#routing.current?.state.version ?? 0 }
+  }
+
+  /** Takes what another VM has read. */
+  heard ({ keyMapPosition, routingVersion }: ReadPositions): void {
+    const own = this.own
+    if (keyMapPosition > own.keyMapPosition) this.#map.interrupt()
+    if (routingVersion > own.routingVersion) this.#routing.interrupt()
+    if (keyMapPosition > own.keyMapPosition || routingVersion > own.routingVersion) {
+      logger.info('another VM has read further', { keyMapPosition: own.keyMapPosition, otherKeyMapPosition: keyMapPosition, routingVersion: own.routingVersion, otherRoutingVersion: routingVersion })
+    }
+  }
+}
--- a/packages/router/src/control/peer-demand.ts
+++ b/packages/router/src/control/peer-demand.ts
@@ -1,6 +1,7 @@
 import { describeError, Logger } from '@briarsaddle/common'
 import type { EndpointKeyLoad, PeerPool } from '@briarsaddle/protocol'
 import type { RangeControlHandler } from '../request/inner-handlers.js'
+import type { News } from './news.js'
 import { DemandSource, type MeasuredDemand } from './key-leader.js'
 
 const logger = new Logger('demand')
@@ -10,15 +11,17 @@
 export class PeerDemand extends DemandSource {
   readonly #peers: PeerPool
   readonly #own: RangeControlHandler
+  readonly #news: News
 
-  constructor (peers: PeerPool, own: RangeControlHandler) {
+  constructor (peers: PeerPool, own: RangeControlHandler, news: News) {
     super()
+    this.#news = news
     this.#peers = peers
     this.#own = own
   }
 
   override async collect (): Promise<ReadonlyMap<string, MeasuredDemand>> {
-    const reports = await Promise.all([this.#own.fetchKeyLoads().then(({ endpoints }) => endpoints), ...this.#peers.vms.map(async vm => await this.#ask(vm))])
+    const reports = await Promise.all([this.#own.fetchKeyLoads(this.#news.own).then(({ endpoints }) => endpoints), ...this.#peers.vms.map(async vm => await this.#ask(vm))])
     const demand = new Map<string, MeasuredDemand>()
     for (const report of reports.flat()) demand.set(report.endpoint, add(demand.get(report.endpoint), report))
     return demand
@@ -26,7 +29,10 @@
 
   async #ask (vm: string): Promise<readonly EndpointKeyLoad[]> {
     try {
-      return (await this.#peers.get(vm)?.fetchKeyLoads(callMilliseconds))?.endpoints ?? []
+      const response = await this.#peers.get(vm)?.fetchKeyLoads(this.#news.own, callMilliseconds)
+      if (response === undefined) return []
+      this.#news.heard(response)
+      return response.endpoints
     } catch (error) {
       logger.info('a VM did not report its demand', { vm, error: describeError(error) })
       return []
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -7,6 +7,7 @@
 import { KeyLeader } from './control/key-leader.js'
 import type { MembershipService } from './control/leadership.js'
 import { Member } from './control/member.js'
+import { News } from './control/news.js'
 import { PeerDemand } from './control/peer-demand.js'
 import type { StateTopic, WritableTopic } from './control/state-topic.js'
 import { TopicFollower } from './control/topic-follower.js'
@@ -62,6 +63,7 @@
   readonly #map: TopicFollower<KeyMap>
   readonly #routing: TopicFollower<RoutingTable>
   readonly #directory: TopicFollower<Directory>
+  readonly #news: News
   readonly #member: Member
   readonly #peers: PeerPool
   readonly #dispatcher: Dispatcher
@@ -84,6 +86,7 @@
       name: 'routing table', topic: platform.routing, clock, waitMilliseconds: timing.logWaitMilliseconds, pauseMilliseconds: 0, isNewer: (one, other) => one.state.version > other.state.version
     })
     this.#directory = new TopicFollower({ name: 'directory', topic: platform.directory, clock, waitMilliseconds: 0, pauseMilliseconds: timing.directoryMilliseconds, isNewer: byPosition })
+    this.#news = new News(this.#map, this.#routing)
     this.#member = new Member({
       self: this.#self,
       service: platform.membership,
@@ -96,7 +99,7 @@
     this.#peers = new PeerPool(this.#lifeCycle, { connectTimeoutMilliseconds: peerConnectMilliseconds, silenceMilliseconds: peerSilenceMilliseconds, clock, random: this.#random })
     this.#dispatcher = this.#createDispatcher()
     this.#router = this.#createRouter()
-    this.#control = new RangeControlHandler({ vm: settings.vm.id, dispatcher: this.#dispatcher, map: this.#map, routing: this.#routing, leaving: () => this.#stopping !== undefined })
+    this.#control = new RangeControlHandler({ vm: settings.vm.id, dispatcher: this.#dispatcher, map: this.#map, routing: this.#routing, news: this.#news, leaving: () => this.#stopping !== undefined })
     this.#leader = this.#createLeader()
     this.#inner = new InnerServer({ ...listen.inner }, new RangeFrameHandler(this.#dispatcher), this.#control)
     this.#entry = new EntryServer({ ...listen.callers, ...settings.limits, maximumHeaderBytes, maximumBodyBytes, clock, loopDelay: this.#loopDelay }, this.#router)
@@ -189,7 +192,7 @@
       directory: this.#directory,
       routing: this.#routing,
       transport: this.#platform.transport,
-      demand: new PeerDemand(this.#peers, this.#control)
+      demand: new PeerDemand(this.#peers, this.#control, this.#news)
     })
   }
 
--- a/packages/router/src/request/inner-handlers.ts
+++ b/packages/router/src/request/inner-handlers.ts
@@ -1,9 +1,10 @@
 import {
   ControlHandler, FrameHandler, unsupported,
-  type Answer, type ConfirmResponse, type EndpointKeyLoad, type FetchControlRequest, type FetchControlResponse, type FetchJournalResponse, type FetchKeyLoadsResponse, type FetchLoadsResponse,
+  type Answer, type ConfirmResponse, type EndpointKeyLoad, type FetchControlRequest, type FetchControlResponse, type FetchJournalResponse, type FetchKeyLoadsRequest, type FetchKeyLoadsResponse, type FetchLoadsResponse,
   type FetchStateResponse, type Forward, type HeartbeatResponse, type JournalAcknowledgement
 } from '@briarsaddle/protocol'
 import { encodeKeyMap, segmentAt, type KeyMap } from '@briarsaddle/key-ranges'
+import type { News } from '../control/news.js'
 import type { TopicFollower } from '../control/topic-follower.js'
 import type { RoutingTable } from '../routing-table.js'
 import type { Dispatcher } from './dispatcher.js'
@@ -35,6 +36,7 @@
   readonly dispatcher: Dispatcher
   readonly map: TopicFollower<KeyMap>
   readonly routing: TopicFollower<RoutingTable>
+  readonly news: News
   readonly leaving: () => boolean
 }
 
@@ -51,8 +53,9 @@
     return { vm: this.#options.vm, instance: '', position: 0, leaving: this.#options.leaving() }
   }
 
-  override async fetchKeyLoads (): Promise<FetchKeyLoadsResponse> {
-    return { endpoints: [...this.#options.dispatcher.gates].map(([endpoint, gate]) => this.#keyLoad(endpoint, gate)) }
+  override async fetchKeyLoads (request: FetchKeyLoadsRequest): Promise<FetchKeyLoadsResponse> {
+    this.#options.news.heard(request)
+    return { ...this.#options.news.own, endpoints: [...this.#options.dispatcher.gates].map(([endpoint, gate]) => this.#keyLoad(endpoint, gate)) }
   }
 
   override async fetchControl ({ keyMapPosition, routingVersion }: FetchControlRequest): Promise<FetchControlResponse> {
