--- /dev/null
+++ b/packages/entry/src/caller-gone.test.ts
@@ -0,0 +1,59 @@
+import { expect } from 'chai'
+import { connect, type Socket } from 'node:net'
+import { once } from 'node:events'
+import { delay, MonotonicClock } from '@briarsaddle/common'
+import { EntryServer } from './entry-server.js'
+import { CallerRequestHandler, type CallerAnswer, type CallerRequest } from './request-handler.js'
+
+const answer: CallerAnswer = { status: 200, headers: [{ name: 'Content-Length', value: '2' }], body: Buffer.from('ok') }
+
+/** Answers after a time; counts what it was asked and what was cancelled. */
+class SlowHandler extends CallerRequestHandler<CallerRequest> {
+  asked = 0
+  cancelled = 0
+
+  override accept (request: CallerRequest): CallerRequest { return request }
+
+  override async route (_request: CallerRequest, _body: Buffer, signal: AbortSignal): Promise<CallerAnswer> {
+    this.asked++
+    signal.addEventListener('abort', () => { this.cancelled++ })
+    await delay(200, signal)
+    return answer
+  }
+
+  override refusal (): CallerAnswer { return { ...answer, status: 503 } }
+  override unknownOutcome (): CallerAnswer { return { ...answer, status: 504 } }
+}
+
+describe('EntryServer, when a caller leaves', () => {
+  let handler: SlowHandler
+  let server: EntryServer<CallerRequest>
+  let socket: Socket
+
+  beforeEach(async () => {
+    handler = new SlowHandler()
+    server = new EntryServer({ host: '127.0.0.1', port: 0, maximumHeaderBytes: 8_192, maximumBodyBytes: 1_000, maximumCallerConnections: 10, clock: new MonotonicClock() }, handler)
+    socket = connect(await server.listen(), '127.0.0.1')
+    socket.on('error', () => {})
+    await once(socket, 'connect')
+  })
+
+  afterEach(async () => { await server.stop(0) })
+
+  it('cancels the request when the caller closes its side', async () => {
+    socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+    await delay(50)
+    socket.end()
+    await delay(50)
+    expect(handler).to.include({ asked: 1, cancelled: 1 })
+  })
+
+  it('does not ask for a request whose caller has left before its turn, and does not wait for it at a stop', async () => {
+    socket.end('GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+    await delay(300)
+    expect(server.inFlight).to.equal(0)
+    const startedAt = performance.now()
+    await server.stop(2_000)
+    expect(performance.now() - startedAt).to.be.lessThan(1_000)
+  })
+})
--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -166,7 +166,10 @@
     try {
       // The caller may have left while the request waited to be read.
       await processTurns.turn()
-      if (exchange.controller.signal.aborted) return
+      if (exchange.controller.signal.aborted) {
+        response.destroy()
+        return
+      }
       const answer = await this.#answer(exchange)
       if (answer !== undefined) this.#write(exchange, answer)
     } catch (error) {
