--- a/packages/router/src/request/key-work.ts
+++ b/packages/router/src/request/key-work.ts
@@ -8,30 +8,25 @@
   readonly keys: ReadonlyArray<{ readonly key: number, readonly busySlots: number }>
 }
 
-// A short memory notices hot keys within a second where there are many requests, a long one is not misled by a few.
-const shortHalfLifeMilliseconds = 800
-const longHalfLifeMilliseconds = 2_500
+// Hot keys multiply the demand and show within a second; a shorter time takes a few requests by chance for them.
+const halfLifeMilliseconds = 2_500
 const followedKeys = 256
 const smoothing = 0.1
 
 /** Measures the demand at one endpoint: requests count when they arrive, so that refused ones count as well. */
 export class KeyWorkMeter {
-  readonly #short: HotBuckets
-  readonly #long: HotBuckets
+  readonly #sketch: HotBuckets
   readonly #times = new Map<number, number>()
   #mean = 0
 
   constructor (clock: Clock) {
-    this.#short = new HotBuckets({ clock, capacity: followedKeys, halfLifeMilliseconds: shortHalfLifeMilliseconds })
-    this.#long = new HotBuckets({ clock, capacity: followedKeys, halfLifeMilliseconds: longHalfLifeMilliseconds })
+    this.#sketch = new HotBuckets({ clock, capacity: followedKeys, halfLifeMilliseconds })
   }
 
   /** Records a request of a rule for a key; -1 without a key. */
   arrived (rule: number, key: number): void {
     const expected = this.#times.get(rule) ?? this.#mean
-    if (expected <= 0) return
-    this.#short.record(key, expected)
-    this.#long.record(key, expected)
+    if (expected > 0) this.#sketch.record(key, expected)
   }
 
   /** Records how long the endpoint took for a request. */
@@ -47,20 +42,8 @@
   }
 
   snapshot (): KeyWork {
-    const steady = this.#long.busySlots()
-    const recent = this.#surelyRecent()
-    const sketch = recent > steady ? this.#short : this.#long
-    const total = Math.max(steady, recent)
-    const keys = sketch.top(followedKeys).filter(({ bucket, share }) => bucket >= 0 && share > 0)
+    const total = this.#sketch.busySlots()
+    const keys = this.#sketch.top(followedKeys).filter(({ bucket, share }) => bucket >= 0 && share > 0)
     return { busySlots: total, serviceMilliseconds: this.#mean, keys: keys.map(({ bucket, share }) => ({ key: bucket, busySlots: share * total })) }
   }
-
-  /** Recent demand less its likely error by chance, which is the root of the number of requests that it consists of. */
-  #surelyRecent (): number {
-    const busySlots = this.#short.busySlots()
-    if (this.#mean <= 0 || busySlots <= 0) return 0
-    // An exponential memory counts like twice its time constant.
-    const requests = busySlots / this.#mean * 2 * shortHalfLifeMilliseconds / Math.LN2
-    return busySlots * Math.max(0, 1 - 1 / Math.sqrt(Math.max(1, requests)))
-  }
 }
