--- a/packages/entry/src/entry-server.test.ts
+++ b/packages/entry/src/entry-server.test.ts
@@ -42,6 +42,22 @@
   })
 })
 
+describe('EntryServer, with a body that is too long', () => {
+  it('ends the connection with the refusal, also when the whole body has arrived before its turn', async () => {
+    const handler = new SlowHandler()
+    const server = new EntryServer({ host: '127.0.0.1', port: 0, maximumHeaderBytes: 8_192, maximumBodyBytes: 100, maximumCallerConnections: 10, clock: new MonotonicClock() }, handler)
+    const socket = connect(await server.listen(), '127.0.0.1')
+    let received = ''
+    socket.on('data', data => { received += data.toString() })
+    const chunk = `64\r\n${'x'.repeat(100)}\r\n`
+    socket.write(`POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n${chunk.repeat(4)}0\r\n\r\n`)
+    await once(socket, 'close')
+    expect(received).to.match(/^HTTP\/1\.1 503 /)
+    expect(handler.asked).to.equal(0)
+    await server.stop(0)
+  })
+})
+
 describe('EntryServer, when a caller leaves', () => {
   let handler: SlowHandler
   let server: EntryServer<CallerRequest>
--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -55,6 +55,8 @@
   readonly controller: AbortController
   readonly arrivedAt: number
   reading: boolean
+  /** The body is too long; the connection ends with the refusal, whether or not all of it has arrived meanwhile. */
+  bodyRefused: boolean
 }
 
 /** Accepts the requests of callers over HTTP/1.1 and answers them by a router. */
@@ -152,7 +154,7 @@
   }
 
   async #handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const exchange: Exchange = { request, response, controller: new AbortController(), arrivedAt: this.#options.clock.now() - (this.#options.loopDelay?.milliseconds ?? 0), reading: false }
+    const exchange: Exchange = { request, response, controller: new AbortController(), arrivedAt: this.#options.clock.now() - (this.#options.loopDelay?.milliseconds ?? 0), reading: false, bodyRefused: false }
     this.#exchanges.add(exchange)
     const leave = (): void => exchange.controller.abort()
     request.socket.on('end', leave)
@@ -196,6 +198,7 @@
       exchange.reading = true
       const result = await readBody(request, maximumBodyBytes)
       exchange.reading = false
+      exchange.bodyRefused = result.kind === 'too_large'
       if (result.kind !== 'body') return result.kind === 'too_large' ? this.#handler.refusal('body_too_large') : undefined
       if (controller.signal.aborted) return this.#handler.refusal('stopping')
       return await this.#route(exchange, accepted, result.body)
@@ -220,9 +223,9 @@
     }
   }
 
-  #write ({ request, response }: Exchange, answer: CallerAnswer): void {
+  #write ({ request, response, bodyRefused }: Exchange, answer: CallerAnswer): void {
     const headers = answer.headers.flatMap(({ name, value }) => [name, value])
-    const unread = hasBody(request) && !request.complete
+    const unread = hasBody(request) && (bodyRefused || !request.complete)
     if (unread || (this.#stopping !== undefined && this.#isLastOnConnection(request))) headers.push('Connection', 'close')
     if (answer.endsWithConnection === true) {
       headers.push('Connection', 'close')
