Wait after a takeover for grants that the leader before may have sent

A grant of the former leader that had got no answer was carried out after the move that the new leader made next; the ledger knew only its own lost grants.

--- a/packages/key-ranges/src/grant-ledger.ts
+++ b/packages/key-ranges/src/grant-ledger.ts
@@ -79,9 +79,12 @@
     return this.#holders.get(holder)?.pending ?? 0
   }
 
-  /** Returns the time from which no grant without an answer can give keys back that were released, in clock milliseconds. */
+  /**
+   * Returns the time from which no grant without an answer can give keys back that were released, in clock milliseconds. The
+   * leader before may have sent one until this VM took over.
+   */
   lostUntil (holder: string): number {
-    return (this.#holders.get(holder)?.lastLost ?? -Infinity) + this.#longestHold
+    return Math.max(this.#holders.get(holder)?.lastLost ?? -Infinity, this.#leaderSince) + this.#longestHold
   }
 
   /** Returns the time from which the holder surely holds nothing that it was granted, in clock milliseconds. */
