Do not count endpoints that cannot be connected to against the retry budget of a pool without keys

Ruled out: no endpoint left (two were), a failed coordinator (counted as `unreachable`, without the budget).

Change: such a failure costs no endpoint anything, so the budget does not count it, as with endpoints that shed.

--- a/packages/daemon/src/entry/entry.test.ts
+++ b/packages/daemon/src/entry/entry.test.ts
@@ -269,6 +269,18 @@
     expect(peers.sent.length, 'more refusals than the budget allows').to.be.greaterThan(10)
   })
 
+  it('goes on when an endpoint of a pool cannot be connected to, also for the request that tries it again (the endpoints of a data centre that was lost)', async () => {
+    peers.script = forward => forward.endpoint === 'c1' ? notRunAnswer('endpoint_unavailable') : Answer.create({ outcome: Outcome.OUTCOME_ANSWERED, status: 200 })
+    const triesOfLost = (): number => peers.sent.filter(({ forward }) => forward.endpoint === 'c1').length
+    const statuses: number[] = []
+    while (triesOfLost() < 5) statuses.push((await call('POST', '/crews')).status)
+    // The chooser has set the endpoint aside for 1 s.
+    await delay(1_100)
+    for (let index = 0; index < 4; index++) statuses.push((await call('POST', '/crews')).status)
+    expect(triesOfLost()).to.be.greaterThan(5)
+    expect(statuses.filter(status => status !== 200)).to.deep.equal([])
+  })
+
   it('sets aside an endpoint that sheds (one that has little outstanding work because it runs nothing)', async () => {
     peers.script = forward => forward.endpoint === 'c1' ? notRunAnswer('endpoint_shed') : Answer.create({ outcome: Outcome.OUTCOME_ANSWERED, status: 200 })
     for (let index = 0; index < 30; index++) await call('POST', '/crews')
--- a/packages/daemon/src/entry/resend-policy.ts
+++ b/packages/daemon/src/entry/resend-policy.ts
@@ -6,8 +6,8 @@
  * `unreachable`: no frame left this VM; it costs nobody anything to try again.
  * `moved`: the request belongs elsewhere, and the control state shows or will soon show where.
  * `refused`: the right place could not run the request just now.
- * `shed`: the endpoint runs nothing just now, as during its start. It costs the endpoint little to refuse, so that the
- *   retry budget, which protects against overload, does not count it.
+ * `shed`: the endpoint runs nothing just now, as during its start, or it could not be connected to. That costs the
+ *   endpoint little or nothing, so that the retry budget, which protects against overload, does not count it.
  * `broken`: the outcome is unknown, but the request is idempotent and may run again.
  */
 export type Verdict = 'final' | 'unreachable' | 'moved' | 'refused' | 'shed' | 'broken'
@@ -17,6 +17,9 @@
 // A keyed request has only one place; these pass within milliseconds there.
 const passingReasons: ReadonlySet<string> = new Set(['right_expired', 'endpoint_unavailable', 'endpoint_refused', 'effect_refused'])
 
+// Refusals that cost an endpoint of a pool without keys little, or that it never saw.
+const effortlessReasons: ReadonlySet<string> = new Set(['endpoint_shed', 'endpoint_unavailable'])
+
 // Refusals by one endpoint that say nothing about the others of its pool.
 const endpointReasons: ReadonlySet<string> = new Set([...passingReasons, 'queue_full', 'deadline_unreachable', peerReasons.congested])
 
@@ -37,7 +40,7 @@
   if (answer.outcome === Outcome.OUTCOME_UNKNOWN) return idempotent && brokenReasons.has(answer.reason) ? 'broken' : 'final'
   if (answer.reason === peerReasons.unreachable) return 'unreachable'
   if (movedReasons.has(answer.reason)) return 'moved'
-  if (answer.reason === 'endpoint_shed' && !keyed) return 'shed'
+  if (!keyed && effortlessReasons.has(answer.reason)) return 'shed'
   return (keyed ? passingReasons : endpointReasons).has(answer.reason) ? 'refused' : 'final'
 }
 
