End the leadership of a VM as soon as it learns of another leader's key map

The former leader went on, as it may for 10 s with its own map, but learned the new map from other VMs and then renewed and moved keys under the new leader's tokens. Its log shows 131 failed writes of the key map, at positions that kept rising. It ended only when a write of its own lost a race, and none arrived.

Ruled out: a late grant after a release (waited for by the ledger), a lost write (conditional), moves within one plan (tokens rise within it).

Change: a map by another author ends the leadership at once, between two ticks too; a VM begins only while its membership is confirmed. Two tests of KeyLeader without network, both fail before: it still led, and it never took tokens of its own.

--- /dev/null
+++ b/packages/router/src/control/key-leader.test.ts
@@ -0,0 +1,129 @@
+import { expect } from 'chai'
+import { BriarsaddleError, delay, LifeCycle, MonotonicClock } from '@briarsaddle/common'
+import { emptyKeyMap, raiseFences, type Holder, type KeyMap, type VmEntry } from '@briarsaddle/key-ranges'
+import type { Directory, EndpointEntry } from '../endpoint-entry.js'
+import { EndpointTransport, type EndpointReply, type Grant, type GrantReply, type ReleaseReply } from '../endpoint-transport.js'
+import type { RoutingTable } from '../routing-table.js'
+import { DemandSource, KeyLeader, type MeasuredDemand } from './key-leader.js'
+import { MembershipService, type MembershipReport } from './leadership.js'
+import { Member } from './member.js'
+import { StateTopic, WritableTopic, type TopicState } from './state-topic.js'
+import { defaultControlTiming } from './timing.js'
+import { TopicFollower } from './topic-follower.js'
+
+const self: VmEntry = { id: 'vm-1', host: '127.0.0.1', port: 1, dataCentre: 'a' }
+const other: VmEntry = { ...self, id: 'vm-2', port: 2 }
+const timing = { ...defaultControlTiming, settleMilliseconds: 50, confirmMilliseconds: 50, renewMilliseconds: 60, holdMilliseconds: 400, grantCallMilliseconds: 50, logCallMilliseconds: 100 }
+
+class LeadingService extends MembershipService {
+  override async join (): Promise<MembershipReport> { return { generation: 1, leads: true } }
+  override async leave (): Promise<void> {}
+  override async members (): Promise<readonly VmEntry[]> { return [self] }
+}
+
+class FixedTopic<State> extends StateTopic<State> {
+  constructor (readonly state: State) { super() }
+  override async read (): Promise<TopicState<State>> { return { position: 1, state: this.state } }
+  override async next (): Promise<undefined> { return undefined }
+}
+
+/** The key map in memory; while it is away, neither reads nor writes succeed. */
+class MapTopic extends WritableTopic<KeyMap> {
+  away = false
+  writes = 0
+  newest: TopicState<KeyMap> = { position: 0, state: emptyKeyMap }
+
+  override async read (): Promise<TopicState<KeyMap>> {
+    this.#failWhenAway()
+    return this.newest
+  }
+
+  override async next (): Promise<undefined> { return undefined }
+
+  override async write (state: KeyMap, position: number): Promise<number> {
+    this.writes++
+    this.#failWhenAway()
+    if (position !== this.newest.position) throw new BriarsaddleError('another write came first', { code: 'lost_race', step: 'write key map' })
+    this.newest = { position: position + 1, state }
+    return this.newest.position
+  }
+
+  #failWhenAway (): void {
+    if (this.away) throw new BriarsaddleError('the log does not answer', { code: 'log_unavailable', step: 'use key map' })
+  }
+}
+
+class GrantingTransport extends EndpointTransport {
+  readonly grants: Array<{ readonly endpoint: string, readonly grant: Grant }> = []
+  override async send (): Promise<EndpointReply> { return { kind: 'unreachable' } }
+  override async reach (): Promise<boolean> { return true }
+  override keepOnly (): void {}
+  override async release (): Promise<ReleaseReply> { return { kind: 'released', handover: '' } }
+  override async grant ({ endpoint }: Holder, grant: Grant): Promise<GrantReply> {
+    this.grants.push({ endpoint, grant })
+    return { kind: 'granted', connection: 1 }
+  }
+}
+
+class NoDemand extends DemandSource {
+  override async collect (): Promise<ReadonlyMap<string, MeasuredDemand>> { return new Map() }
+}
+
+const entry = (id: string): EndpointEntry => ({ id, pool: 'ponds', host: '127.0.0.1', port: 1, dataCentre: 'a', slots: 2, leaving: false, life: 1, warmUpMilliseconds: 0 })
+const directoryState: Directory = new Map([['a', entry('a')], ['b', entry('b')]])
+const table: RoutingTable = { version: 1, routes: [], pools: [{ name: 'ponds', keyed: true, maximumConnections: 100 }] }
+
+describe('KeyLeader', () => {
+  const clock = new MonotonicClock()
+  let lifeCycle: LifeCycle
+  let topic: MapTopic
+  let transport: GrantingTransport
+  let map: TopicFollower<KeyMap>
+  let leader: KeyLeader
+
+  const follow = <State>(name: string, source: StateTopic<State>): TopicFollower<State> =>
+    new TopicFollower({ name, topic: source, clock, waitMilliseconds: 50, pauseMilliseconds: 20, isNewer: (one, before) => one.position > before.position })
+
+  beforeEach(async () => {
+    lifeCycle = new LifeCycle('test')
+    topic = new MapTopic()
+    transport = new GrantingTransport()
+    map = follow('key map', topic)
+    const directory = follow('directory', new FixedTopic(directoryState))
+    const routing = follow('routing table', new FixedTopic(table))
+    const member = new Member({ self, service: new LeadingService(), clock, confirmEveryMilliseconds: timing.confirmMilliseconds, callMilliseconds: 100, onRegained: () => {} })
+    leader = new KeyLeader({ self, clock, timing, member, topic, map, directory, routing, transport, demand: new NoDemand() })
+    for (const follower of [map, directory, routing]) follower.start(lifeCycle)
+    member.start(lifeCycle)
+    leader.start(lifeCycle)
+    while (map.current?.state.pools.ponds?.every(segment => !segment.moving) !== true) await delay(10)
+  })
+
+  afterEach(async () => await lifeCycle.close())
+
+  /** The next map, by a VM that took over and gave all keys of an endpoint away. */
+  function mapOfOther (): KeyMap {
+    const raised = raiseFences({ ...topic.newest.state, author: other.id, vms: [other] })
+    const ponds = (raised.pools.ponds ?? []).map(segment => segment.owner.endpoint === 'a' ? { ...segment, moving: true, owner: { ...segment.owner, endpoint: 'b' }, former: [segment.owner] } : segment)
+    return { ...raised, pools: { ponds } }
+  }
+
+  it('sends no grant under the tokens of another leader, whose map it learns from other VMs while the log is out of its reach (a key at two endpoints, and an older token after a newer one)', async () => {
+    topic.away = true
+    map.offer({ position: topic.newest.position + 1, state: mapOfOther() })
+    expect(leader.leading).to.equal(false)
+    await delay(timing.grantCallMilliseconds)
+    const before = transport.grants.length
+    await delay(6 * timing.renewMilliseconds)
+    expect(transport.grants.slice(before)).to.deep.equal([])
+  })
+
+  it('leads again under tokens of its own when the log is back and the membership still says so', async () => {
+    const foreign = mapOfOther()
+    topic.newest = { position: topic.newest.position + 1, state: foreign }
+    map.offer(topic.newest)
+    while (!leader.leading) await delay(10)
+    expect(map.current?.state).to.include({ author: self.id })
+    expect(map.current?.state.fence).to.be.greaterThan(foreign.fence)
+  })
+})
--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -70,6 +70,8 @@
       staleLeaderMilliseconds: timing.staleLeaderMilliseconds
     })
     this.#renewal = new GrantRenewal({ clock, timing, transport, ledger: this.#ledger, mayRenew: (pool, segment) => this.#mayRenew(pool, segment) })
+    // A VM that the log turns away learns the map of its successor from other VMs; the tokens in it are not its own to grant.
+    options.map.onChange(({ author }) => { if (author !== options.self.id) this.#end('another VM wrote the key map') })
   }
 
   /** True while this VM assigns keys. */
@@ -93,12 +95,13 @@
       if (this.#leading) this.#end('another VM leads')
       return
     }
-    if (!this.#leading) return await this.#begin(signal)
+    if (!this.#leading) return await this.#beginIfMember(signal)
     if (this.#isStale()) return this.#end('the log was out of reach for too long')
     this.#renewal.renewDue(this.#map.pools)
     void this.#collectDemand()
     await this.#refreshMembers()
-    await this.#plan(signal)
+    if (this.#leading) await this.#plan(signal)
+    if (!this.#leading) return
     this.#startHandovers(signal)
     this.#renewal.renewDue(this.#map.pools)
   }
@@ -107,6 +110,12 @@
     return this.#options.map.current?.state ?? emptyKeyMap
   }
 
+  /** A VM whose membership is not confirmed in time has been replaced, whatever the last report said. */
+  async #beginIfMember (signal: AbortSignal): Promise<void> {
+    const { clock, member, timing } = this.#options
+    if (clock.now() - member.confirmedAt <= timing.membershipMilliseconds) await this.#begin(signal)
+  }
+
   /** Takes over: no grant of a former leader is accepted by an endpoint that has seen the new tokens. */
   async #begin (signal: AbortSignal): Promise<void> {
     const { map, self, directory, routing } = this.#options
@@ -238,7 +247,6 @@
       logger.info('write of the key map failed', { purpose, position, code: errorCode(error) })
       // Whoever was faster, or an append of this VM that got no answer, is the base of the next plan.
       await withTimeLimit(timing.logCallMilliseconds, signal, async limited => await follower.refresh(limited))
-      if (errorCode(error) === 'lost_race' && follower.current?.state.author !== this.#options.self.id) this.#end('another VM wrote the key map')
       throw error
     }
   }
