Keep the compiled code of the program at the build and load it at the start

A VM has half a core and spent 0.3 s of processor time on compiling and running its modules before it could read a request (0.47 to 0.55 s in all, of which node itself takes 0.18), while its callers wait half a second.

Change: the bundle is loaded as a script with V8's compiled code, which the build makes under the same flags; code that does not fit is ignored.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,25 +1,31 @@
-// Bundles the program for the platform into target/, so that a VM starts with one file.
-import { readdirSync } from 'node:fs'
+// Bundles the program for the platform into target/, so that a VM starts with one file, and keeps its compiled code beside it.
+import { spawnSync } from 'node:child_process'
+import { readdirSync, readFileSync, rmSync } from 'node:fs'
 import { resolve } from 'node:path'
 import { build } from 'esbuild'
+import { parse } from 'smol-toml'
 
-const require = 'import { createRequire as createRequireForBundle } from "node:module"; const require = createRequireForBundle(import.meta.url);'
 // The sources themselves, so that nothing has to be built before.
 const alias = Object.fromEntries(readdirSync('packages').map(name => [`@briarsaddle/${name}`, resolve('packages', name, 'src/index.ts')]))
 
 await build({
   entryPoints: ['platform/src/start.ts'],
-  outfile: 'target/briarsaddle.js',
+  outfile: 'target/program.cjs',
   bundle: true,
   alias,
   platform: 'node',
   target: 'node20',
-  format: 'esm',
-  sourcemap: 'linked',
+  format: 'cjs',
   // A restarted VM serves again sooner when there is less to parse. Names stay, since errors show them.
   minifyWhitespace: true,
   minifySyntax: true,
-  // Libraries in CommonJS load Node's modules with `require`.
-  banner: { js: require },
   logLevel: 'warning'
 })
+
+// V8 takes compiled code only when its flags are the same.
+const [node, ...words] = parse(readFileSync('deploy/system.toml', 'utf8')).roles.router.run.split(' ')
+const flags = words.filter(word => word.startsWith('--'))
+rmSync('target/program.cjs.cache', { force: true })
+const badSettingsExitCode = 2
+const { status, stderr } = spawnSync(node, [...flags, 'platform/bin/keep-compiled.cjs'], { encoding: 'utf8', env: { ...process.env, BRIARSADDLE_BOOT: '' } })
+if (status !== badSettingsExitCode) throw new Error(`the compiled code was not kept: exit code ${status}: ${stderr}`)
