--- a/packages/key-ranges/src/grant-ledger.ts
+++ b/packages/key-ranges/src/grant-ledger.ts
@@ -84,15 +84,7 @@
    * leader before may have sent one until this VM took over.
    */
   lostUntil (holder: string): number {
-    return Math.max((this.#holders.get(holder)?.lastLost ?? -Infinity) + this.#longestHold, this.takeoverUntil)
-  }
-
-  /**
-   * Time until which a move has to wait for grants that the leader before may have sent, in clock milliseconds. Keys that are
-   * moved earlier are out of service until then.
-   */
-  get takeoverUntil (): number {
-    return this.#leaderSince + this.#longestHold
+    return Math.max(this.#holders.get(holder)?.lastLost ?? -Infinity, this.#leaderSince) + this.#longestHold
   }
 
   /** Returns the time from which the holder surely holds nothing that it was granted, in clock milliseconds. */
--- a/packages/key-ranges/src/membership-plan.ts
+++ b/packages/key-ranges/src/membership-plan.ts
@@ -15,17 +15,13 @@
 // About a hundredth of the keys; fewer are not worth another grant.
 const leastCutKeys = 512
 
-/**
- * Returns the map in which every key of the pool belongs to an endpoint that is there, with as few moves as possible. New
- * members get keys only if `mayMoveByChoice`; the keys of lost ones move in any case.
- */
-export function planMembership (map: KeyMap, pool: string, members: readonly PoolMember[], mayMoveByChoice = true): KeyMap {
+/** Returns the map in which every key of the pool belongs to an endpoint that is there, with as few moves as possible. */
+export function planMembership (map: KeyMap, pool: string, members: readonly PoolMember[]): KeyMap {
   const accepting = members.filter(member => member.accepting)
   if (accepting.length === 0) return map
   const segments = map.pools[pool] ?? []
   if (segments.length === 0) return assignEvenly(map, pool, accepting)
-  const replaced = replaceLostOwners(map, pool, members, accepting)
-  return mayMoveByChoice ? giveToNewMembers(replaced, pool, accepting) : replaced
+  return giveToNewMembers(replaceLostOwners(map, pool, members, accepting), pool, accepting)
 }
 
 function assignEvenly (map: KeyMap, pool: string, members: readonly PoolMember[]): KeyMap {
--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -182,11 +182,8 @@
   #planPool (map: KeyMap, pool: string): KeyMap {
     const members = this.#membersOf(pool)
     if (map.pools[pool] === undefined && !this.#hasSettled(pool, members.length)) return map
-    // After a takeover, keys that move are out of service until the grants of the leader before have run out; where nothing is
-    // lost, their owner serves them better meanwhile.
-    const mayMoveByChoice = this.#options.clock.now() >= this.#ledger.takeoverUntil
-    const planned = planMembership(map, pool, members, mayMoveByChoice)
-    if (planned !== map || !this.#demandIsFresh || !mayMoveByChoice) return planned
+    const planned = planMembership(map, pool, members)
+    if (planned !== map || !this.#demandIsFresh) return planned
     return planSpread(planned, pool, members.map(member => this.#rested(member) ? member : { ...member, accepting: false, busySlots: 0, keys: [] }))
   }
 
