Wait for grants of the leader before only where the former holder has not acknowledged a newer token

The wait was introduced for late grants with the token just below that of a move (258 after 259, 301 after 302, 386 after 387). A grant of the leader before has a token below the raised one, and an endpoint that has acknowledged the raised one on the keys refuses it.

Ruled out: leaving the keys with their owner during the wait (tried and reverted). Changes: the ledger knows on which keys an endpoint has acknowledged a token of this leadership; other keys wait as before, also where the holder as a whole had acknowledged something, which was too lax in `mayHoldUntil`. One test is replaced: "waits after a takeover" now acknowledges other keys than those that move, and a new one shows that a late older grant is refused where the keys were acknowledged.

--- a/packages/key-ranges/src/grant-ledger.test.ts
+++ b/packages/key-ranges/src/grant-ledger.test.ts
@@ -4,13 +4,14 @@
 
 describe('GrantLedger', () => {
   const options = { holdMilliseconds: 3_000, clockSlack: 0.02, transitMilliseconds: 400, staleLeaderMilliseconds: 10_000 }
+  const keys = { from: 100, to: 200 }
 
   it('waits for the last grant, with the slack of the endpoint\'s clock and the time on the way', () => {
     const clock = new ManualClock()
     const ledger = new GrantLedger({ ...options, clock })
     ledger.sending('a')
-    ledger.acknowledged('a')
-    expect(ledger.mayHoldUntil('a')).to.equal(3_460)
+    ledger.acknowledged('a', keys)
+    expect(ledger.mayHoldUntil('a', keys)).to.equal(3_460)
   })
 
   it('waits for a former leader that may still renew, unless the endpoint has seen a token of this leadership', () => {
@@ -18,19 +19,19 @@
     const ledger = new GrantLedger({ ...options, clock })
     clock.advance(1_000)
     ledger.begin()
-    expect(ledger.mayHoldUntil('a')).to.equal(1_000 + 10_000 + 3_460)
-    ledger.acknowledged('a')
-    expect(ledger.mayHoldUntil('a')).to.equal(-Infinity)
+    expect(ledger.mayHoldUntil('a', keys)).to.equal(1_000 + 10_000 + 3_460)
+    ledger.acknowledged('a', keys)
+    expect(ledger.mayHoldUntil('a', keys)).to.equal(-Infinity)
   })
 
   it('takes a sending back that did not happen (a lost endpoint that is tried again and again)', () => {
     const clock = new ManualClock()
     const ledger = new GrantLedger({ ...options, clock })
     ledger.sending('a')
-    ledger.acknowledged('a')
+    ledger.acknowledged('a', keys)
     clock.advance(500)
     ledger.sending('a').notSent()
-    expect(ledger.mayHoldUntil('a')).to.equal(3_460)
+    expect(ledger.mayHoldUntil('a', keys)).to.equal(3_460)
   })
 
   it('knows which grants are on their way, and until when one without an answer may take effect', () => {
@@ -40,12 +41,24 @@
     expect(ledger.pending('a')).to.equal(2)
     first.answered()
     // The leader before may have left one.
-    expect(ledger.lostUntil('a')).to.equal(3_460)
+    expect(ledger.lostUntil('a', keys)).to.equal(3_460)
     ledger.begin()
     clock.advance(400)
     second.lost()
     expect(ledger.pending('a')).to.equal(0)
     clock.advance(100)
-    expect(ledger.lostUntil('a')).to.equal(3_460)
+    expect(ledger.lostUntil('a', keys)).to.equal(3_460)
+  })
+
+  it('waits for grants of the leader before only on keys on which the endpoint has not acknowledged a token of this leadership', () => {
+    const ledger = new GrantLedger({ ...options, clock: new ManualClock() })
+    ledger.acknowledged('a', { from: 0, to: 150 })
+    expect(ledger.lostUntil('a', keys)).to.equal(3_460)
+    expect(ledger.mayHoldUntil('a', keys)).to.equal(10_000 + 3_460)
+    ledger.acknowledged('a', { from: 50, to: 200 })
+    expect(ledger.lostUntil('a', keys)).to.equal(-Infinity)
+    expect(ledger.mayHoldUntil('a', keys)).to.equal(-Infinity)
+    ledger.begin()
+    expect(ledger.lostUntil('a', keys)).to.equal(3_460)
   })
 })
--- a/packages/key-ranges/src/grant-ledger.ts
+++ b/packages/key-ranges/src/grant-ledger.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@briarsaddle/common'
+import type { KeyRange } from './key-map.js'
 
 /** Settings of a `GrantLedger`; times in milliseconds. */
 export interface GrantLedgerOptions {
@@ -28,10 +29,13 @@
   /** When the last grant without an answer was sent. */
   lastLost: number
   pending: number
-  /** The endpoint has acknowledged a fencing token of the present leadership and so refuses every earlier leader. */
-  acknowledged: boolean
+  /** Keys on which the endpoint has acknowledged a token of the present leadership, so that it refuses every earlier leader. */
+  acknowledged: readonly KeyRange[]
 }
 
+// Ranges that are cut and joined again are acknowledged anew; older ones are forgotten, which only makes a move wait.
+const mostAcknowledgedRanges = 256
+
 /** Knows until when an endpoint may hold keys that it does not release: what this VM sent, and what others may have sent. */
 export class GrantLedger {
   readonly #options: GrantLedgerOptions
@@ -46,7 +50,7 @@
   /** A new leadership begins: whoever led before may go on for a while. */
   begin (): void {
     this.#leaderSince = this.#options.clock.now()
-    for (const record of this.#holders.values()) record.acknowledged = false
+    for (const record of this.#holders.values()) record.acknowledged = []
   }
 
   /** Records that a grant is about to be sent. */
@@ -69,9 +73,11 @@
     }
   }
 
-  /** Records that the endpoint accepted a fencing token of this leadership. */
-  acknowledged (holder: string): void {
-    this.#recordOf(holder).acknowledged = true
+  /** Records that the endpoint accepted a fencing token of this leadership on these keys. */
+  acknowledged (holder: string, { from, to }: KeyRange): void {
+    const record = this.#recordOf(holder)
+    const others = record.acknowledged.filter(other => other.from < from || other.to > to)
+    record.acknowledged = [...others, { from, to }].slice(-mostAcknowledgedRanges)
   }
 
   /** Grants that are on their way. */
@@ -81,20 +87,25 @@
 
   /**
    * Returns the time from which no grant without an answer can give keys back that were released, in clock milliseconds. The
-   * leader before may have sent one until this VM took over.
+   * leader before may have sent one until this VM took over; an endpoint that has acknowledged a newer token on the keys
+   * refuses it.
    */
-  lostUntil (holder: string): number {
-    return Math.max(this.#holders.get(holder)?.lastLost ?? -Infinity, this.#leaderSince) + this.#longestHold
+  lostUntil (holder: string, range: KeyRange): number {
+    const own = (this.#holders.get(holder)?.lastLost ?? -Infinity) + this.#longestHold
+    return this.#refusesFormerLeaders(holder, range) ? own : Math.max(own, this.#leaderSince + this.#longestHold)
   }
 
-  /** Returns the time from which the holder surely holds nothing that it was granted, in clock milliseconds. */
-  mayHoldUntil (holder: string): number {
-    const record = this.#holders.get(holder)
-    const own = (record?.lastSent ?? -Infinity) + this.#longestHold
-    if (record?.acknowledged === true) return own
+  /** Returns the time from which the holder surely holds none of the keys that it was granted, in clock milliseconds. */
+  mayHoldUntil (holder: string, range: KeyRange): number {
+    const own = (this.#holders.get(holder)?.lastSent ?? -Infinity) + this.#longestHold
+    if (this.#refusesFormerLeaders(holder, range)) return own
     return Math.max(own, this.#leaderSince + this.#options.staleLeaderMilliseconds + this.#longestHold)
   }
 
+  #refusesFormerLeaders (holder: string, range: KeyRange): boolean {
+    return this.#holders.get(holder)?.acknowledged.some(({ from, to }) => from <= range.from && range.to <= to) === true
+  }
+
   /** Time from sending a grant until it has surely run out. */
   get #longestHold (): number {
     const { holdMilliseconds, clockSlack, transitMilliseconds } = this.#options
@@ -103,7 +114,7 @@
 
   #recordOf (holder: string): HolderRecord {
     let record = this.#holders.get(holder)
-    if (record === undefined) this.#holders.set(holder, record = { lastSent: -Infinity, lastLost: -Infinity, pending: 0, acknowledged: false })
+    if (record === undefined) this.#holders.set(holder, record = { lastSent: -Infinity, lastLost: -Infinity, pending: 0, acknowledged: [] })
     return record
   }
 }
--- a/packages/router/src/control/grant-renewal.ts
+++ b/packages/router/src/control/grant-renewal.ts
@@ -133,7 +133,7 @@
     this.observe(endpoint, reply.kind)
     if (reply.kind === 'granted') {
       state.connection = reply.connection
-      this.#options.ledger.acknowledged(holderKey(segment.owner))
+      this.#options.ledger.acknowledged(holderKey(segment.owner), segment)
       return
     }
     if (reply.kind === 'disconnected') this.#disconnected.add(endpoint)
--- a/packages/router/src/control/range-handover.test.ts
+++ b/packages/router/src/control/range-handover.test.ts
@@ -82,12 +82,12 @@
   let directory: Directory
   let renewal: GrantTicket
 
-  function create (acknowledged = true, renewalOnItsWay = false, justTookOver = !acknowledged): RangeHandover {
+  function create (acknowledged = true, renewalOnItsWay = false, justTookOver = !acknowledged, acknowledgedKeys: KeyRange = segment): RangeHandover {
     const clock = new MonotonicClock()
     const ledger = new GrantLedger({ clock: justTookOver ? clock : new LongAgoClock(), holdMilliseconds: timing.holdMilliseconds, clockSlack: 0.02, transitMilliseconds: 50, staleLeaderMilliseconds: timing.staleLeaderMilliseconds })
     renewal = ledger.sending('a 1')
     if (!renewalOnItsWay) renewal.answered()
-    if (acknowledged) ledger.acknowledged('a 1')
+    if (acknowledged) ledger.acknowledged('a 1', acknowledgedKeys)
     return new RangeHandover({ clock, timing, transport: endpoints, ledger, directory: () => directory, pool: 'ponds', segment, observe: () => {} })
   }
 
@@ -125,10 +125,20 @@
 
   it('waits after a takeover, since the leader before may have sent a grant that got no answer (an older token taken after a newer one)', async () => {
     const startedAt = performance.now()
-    expect((await create(true, false, true).run(signal)).kind).to.equal('granted')
+    expect((await create(true, false, true, { from: 10, to: 19 }).run(signal)).kind).to.equal('granted')
     expect(performance.now() - startedAt).to.be.at.least(655)
   })
 
+  // Pattern: the leader is replaced at a crest, and the next one spreads hot keys at once.
+  it('does not wait for the leader before when the former holder has acknowledged a newer token on the keys, and so refuses its late grants', async () => {
+    endpoints.arrive('a', 107)
+    const startedAt = performance.now()
+    expect((await create(true, false, true).run(signal)).kind).to.equal('granted')
+    expect(performance.now() - startedAt).to.be.at.most(300)
+    expect(endpoints.arrive('a', 106), 'late grant of the leader before').to.equal(false)
+    expect(endpoints.twoHolders).to.equal(false)
+  })
+
   it('waits until an endpoint that cannot be reached holds nothing any more', async () => {
     (endpoints.endpoints.get('a') as HeldState).reachable = false
     const startedAt = performance.now()
--- a/packages/router/src/control/range-handover.ts
+++ b/packages/router/src/control/range-handover.ts
@@ -41,7 +41,7 @@
 
   constructor (options: RangeHandoverOptions) {
     this.#options = options
-    this.#mayHoldUntil = new Map(options.segment.former.map(former => [holderKey(former), options.ledger.mayHoldUntil(holderKey(former))]))
+    this.#mayHoldUntil = new Map(options.segment.former.map(former => [holderKey(former), options.ledger.mayHoldUntil(holderKey(former), options.segment)]))
   }
 
   /** Ends the handover; a grant that was sent may still arrive. */
@@ -76,7 +76,7 @@
    * give the keys back after the release, so the answers to all grants come first; one without an answer has to run out.
    */
   async #vacate (former: Holder, signal: AbortSignal): Promise<string> {
-    const { ledger, clock } = this.#options
+    const { ledger, clock, segment } = this.#options
     const until = this.#mayHoldUntil.get(holderKey(former)) ?? Infinity
     while (!signal.aborted) {
       if (until <= clock.now() || this.#hasEnded(former)) return ''
@@ -84,7 +84,7 @@
         await delay(pendingMilliseconds, signal)
         continue
       }
-      const lostUntil = ledger.lostUntil(holderKey(former))
+      const lostUntil = ledger.lostUntil(holderKey(former), segment)
       const handover = await this.#release(former, until, signal)
       if (handover !== undefined) {
         await delay(Math.max(0, Math.min(lostUntil, until) - clock.now()), signal)
@@ -142,7 +142,7 @@
       if (signal.aborted) break
       if (reply.kind === 'fenced') return { kind: 'fenced' }
       if (reply.kind === 'granted') {
-        ledger.acknowledged(holderKey(owner))
+        ledger.acknowledged(holderKey(owner), { from, to })
         return { kind: 'granted', connection: reply.connection }
       }
       await delay(retryMilliseconds, signal)
