Take late answers to grants of an earlier leadership for no acknowledgement

Found by reading: a VM that loses the leadership and gets it back within the limit of a grant call (400 ms) could count the answer to a grant of its earlier leadership as an acknowledgement of the present one, and not wait for grants of the leader between. The ledger now knows the first token of the leadership. Test of the ledger without network.

--- a/packages/key-ranges/src/grant-ledger.test.ts
+++ b/packages/key-ranges/src/grant-ledger.test.ts
@@ -4,7 +4,7 @@
 
 describe('GrantLedger', () => {
   const options = { holdMilliseconds: 3_000, clockSlack: 0.02, transitMilliseconds: 400, staleLeaderMilliseconds: 10_000 }
-  const keys = { from: 100, to: 200 }
+  const keys = { from: 100, to: 200, fence: 7 }
 
   it('waits for the last grant, with the slack of the endpoint\'s clock and the time on the way', () => {
     const clock = new ManualClock()
@@ -18,7 +18,7 @@
     const clock = new ManualClock()
     const ledger = new GrantLedger({ ...options, clock })
     clock.advance(1_000)
-    ledger.begin()
+    ledger.begin(7)
     expect(ledger.mayHoldUntil('a', keys)).to.equal(1_000 + 10_000 + 3_460)
     ledger.acknowledged('a', keys)
     expect(ledger.mayHoldUntil('a', keys)).to.equal(-Infinity)
@@ -42,7 +42,7 @@
     first.answered()
     // The leader before may have left one.
     expect(ledger.lostUntil('a', keys)).to.equal(3_460)
-    ledger.begin()
+    ledger.begin(7)
     clock.advance(400)
     second.lost()
     expect(ledger.pending('a')).to.equal(0)
@@ -52,13 +52,22 @@
 
   it('waits for grants of the leader before only on keys on which the endpoint has not acknowledged a token of this leadership', () => {
     const ledger = new GrantLedger({ ...options, clock: new ManualClock() })
-    ledger.acknowledged('a', { from: 0, to: 150 })
+    ledger.acknowledged('a', { from: 0, to: 150, fence: 7 })
     expect(ledger.lostUntil('a', keys)).to.equal(3_460)
     expect(ledger.mayHoldUntil('a', keys)).to.equal(10_000 + 3_460)
-    ledger.acknowledged('a', { from: 50, to: 200 })
+    ledger.acknowledged('a', { from: 50, to: 200, fence: 7 })
     expect(ledger.lostUntil('a', keys)).to.equal(-Infinity)
     expect(ledger.mayHoldUntil('a', keys)).to.equal(-Infinity)
-    ledger.begin()
+    ledger.begin(7)
     expect(ledger.lostUntil('a', keys)).to.equal(3_460)
   })
+
+  it('takes the late answer to a grant of an earlier leadership of this VM for no sign that newer tokens were seen', () => {
+    const ledger = new GrantLedger({ ...options, clock: new ManualClock() })
+    ledger.begin(8)
+    ledger.acknowledged('a', keys)
+    expect(ledger.lostUntil('a', keys)).to.equal(3_460)
+    ledger.acknowledged('a', { ...keys, fence: 8 })
+    expect(ledger.lostUntil('a', keys)).to.equal(-Infinity)
+  })
 })
--- a/packages/key-ranges/src/grant-ledger.ts
+++ b/packages/key-ranges/src/grant-ledger.ts
@@ -41,14 +41,16 @@
   readonly #options: GrantLedgerOptions
   readonly #holders = new Map<string, HolderRecord>()
   #leaderSince: number
+  #firstFence = 0
 
   constructor (options: GrantLedgerOptions) {
     this.#options = options
     this.#leaderSince = options.clock.now()
   }
 
-  /** A new leadership begins: whoever led before may go on for a while. */
-  begin (): void {
+  /** A new leadership begins, whose tokens are `firstFence` and higher: whoever led before may go on for a while. */
+  begin (firstFence: number): void {
+    this.#firstFence = firstFence
     this.#leaderSince = this.#options.clock.now()
     for (const record of this.#holders.values()) record.acknowledged = []
   }
@@ -73,8 +75,9 @@
     }
   }
 
-  /** Records that the endpoint accepted a fencing token of this leadership on these keys. */
-  acknowledged (holder: string, { from, to }: KeyRange): void {
+  /** Records that the endpoint accepted a fencing token on these keys; one of an earlier leadership, answered late, proves nothing. */
+  acknowledged (holder: string, { from, to, fence }: KeyRange & { readonly fence: number }): void {
+    if (fence < this.#firstFence) return
     const record = this.#recordOf(holder)
     const others = record.acknowledged.filter(other => other.from < from || other.to > to)
     record.acknowledged = [...others, { from, to }].slice(-mostAcknowledgedRanges)
--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -123,8 +123,9 @@
     await withTimeLimit(this.#options.timing.logCallMilliseconds, signal, async limited => await map.refresh(limited))
     this.#generation = undefined
     await this.#refreshMembers()
-    await this.#write(joinSegments(raiseFences({ ...this.#map, author: self.id })), 'take over', signal)
-    this.#ledger.begin()
+    const raised = raiseFences({ ...this.#map, author: self.id })
+    await this.#write(joinSegments(raised), 'take over', signal)
+    this.#ledger.begin(raised.fence)
     this.#renewal.reset()
     this.#leading = true
     logger.info('leadership begins', { fence: this.#map.fence, position: map.current?.position, pools: Object.keys(this.#map.pools).length })
--- a/packages/router/src/control/range-handover.test.ts
+++ b/packages/router/src/control/range-handover.test.ts
@@ -82,7 +82,7 @@
   let directory: Directory
   let renewal: GrantTicket
 
-  function create (acknowledged = true, renewalOnItsWay = false, justTookOver = !acknowledged, acknowledgedKeys: KeyRange = segment): RangeHandover {
+  function create (acknowledged = true, renewalOnItsWay = false, justTookOver = !acknowledged, acknowledgedKeys: KeyRange & { readonly fence: number } = segment): RangeHandover {
     const clock = new MonotonicClock()
     const ledger = new GrantLedger({ clock: justTookOver ? clock : new LongAgoClock(), holdMilliseconds: timing.holdMilliseconds, clockSlack: 0.02, transitMilliseconds: 50, staleLeaderMilliseconds: timing.staleLeaderMilliseconds })
     renewal = ledger.sending('a 1')
@@ -125,7 +125,7 @@
 
   it('waits after a takeover, since the leader before may have sent a grant that got no answer (an older token taken after a newer one)', async () => {
     const startedAt = performance.now()
-    expect((await create(true, false, true, { from: 10, to: 19 }).run(signal)).kind).to.equal('granted')
+    expect((await create(true, false, true, { from: 10, to: 19, fence: 107 }).run(signal)).kind).to.equal('granted')
     expect(performance.now() - startedAt).to.be.at.least(655)
   })
 
--- a/packages/router/src/control/range-handover.ts
+++ b/packages/router/src/control/range-handover.ts
@@ -142,7 +142,7 @@
       if (signal.aborted) break
       if (reply.kind === 'fenced') return { kind: 'fenced' }
       if (reply.kind === 'granted') {
-        ledger.acknowledged(holderKey(owner), { from, to })
+        ledger.acknowledged(holderKey(owner), { from, to, fence })
         return { kind: 'granted', connection: reply.connection }
       }
       await delay(retryMilliseconds, signal)
