Reproduce two holders after a late renewal of a former leader, listed as red

This test takes the path that the present code leaves open: the former holder has acknowledged no token of the new leader, and a former leader that does not know its successor yet renews after the release. The wait of RangeHandover ends one hold after the takeover, while that renewal lasts longer.

--- a/packages/router/src/control/range-handover.test.ts
+++ b/packages/router/src/control/range-handover.test.ts
@@ -9,6 +9,8 @@
 interface HeldState {
   fence: number
   holding: boolean
+  /** When the last grant runs out, in clock milliseconds. */
+  holdsUntil: number
   reachable: boolean
 }
 
@@ -20,7 +22,7 @@
   releaseAnswersToLose = 0
 
   add (endpoint: string, holding: boolean, reachable = true): void {
-    this.endpoints.set(endpoint, { fence: holding ? 100 : 0, holding, reachable })
+    this.endpoints.set(endpoint, { fence: holding ? 100 : 0, holding, holdsUntil: Infinity, reachable })
   }
 
   override async send (): Promise<EndpointReply> { return { kind: 'unreachable' } }
@@ -40,8 +42,9 @@
     if (fence < state.fence) return false
     state.fence = fence
     state.holding = true
+    state.holdsUntil = performance.now() + timing.holdMilliseconds
     this.history.push(`${endpoint} holds`)
-    this.twoHolders ||= [...this.endpoints.values()].filter(({ holding }) => holding).length > 1
+    this.twoHolders ||= [...this.endpoints.values()].filter(({ holding, holdsUntil }) => holding && holdsUntil > performance.now()).length > 1
     return true
   }
 
@@ -129,6 +132,16 @@
     expect(performance.now() - startedAt).to.be.at.least(655)
   })
 
+  // Guards against OWNER: a former leader that has not learned of its successor renews keys after they were released.
+  it('waits for renewals that a former leader sends after the takeover, unless the former holder has acknowledged a newer token on the keys', async () => {
+    const result = create(false).run(signal)
+    await delay(timing.staleLeaderMilliseconds - 50)
+    endpoints.arrive('a', 100)
+    await result
+    expect(endpoints.history).to.deep.equal(['a released', 'a holds', 'b holds'])
+    expect(endpoints.twoHolders).to.equal(false)
+  })
+
   // Pattern: the leader is replaced at a crest, and the next one spreads hot keys at once.
   it('does not wait for the leader before when the former holder has acknowledged a newer token on the keys, and so refuses its late grants', async () => {
     endpoints.arrive('a', 107)
