Wait for a former leader that may go on, wherever the former holder does not refuse its grants yet

Class of the fault: a new leader takes its takeover for the end of the former one. Cause, as it still is in the present code: after a release RangeHandover waited for grants that were sent before the takeover only. An endpoint that had acknowledged no newer token takes them, also after a release.

Change: on such keys the wait lasts until the grants of a former leader have run out. So that no keys wait that long where it can be helped, a leader plans no moves in a pool while a reachable owner has not acknowledged its token; renewals are sent right at the takeover, so this is one round of calls. Acknowledgements of neighbouring ranges count together, as ranges are joined. Keys that were already moving keep the shorter wait: their leader had stopped renewing them before it wrote that they move.

Ruled out: shutting the holder out by another grant before the release, which would give keys of a move with two former holders to both. Three expectations of the ledger's test change from 3,460 to 13,460 ms, the stricter wait; ranges beside each other that are both acknowledged count as acknowledged. Remaining: keys that move at the time of two takeovers within 10 s, where the first of the three leaders still goes on and the holder acknowledged no token of the second.

--- a/packages/key-ranges/src/grant-ledger.test.ts
+++ b/packages/key-ranges/src/grant-ledger.test.ts
@@ -40,33 +40,44 @@
     const [first, second] = [ledger.sending('a'), ledger.sending('a')]
     expect(ledger.pending('a')).to.equal(2)
     first.answered()
-    // The leader before may have left one.
-    expect(ledger.lostUntil('a', keys)).to.equal(3_460)
-    ledger.begin(7)
+    // A former leader may still send one.
+    expect(ledger.lostUntil('a', keys)).to.equal(10_000 + 3_460)
+    ledger.begin(6)
     clock.advance(400)
     second.lost()
     expect(ledger.pending('a')).to.equal(0)
     clock.advance(100)
+    expect(ledger.lostUntil('a', keys)).to.equal(10_000 + 3_460)
+    ledger.acknowledged('a', keys)
     expect(ledger.lostUntil('a', keys)).to.equal(3_460)
   })
 
+  it('waits for the grants of the leader before on keys that it was already moving, since it had stopped renewing them', () => {
+    const clock = new ManualClock()
+    const ledger = new GrantLedger({ ...options, clock })
+    clock.advance(1_000)
+    ledger.begin(7)
+    expect(ledger.lostUntil('a', keys)).to.equal(1_000 + 3_460)
+    expect(ledger.lostUntil('a', { ...keys, fence: 8 })).to.equal(1_000 + 10_000 + 3_460)
+  })
+
   it('waits for grants of the leader before only on keys on which the endpoint has not acknowledged a token of this leadership', () => {
     const ledger = new GrantLedger({ ...options, clock: new ManualClock() })
     ledger.acknowledged('a', { from: 0, to: 150, fence: 7 })
-    expect(ledger.lostUntil('a', keys)).to.equal(3_460)
+    expect(ledger.lostUntil('a', keys)).to.equal(10_000 + 3_460)
     expect(ledger.mayHoldUntil('a', keys)).to.equal(10_000 + 3_460)
-    ledger.acknowledged('a', { from: 50, to: 200, fence: 7 })
+    ledger.acknowledged('a', { from: 151, to: 200, fence: 7 })
     expect(ledger.lostUntil('a', keys)).to.equal(-Infinity)
     expect(ledger.mayHoldUntil('a', keys)).to.equal(-Infinity)
-    ledger.begin(7)
-    expect(ledger.lostUntil('a', keys)).to.equal(3_460)
+    ledger.begin(6)
+    expect(ledger.lostUntil('a', keys)).to.equal(10_000 + 3_460)
   })
 
   it('takes the late answer to a grant of an earlier leadership of this VM for no sign that newer tokens were seen', () => {
     const ledger = new GrantLedger({ ...options, clock: new ManualClock() })
     ledger.begin(8)
     ledger.acknowledged('a', keys)
-    expect(ledger.lostUntil('a', keys)).to.equal(3_460)
+    expect(ledger.lostUntil('a', { ...keys, fence: 9 })).to.equal(10_000 + 3_460)
     ledger.acknowledged('a', { ...keys, fence: 8 })
     expect(ledger.lostUntil('a', keys)).to.equal(-Infinity)
   })
--- a/packages/key-ranges/src/grant-ledger.ts
+++ b/packages/key-ranges/src/grant-ledger.ts
@@ -89,24 +89,34 @@
   }
 
   /**
-   * Returns the time from which no grant without an answer can give keys back that were released, in clock milliseconds. The
-   * leader before may have sent one until this VM took over; an endpoint that has acknowledged a newer token on the keys
-   * refuses it.
+   * Returns the time from which no grant can give keys back that were released for a move with this token, in clock
+   * milliseconds: neither one of this leadership without an answer nor one of a former leader.
    */
-  lostUntil (holder: string, range: KeyRange): number {
+  lostUntil (holder: string, move: KeyRange & { readonly fence: number }): number {
     const own = (this.#holders.get(holder)?.lastLost ?? -Infinity) + this.#longestHold
-    return this.#refusesFormerLeaders(holder, range) ? own : Math.max(own, this.#leaderSince + this.#longestHold)
+    if (this.refusesFormerLeaders(holder, move)) return own
+    // A leader stops renewing keys before it writes that they move.
+    const inherited = move.fence <= this.#firstFence
+    return Math.max(own, inherited ? this.#leaderSince + this.#longestHold : this.#formerLeadersUntil)
   }
 
   /** Returns the time from which the holder surely holds none of the keys that it was granted, in clock milliseconds. */
   mayHoldUntil (holder: string, range: KeyRange): number {
     const own = (this.#holders.get(holder)?.lastSent ?? -Infinity) + this.#longestHold
-    if (this.#refusesFormerLeaders(holder, range)) return own
-    return Math.max(own, this.#leaderSince + this.#options.staleLeaderMilliseconds + this.#longestHold)
+    return this.refusesFormerLeaders(holder, range) ? own : Math.max(own, this.#formerLeadersUntil)
   }
 
-  #refusesFormerLeaders (holder: string, range: KeyRange): boolean {
-    return this.#holders.get(holder)?.acknowledged.some(({ from, to }) => from <= range.from && range.to <= to) === true
+  /** Whether the endpoint has acknowledged a token of the present leadership on all of these keys. */
+  refusesFormerLeaders (holder: string, range: KeyRange): boolean {
+    const ranges = [...this.#holders.get(holder)?.acknowledged ?? []].sort((one, other) => one.from - other.from)
+    let next = range.from
+    for (const { from, to } of ranges) if (from <= next) next = Math.max(next, to + 1)
+    return next > range.to
+  }
+
+  /** Time until which a former leader's grants may last; it may not have learned of this leadership. */
+  get #formerLeadersUntil (): number {
+    return this.#leaderSince + this.#options.staleLeaderMilliseconds + this.#longestHold
   }
 
   /** Time from sending a grant until it has surely run out. */
--- a/packages/router/src/control/key-leader.test.ts
+++ b/packages/router/src/control/key-leader.test.ts
@@ -55,13 +55,15 @@
 
 class GrantingTransport extends EndpointTransport {
   readonly grants: Array<{ readonly endpoint: string, readonly grant: Grant }> = []
+  /** Endpoints whose answers to grants are lost. */
+  readonly silent = new Set<string>()
   override async send (): Promise<EndpointReply> { return { kind: 'unreachable' } }
   override async reach (): Promise<boolean> { return true }
   override keepOnly (): void {}
   override async release (): Promise<ReleaseReply> { return { kind: 'released', handover: '' } }
   override async grant ({ endpoint }: Holder, grant: Grant): Promise<GrantReply> {
     this.grants.push({ endpoint, grant })
-    return { kind: 'granted', connection: 1 }
+    return this.silent.has(endpoint) ? { kind: 'broken' } : { kind: 'granted', connection: 1 }
   }
 }
 
@@ -79,6 +81,7 @@
   let topic: MapTopic
   let transport: GrantingTransport
   let map: TopicFollower<KeyMap>
+  let directory: TopicFollower<Directory>
   let leader: KeyLeader
 
   const follow = <State>(name: string, source: StateTopic<State>): TopicFollower<State> =>
@@ -89,7 +92,7 @@
     topic = new MapTopic()
     transport = new GrantingTransport()
     map = follow('key map', topic)
-    const directory = follow('directory', new FixedTopic(directoryState))
+    directory = follow('directory', new FixedTopic(directoryState))
     const routing = follow('routing table', new FixedTopic(table))
     const member = new Member({ self, service: new LeadingService(), clock, confirmEveryMilliseconds: timing.confirmMilliseconds, callMilliseconds: 100, onRegained: () => {} })
     leader = new KeyLeader({ self, clock, timing, member, topic, map, directory, routing, transport, demand: new NoDemand() })
@@ -126,4 +129,17 @@
     expect(map.current?.state).to.include({ author: self.id })
     expect(map.current?.state.fence).to.be.greaterThan(foreign.fence)
   })
+
+  // Guards against keys that are served nowhere for as long as a former leader may go on, because a new leader moves them too soon.
+  it('moves no keys after a takeover before their owner has acknowledged a new token', async () => {
+    transport.silent.add('a')
+    topic.newest = { position: topic.newest.position + 1, state: raiseFences({ ...topic.newest.state, author: other.id }) }
+    map.offer(topic.newest)
+    while (!leader.leading) await delay(10)
+    directory.offer({ position: 2, state: new Map([...directoryState, ['a', { ...entry('a'), leaving: true }]]) })
+    await delay(300)
+    expect(map.current?.state.pools.ponds?.filter(segment => segment.moving)).to.deep.equal([])
+    transport.silent.delete('a')
+    while (map.current?.state.pools.ponds?.every(segment => segment.owner.endpoint === 'b' && !segment.moving) !== true) await delay(10)
+  })
 })
--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -6,7 +6,7 @@
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
 import type { EndpointTransport } from '../endpoint-transport.js'
 import type { RoutingTable } from '../routing-table.js'
-import { GrantRenewal } from './grant-renewal.js'
+import { GrantRenewal, holderKey } from './grant-renewal.js'
 import type { Member } from './member.js'
 import { RangeHandover } from './range-handover.js'
 import type { WritableTopic } from './state-topic.js'
@@ -183,11 +183,22 @@
   #planPool (map: KeyMap, pool: string): KeyMap {
     const members = this.#membersOf(pool)
     if (map.pools[pool] === undefined && !this.#hasSettled(pool, members.length)) return map
+    if (this.#awaitsAcknowledgement(map, pool)) return map
     const planned = planMembership(map, pool, members)
     if (planned !== map || !this.#demandIsFresh) return planned
     return planSpread(planned, pool, members.map(member => this.#rested(member) ? member : { ...member, accepting: false, busySlots: 0, keys: [] }))
   }
 
+  /** After a takeover, keys of an owner that may still take a former leader's grants could be served nowhere for as long as such a grant lasts. */
+  #awaitsAcknowledgement (map: KeyMap, pool: string): boolean {
+    const directory = this.#options.directory.current?.state
+    return (map.pools[pool] ?? []).some(segment => {
+      const { owner, moving } = segment
+      const reachable = directory?.get(owner.endpoint)?.life === owner.life && !this.#renewal.isUnreachable(owner.endpoint)
+      return !moving && reachable && !this.#ledger.refusesFormerLeaders(holderKey(owner), segment)
+    })
+  }
+
   /** Collects the demand now and then; the tick after that plans with it. */
   async #collectDemand (): Promise<void> {
     const { clock, timing, demand, directory } = this.#options
