Send no grants while another VM is known to have read a newer key map

Change: a leader pauses from the moment it hears of a newer position until it has read the map, or the log itself shows that there is none. A pause is shorter than a hold, since a VM that cannot read the log asks another one every 0.4 s. Test without network: fails before with grants of both endpoints; its log fake now also fails waiting reads while it is away, as the log does.

--- a/packages/router/src/control/key-leader.test.ts
+++ b/packages/router/src/control/key-leader.test.ts
@@ -38,7 +38,10 @@
     return this.newest
   }
 
-  override async next (): Promise<undefined> { return undefined }
+  override async next (): Promise<undefined> {
+    this.#failWhenAway()
+    return undefined
+  }
 
   override async write (state: KeyMap, position: number): Promise<number> {
     this.writes++
@@ -121,6 +124,18 @@
     expect(transport.grants.slice(before)).to.deep.equal([])
   })
 
+  // Guards against OWNER: until it reads the map, a former leader renews keys that its successor gives to others.
+  it('sends no grant once another VM has read a newer map than its own, until it has read that map', async () => {
+    topic.away = true
+    map.heardOf(topic.newest.position + 1)
+    await delay(timing.grantCallMilliseconds)
+    const before = transport.grants.length
+    await delay(6 * timing.renewMilliseconds)
+    expect(transport.grants.slice(before)).to.deep.equal([])
+    topic.away = false
+    while (transport.grants.length === before) await delay(10)
+  })
+
   it('leads again under tokens of its own when the log is back and the membership still says so', async () => {
     const foreign = mapOfOther()
     topic.newest = { position: topic.newest.position + 1, state: foreign }
--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -97,6 +97,8 @@
     }
     if (!this.#leading) return await this.#beginIfMember(signal)
     if (this.#isStale()) return this.#end('the log was out of reach for too long')
+    // Either another VM leads, or a write of this one arrived late; the map tells which.
+    if (this.#options.map.behind) return
     this.#renewal.renewDue(this.#map.pools)
     void this.#collectDemand()
     await this.#refreshMembers()
--- a/packages/router/src/control/news.ts
+++ b/packages/router/src/control/news.ts
@@ -28,7 +28,7 @@
   /** Takes what another VM has read. */
   heard ({ keyMapPosition, routingVersion }: ReadPositions): void {
     const own = this.own
-    if (keyMapPosition > own.keyMapPosition) this.#map.interrupt()
+    this.#map.heardOf(keyMapPosition)
     if (routingVersion > own.routingVersion) this.#routing.interrupt()
     if (keyMapPosition > own.keyMapPosition || routingVersion > own.routingVersion) {
       logger.info('another VM has read further', { keyMapPosition: own.keyMapPosition, otherKeyMapPosition: keyMapPosition, routingVersion: own.routingVersion, otherRoutingVersion: routingVersion })
--- a/packages/router/src/control/topic-follower.ts
+++ b/packages/router/src/control/topic-follower.ts
@@ -28,6 +28,8 @@
   #confirmedAt = -Infinity
   #failures = 0
   #reading = new AbortController()
+  #heardOf = 0
+  #heardAt = -Infinity
 
   constructor (options: TopicFollowerOptions<State>) {
     this.#options = options
@@ -40,6 +42,9 @@
   /** False while reads fail. */
   get connected (): boolean { return this.#failures === 0 && this.#current !== undefined }
 
+  /** True while another VM has read further, and no read since then has shown otherwise. */
+  get behind (): boolean { return this.#heardOf > (this.#current?.position ?? 0) && this.#confirmedAt < this.#heardAt }
+
   /** Calls the listener after each change. */
   onChange (listener: (state: State) => void): void {
     this.#listeners.push(listener)
@@ -61,6 +66,14 @@
     if (changed) for (const listener of this.#listeners) listener(state.state)
   }
 
+  /** Learns how far another VM has read. */
+  heardOf (position: number): void {
+    if (position <= (this.#current?.position ?? 0)) return
+    this.#heardOf = Math.max(this.#heardOf, position)
+    this.#heardAt = this.#options.clock.now()
+    this.interrupt()
+  }
+
   /** Gives up a read that may wait on a dead connection and reads anew. */
   interrupt (): void {
     this.#reading.abort()
