Keep a grant in the ledger when another one of the same instant was not sent

Two grants to one endpoint can be recorded at the same reading of the clock, one of them on a connection that turns out to be gone. Taking that one back restored the time of the last grant before both, so a move from an endpoint that no longer answers could end its wait up to one renewal interval too early, with two holders for the rest. The ledger now keeps each grant on its way with its own time. Test without network: before, the time was -Infinity instead of one hold after the grant.

--- a/packages/key-ranges/src/grant-ledger.test.ts
+++ b/packages/key-ranges/src/grant-ledger.test.ts
@@ -34,6 +34,19 @@
     expect(ledger.mayHoldUntil('a', keys)).to.equal(3_460)
   })
 
+  // Guards against OWNER: of two grants of the same instant one is not sent after all, and the other one is forgotten with it.
+  it('remembers a grant when another one of the same instant was not sent', () => {
+    const clock = new ManualClock()
+    const ledger = new GrantLedger({ ...options, clock })
+    ledger.acknowledged('a', keys)
+    clock.advance(500)
+    const [first, second] = [ledger.sending('a'), ledger.sending('a')]
+    first.notSent()
+    expect(ledger.mayHoldUntil('a', keys)).to.equal(500 + 3_460)
+    second.answered()
+    expect(ledger.mayHoldUntil('a', keys)).to.equal(500 + 3_460)
+  })
+
   it('knows which grants are on their way, and until when one without an answer may take effect', () => {
     const clock = new ManualClock()
     const ledger = new GrantLedger({ ...options, clock })
--- a/packages/key-ranges/src/grant-ledger.ts
+++ b/packages/key-ranges/src/grant-ledger.ts
@@ -25,10 +25,12 @@
 }
 
 interface HolderRecord {
+  /** When the last grant was sent that is no longer on its way. */
   lastSent: number
   /** When the last grant without an answer was sent. */
   lastLost: number
-  pending: number
+  /** Grants on their way, with the time at which each was sent. */
+  readonly pending: Set<{ readonly sentAt: number }>
   /** Keys on which the endpoint has acknowledged a token of the present leadership, so that it refuses every earlier leader. */
   acknowledged: readonly KeyRange[]
 }
@@ -58,20 +60,19 @@
   /** Records that a grant is about to be sent. */
   sending (holder: string): GrantTicket {
     const record = this.#recordOf(holder)
-    const before = record.lastSent
-    const sentAt = this.#options.clock.now()
-    record.lastSent = sentAt
-    record.pending++
+    const grant = { sentAt: this.#options.clock.now() }
+    record.pending.add(grant)
+    const sent = (): void => {
+      record.pending.delete(grant)
+      record.lastSent = Math.max(record.lastSent, grant.sentAt)
+    }
     return {
-      answered: () => { record.pending-- },
+      answered: sent,
       lost: () => {
-        record.pending--
-        record.lastLost = Math.max(record.lastLost, sentAt)
+        sent()
+        record.lastLost = Math.max(record.lastLost, grant.sentAt)
       },
-      notSent: () => {
-        record.pending--
-        if (record.lastSent === sentAt) record.lastSent = before
-      }
+      notSent: () => { record.pending.delete(grant) }
     }
   }
 
@@ -85,7 +86,7 @@
 
   /** Grants that are on their way. */
   pending (holder: string): number {
-    return this.#holders.get(holder)?.pending ?? 0
+    return this.#holders.get(holder)?.pending.size ?? 0
   }
 
   /**
@@ -102,7 +103,9 @@
 
   /** Returns the time from which the holder surely holds none of the keys that it was granted, in clock milliseconds. */
   mayHoldUntil (holder: string, range: KeyRange): number {
-    const own = (this.#holders.get(holder)?.lastSent ?? -Infinity) + this.#longestHold
+    const record = this.#holders.get(holder)
+    const lastSent = Math.max(record?.lastSent ?? -Infinity, ...[...record?.pending ?? []].map(({ sentAt }) => sentAt))
+    const own = lastSent + this.#longestHold
     return this.refusesFormerLeaders(holder, range) ? own : Math.max(own, this.#formerLeadersUntil)
   }
 
@@ -127,7 +130,7 @@
 
   #recordOf (holder: string): HolderRecord {
     let record = this.#holders.get(holder)
-    if (record === undefined) this.#holders.set(holder, record = { lastSent: -Infinity, lastLost: -Infinity, pending: 0, acknowledged: [] })
+    if (record === undefined) this.#holders.set(holder, record = { lastSent: -Infinity, lastLost: -Infinity, pending: new Set(), acknowledged: [] })
     return record
   }
 }
