Log how each former owner of moving keys came to hold them no longer

One line a move and former owner now says how, how long, and whether the endpoint refuses former leaders.

--- a/packages/router/src/control/range-handover.ts
+++ b/packages/router/src/control/range-handover.ts
@@ -78,8 +78,13 @@
   async #vacate (former: Holder, signal: AbortSignal): Promise<string> {
     const { ledger, clock, segment } = this.#options
     const until = this.#mayHoldUntil.get(holderKey(former)) ?? Infinity
+    const startedAt = clock.now()
     while (!signal.aborted) {
-      if (until <= clock.now() || this.#hasEnded(former)) return ''
+      const ended = this.#hasEnded(former)
+      if (ended || until <= clock.now()) {
+        this.#logVacated(former, { how: ended ? 'ended' : 'grants_ran_out', startedAt, outstandingMilliseconds: 0 })
+        return ''
+      }
       if (ledger.pending(holderKey(former)) > 0) {
         await delay(pendingMilliseconds, signal)
         continue
@@ -87,7 +92,9 @@
       const lostUntil = ledger.lostUntil(holderKey(former), segment)
       const handover = await this.#release(former, until, signal)
       if (handover !== undefined) {
-        await delay(Math.max(0, Math.min(lostUntil, until) - clock.now()), signal)
+        const outstanding = Math.max(0, Math.min(lostUntil, until) - clock.now())
+        await delay(outstanding, signal)
+        if (!signal.aborted) this.#logVacated(former, { how: 'released', startedAt, outstandingMilliseconds: outstanding })
         return handover
       }
       await delay(Math.min(retryMilliseconds, Math.max(0, until - clock.now())), signal)
@@ -95,6 +102,21 @@
     return ''
   }
 
+  /** `outstandingMilliseconds` is the wait after the release for grants that may still take effect. */
+  #logVacated (former: Holder, { how, startedAt, outstandingMilliseconds }: { readonly how: 'released' | 'ended' | 'grants_ran_out', readonly startedAt: number, readonly outstandingMilliseconds: number }): void {
+    const { clock, ledger, pool, segment } = this.#options
+    logger.info('keys vacated', {
+      pool,
+      keys: rangeText(segment),
+      fence: segment.fence,
+      endpoint: former.endpoint,
+      how,
+      milliseconds: Math.round(clock.now() - startedAt),
+      outstandingMilliseconds: Math.round(outstandingMilliseconds),
+      refusesFormerLeaders: ledger.refusesFormerLeaders(holderKey(former), segment)
+    })
+  }
+
   async #release (former: Holder, until: number, signal: AbortSignal): Promise<string | undefined> {
     const { clock } = this.#options
     return await withTimeLimit(until - clock.now(), signal, async limited => await this.#releaseWithin(former, limited))
