--- a/packages/key-ranges/src/grant-ledger.test.ts
+++ b/packages/key-ranges/src/grant-ledger.test.ts
@@ -18,7 +18,7 @@
     const clock = new ManualClock()
     const ledger = new GrantLedger({ ...options, clock })
     clock.advance(1_000)
-    ledger.begin(7)
+    ledger.begin(7, [])
     expect(ledger.mayHoldUntil('a', keys)).to.equal(1_000 + 10_000 + 3_460)
     ledger.acknowledged('a', keys)
     expect(ledger.mayHoldUntil('a', keys)).to.equal(-Infinity)
@@ -55,7 +55,7 @@
     first.answered()
     // A former leader may still send one.
     expect(ledger.lostUntil('a', keys)).to.equal(10_000 + 3_460)
-    ledger.begin(6)
+    ledger.begin(6, [])
     clock.advance(400)
     second.lost()
     expect(ledger.pending('a')).to.equal(0)
@@ -65,13 +65,14 @@
     expect(ledger.lostUntil('a', keys)).to.equal(3_460)
   })
 
-  it('waits for the grants of the leader before on keys that it was already moving, since it had stopped renewing them', () => {
+  it('waits only for grants from before the takeover on keys that the leader before was already moving away, since it had stopped renewing them', () => {
     const clock = new ManualClock()
     const ledger = new GrantLedger({ ...options, clock })
     clock.advance(1_000)
-    ledger.begin(7)
+    ledger.begin(7, [{ holder: 'a', from: 50, to: 200 }])
     expect(ledger.lostUntil('a', keys)).to.equal(1_000 + 3_460)
-    expect(ledger.lostUntil('a', { ...keys, fence: 8 })).to.equal(1_000 + 10_000 + 3_460)
+    expect(ledger.lostUntil('a', { from: 100, to: 201 })).to.equal(1_000 + 10_000 + 3_460)
+    expect(ledger.lostUntil('b', keys)).to.equal(1_000 + 10_000 + 3_460)
   })
 
   it('waits for grants of the leader before only on keys on which the endpoint has not acknowledged a token of this leadership', () => {
@@ -82,15 +83,15 @@
     ledger.acknowledged('a', { from: 151, to: 200, fence: 7 })
     expect(ledger.lostUntil('a', keys)).to.equal(-Infinity)
     expect(ledger.mayHoldUntil('a', keys)).to.equal(-Infinity)
-    ledger.begin(6)
+    ledger.begin(6, [])
     expect(ledger.lostUntil('a', keys)).to.equal(10_000 + 3_460)
   })
 
   it('takes the late answer to a grant of an earlier leadership of this VM for no sign that newer tokens were seen', () => {
     const ledger = new GrantLedger({ ...options, clock: new ManualClock() })
-    ledger.begin(8)
+    ledger.begin(8, [])
     ledger.acknowledged('a', keys)
-    expect(ledger.lostUntil('a', { ...keys, fence: 9 })).to.equal(10_000 + 3_460)
+    expect(ledger.lostUntil('a', keys)).to.equal(10_000 + 3_460)
     ledger.acknowledged('a', { ...keys, fence: 8 })
     expect(ledger.lostUntil('a', keys)).to.equal(-Infinity)
   })
--- a/packages/key-ranges/src/grant-ledger.ts
+++ b/packages/key-ranges/src/grant-ledger.ts
@@ -24,6 +24,11 @@
   readonly notSent: () => void
 }
 
+/** Keys at one holder. */
+export interface HeldRange extends KeyRange {
+  readonly holder: string
+}
+
 interface HolderRecord {
   /** When the last grant was sent that is no longer on its way. */
   lastSent: number
@@ -44,15 +49,20 @@
   readonly #holders = new Map<string, HolderRecord>()
   #leaderSince: number
   #firstFence = 0
+  #leftBefore: readonly HeldRange[] = []
 
   constructor (options: GrantLedgerOptions) {
     this.#options = options
     this.#leaderSince = options.clock.now()
   }
 
-  /** A new leadership begins, whose tokens are `firstFence` and higher: whoever led before may go on for a while. */
-  begin (firstFence: number): void {
+  /**
+   * A new leadership begins, whose tokens are `firstFence` and higher: whoever led before may go on for a while, but no longer
+   * renews the keys that it was already moving away from their holders.
+   */
+  begin (firstFence: number, leftBefore: readonly HeldRange[]): void {
     this.#firstFence = firstFence
+    this.#leftBefore = leftBefore
     this.#leaderSince = this.#options.clock.now()
     for (const record of this.#holders.values()) record.acknowledged = []
   }
@@ -90,15 +100,15 @@
   }
 
   /**
-   * Returns the time from which no grant can give keys back that were released for a move with this token, in clock
-   * milliseconds: neither one of this leadership without an answer nor one of a former leader.
+   * Returns the time from which no grant can give released keys back, in clock milliseconds: neither one of this leadership
+   * without an answer nor one of a former leader.
    */
-  lostUntil (holder: string, move: KeyRange & { readonly fence: number }): number {
+  lostUntil (holder: string, range: KeyRange): number {
     const own = (this.#holders.get(holder)?.lastLost ?? -Infinity) + this.#longestHold
-    if (this.refusesFormerLeaders(holder, move)) return own
+    if (this.refusesFormerLeaders(holder, range)) return own
     // A leader stops renewing keys before it writes that they move.
-    const inherited = move.fence <= this.#firstFence
-    return Math.max(own, inherited ? this.#leaderSince + this.#longestHold : this.#formerLeadersUntil)
+    const left = this.#leftBefore.some(other => other.holder === holder && contains(other, range))
+    return Math.max(own, left ? this.#leaderSince + this.#longestHold : this.#formerLeadersUntil)
   }
 
   /** Returns the time from which the holder surely holds none of the keys that it was granted, in clock milliseconds. */
@@ -134,3 +144,7 @@
     return record
   }
 }
+
+function contains (outer: KeyRange, inner: KeyRange): boolean {
+  return outer.from <= inner.from && inner.to <= outer.to
+}
--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -127,7 +127,7 @@
     await this.#refreshMembers()
     const raised = raiseFences({ ...this.#map, author: self.id })
     await this.#write(joinSegments(raised), 'take over', signal)
-    this.#ledger.begin(raised.fence)
+    this.#ledger.begin(raised.fence, Object.values(raised.pools).flat().flatMap(({ from, to, former }) => former.map(holder => ({ holder: holderKey(holder), from, to }))))
     this.#renewal.reset()
     this.#leading = true
     logger.info('leadership begins', { fence: this.#map.fence, position: map.current?.position, pools: Object.keys(this.#map.pools).length })
--- /dev/null
+++ b/packages/router/src/control/ownership-soak.test.ts
@@ -0,0 +1,23 @@
+import { expect } from 'chai'
+import { Random } from '@briarsaddle/common'
+import { OwnershipSimulation, simulatedTiming } from './simulation/ownership-simulation.js'
+
+const faultyMilliseconds = 8_000
+// A new leader waits for a former one, and once more if it is replaced meanwhile itself.
+const calmMilliseconds = 2 * (simulatedTiming.staleLeaderMilliseconds + simulatedTiming.holdMilliseconds)
+const seeds = (process.env.OWNERSHIP_SEEDS ?? '1,2,3,4,5,6,7,8').split(',').map(Number)
+
+describe('Ownership under random faults', function () {
+  this.timeout(60_000)
+
+  // Guards against OWNER: leaders that are replaced, turned away, cut off or started again while keys move.
+  it(`gives no key to two endpoints, and settles all keys when the faults are over (seeds ${seeds.join(', ')})`, async () => {
+    const results = await Promise.all(seeds.map(async seed => {
+      const simulation = new OwnershipSimulation(new Random(seed))
+      const { breaches, maps } = await simulation.run(faultyMilliseconds, calmMilliseconds)
+      return { seed, breaches, unsettled: simulation.unsettled, maps }
+    }))
+    expect(results.filter(({ breaches, unsettled }) => breaches.length > 0 || unsettled > 0)).to.deep.equal([])
+    for (const { seed, maps } of results) expect(maps, `key maps written with seed ${seed}`).to.be.greaterThan(10)
+  })
+})
--- /dev/null
+++ b/packages/router/src/control/simulation/ownership-simulation.ts
@@ -0,0 +1,210 @@
+import { delay, LifeCycle, MonotonicClock, type Random } from '@briarsaddle/common'
+import { emptyKeyMap, type KeyMap, type VmEntry } from '@briarsaddle/key-ranges'
+import type { Directory, EndpointEntry } from '../../endpoint-entry.js'
+import type { RoutingTable } from '../../routing-table.js'
+import { DemandSource, KeyLeader, type MeasuredDemand } from '../key-leader.js'
+import { Member } from '../member.js'
+import type { StateTopic } from '../state-topic.js'
+import { defaultControlTiming, type ControlTiming } from '../timing.js'
+import { TopicFollower, type TopicFollowerOptions } from '../topic-follower.js'
+import { SimulatedEndpoints, SimulatedLinks } from './simulated-endpoints.js'
+import { LogAccess, SharedGroup, SharedTopic, SimulatedMembership, SimulatedTopic, type LogMode } from './simulated-log.js'
+
+const pool = 'ponds'
+const table: RoutingTable = { version: 1, routes: [], pools: [{ name: pool, keyed: true, maximumConnections: 100 }] }
+const slots = 2
+const hotKeysEach = 8
+const vmCount = 3
+const endpointCount = 6
+const mostPauseMilliseconds = 400
+const newsMilliseconds = 150
+
+/** The default times, a third as long, so that more happens in a run. */
+export const simulatedTiming: ControlTiming = {
+  ...defaultControlTiming,
+  holdMilliseconds: 1_000,
+  renewMilliseconds: 300,
+  grantCallMilliseconds: 140,
+  suspectMilliseconds: 250,
+  staleLeaderMilliseconds: 3_300,
+  membershipMilliseconds: 400,
+  confirmMilliseconds: 120,
+  logCallMilliseconds: 230,
+  logWaitMilliseconds: 1_000,
+  directoryMilliseconds: 150,
+  settleMilliseconds: 100,
+  spreadMilliseconds: 300,
+  restMilliseconds: 300
+}
+
+/** Demand that is high at other endpoints each time, so that keys move, until it ends. */
+class RandomDemand extends DemandSource {
+  ended = false
+  readonly #random: Random
+  readonly #map: () => KeyMap | undefined
+
+  constructor (random: Random, map: () => KeyMap | undefined) {
+    super()
+    this.#random = random
+    this.#map = map
+  }
+
+  override async collect (): Promise<ReadonlyMap<string, MeasuredDemand>> {
+    const segments = this.ended ? [] : this.#map()?.pools[pool] ?? []
+    return new Map([...new Set(segments.map(segment => segment.owner.endpoint))].map(endpoint => {
+      const busySlots = this.#random.fraction() * slots
+      const own = segments.filter(segment => segment.owner.endpoint === endpoint)
+      const keys = Array.from({ length: hotKeysEach }, () => {
+        const { from, to } = this.#random.pick(own)
+        return { key: this.#random.integer(from, to), busySlots: busySlots / hotKeysEach }
+      })
+      return [endpoint, { busySlots, serviceMilliseconds: 50, keys }]
+    }))
+  }
+}
+
+interface SimulatedVm {
+  readonly entry: VmEntry
+  readonly access: LogAccess
+  readonly links: SimulatedLinks
+  readonly demand: RandomDemand
+  /** True while it hears nothing from other VMs. */
+  alone: boolean
+  map: TopicFollower<KeyMap>
+  lifeCycle: LifeCycle
+}
+
+/** VMs with their leaders, a log and endpoints in one process, to which random faults happen. */
+export class OwnershipSimulation {
+  readonly endpoints: SimulatedEndpoints
+  readonly #random: Random
+  readonly #clock = new MonotonicClock()
+  readonly #keyMap = new SharedTopic<KeyMap>(emptyKeyMap)
+  readonly #directory = new SharedTopic<Directory>(new Map())
+  readonly #group = new SharedGroup(simulatedTiming.membershipMilliseconds)
+  readonly #vms: SimulatedVm[] = []
+  #nextEndpoint = 1
+
+  constructor (random: Random) {
+    this.#random = random
+    this.endpoints = new SimulatedEndpoints(random)
+  }
+
+  /** Lets faults happen for the given time, then a calm time. Returns the breaches seen and how many maps were written. */
+  async run (faultyMilliseconds: number, calmMilliseconds: number): Promise<{ readonly breaches: readonly string[], readonly maps: number }> {
+    for (let index = 0; index < endpointCount; index++) this.#addEndpoint()
+    for (let index = 1; index <= vmCount; index++) this.#vms.push(this.#startVm(`vm-${index}`))
+    const gossip = setInterval(() => this.#spreadNews(), newsMilliseconds)
+    const until = performance.now() + faultyMilliseconds
+    while (performance.now() < until) {
+      await delay(this.#random.integer(10, mostPauseMilliseconds))
+      await this.#disturb()
+    }
+    for (const vm of this.#vms) {
+      this.#heal(vm)
+      vm.demand.ended = true
+    }
+    await delay(calmMilliseconds)
+    clearInterval(gossip)
+    for (const vm of this.#vms) await vm.lifeCycle.close()
+    return { breaches: this.endpoints.breaches, maps: this.#keyMap.newest.position }
+  }
+
+  /** Segments that are not settled at a live endpoint. */
+  get unsettled (): number {
+    return (this.#keyMap.newest.state.pools[pool] ?? []).filter(({ moving, owner }) => moving || this.endpoints.get(owner)?.alive !== true).length
+  }
+
+  async #disturb (): Promise<void> {
+    const vm = this.#random.pick(this.#vms)
+    const entries = [...this.#directory.newest.state.values()]
+    const entry = this.#random.pick(entries)
+    const steps: ReadonlyArray<() => void | Promise<void>> = [
+      () => { vm.access.mode = this.#random.pick<LogMode>(['answers', 'turns_away', 'hangs', 'loses_answers']) },
+      () => { vm.access.mode = 'answers' },
+      () => { vm.alone = !vm.alone },
+      () => this.#heal(vm),
+      () => { vm.links.cut.add(entry.id) },
+      () => { vm.links.cut.clear() },
+      () => { this.#group.reassign() },
+      () => { if (entries.length < 2 * endpointCount) this.#addEndpoint() },
+      () => { this.#putEntry({ ...entry, leaving: true }) },
+      () => { if (entries.length > endpointCount) this.#lose(entry) },
+      () => { if (entries.length > endpointCount && entry.leaving) this.#removeEntry(entry) },
+      async () => {
+        await vm.lifeCycle.close()
+        this.#vms[this.#vms.indexOf(vm)] = this.#startVm(vm.entry.id)
+      }
+    ]
+    await this.#random.pick(steps)()
+  }
+
+  #heal (vm: SimulatedVm): void {
+    vm.access.mode = 'answers'
+    vm.alone = false
+    vm.links.cut.clear()
+  }
+
+  #spreadNews (): void {
+    for (const vm of this.#vms) {
+      const other = this.#random.pick(this.#vms)
+      const theirs = other.map.current
+      if (vm.alone || other.alone || other === vm || theirs === undefined) continue
+      vm.map.heardOf(theirs.position)
+      if (!vm.map.connected) vm.map.offer(theirs)
+    }
+  }
+
+  #addEndpoint (): void {
+    const id = `endpoint-${this.#nextEndpoint++}`
+    this.endpoints.add({ endpoint: id, life: 1, address: '127.0.0.1:1' })
+    this.#putEntry({ id, pool, host: '127.0.0.1', port: 1, dataCentre: 'a', slots, leaving: false, life: 1, warmUpMilliseconds: 0 })
+  }
+
+  /** The process ends; sometimes the next one of the same id is there before the directory says that this one has gone. */
+  #lose (entry: EndpointEntry): void {
+    const holder = { endpoint: entry.id, life: entry.life, address: '127.0.0.1:1' }
+    const endpoint = this.endpoints.get(holder)
+    if (endpoint !== undefined) endpoint.alive = false
+    if (this.#random.fraction() < 0.5) return this.#removeEntry(entry)
+    this.endpoints.add({ ...holder, life: entry.life + 1 })
+    this.#putEntry({ ...entry, life: entry.life + 1, leaving: false })
+  }
+
+  #putEntry (entry: EndpointEntry): void {
+    this.#directory.put(new Map([...this.#directory.newest.state, [entry.id, entry]]))
+  }
+
+  #removeEntry ({ id }: EndpointEntry): void {
+    this.#directory.put(new Map([...this.#directory.newest.state].filter(([other]) => other !== id)))
+  }
+
+  #startVm (id: string): SimulatedVm {
+    const self: VmEntry = { id, host: '127.0.0.1', port: 1, dataCentre: 'a' }
+    const access = new LogAccess(this.#random)
+    const links = new SimulatedLinks(id, this.endpoints, simulatedTiming.grantCallMilliseconds)
+    const lifeCycle = new LifeCycle(id)
+    const map = this.#follow('key map', new SimulatedTopic(this.#keyMap, access))
+    const directory = this.#follow('directory', new SimulatedTopic(this.#directory, access), { waitMilliseconds: 0, pauseMilliseconds: simulatedTiming.directoryMilliseconds })
+    const routing = this.#follow('routing table', new SimulatedTopic(new SharedTopic(table), access))
+    const member = new Member({
+      self,
+      service: new SimulatedMembership(this.#group, access),
+      clock: this.#clock,
+      confirmEveryMilliseconds: simulatedTiming.confirmMilliseconds,
+      callMilliseconds: simulatedTiming.logCallMilliseconds,
+      onRegained: () => map.interrupt()
+    })
+    const demand = new RandomDemand(this.#random, () => map.current?.state)
+    const leader = new KeyLeader({ self, clock: this.#clock, timing: simulatedTiming, member, topic: new SimulatedTopic(this.#keyMap, access), map, directory, routing, transport: links, demand })
+    for (const follower of [map, directory, routing]) follower.start(lifeCycle)
+    member.start(lifeCycle)
+    leader.start(lifeCycle)
+    return { entry: self, access, links, demand, alone: false, map, lifeCycle }
+  }
+
+  #follow<State> (name: string, topic: StateTopic<State>, options: Partial<TopicFollowerOptions<State>> = {}): TopicFollower<State> {
+    const { logWaitMilliseconds } = simulatedTiming
+    return new TopicFollower({ name, topic, clock: this.#clock, waitMilliseconds: logWaitMilliseconds, pauseMilliseconds: 0, isNewer: (one, before) => one.position > before.position, ...options })
+  }
+}
--- /dev/null
+++ b/packages/router/src/control/simulation/simulated-endpoints.ts
@@ -0,0 +1,142 @@
+import { delay, type Random } from '@briarsaddle/common'
+import type { Holder, KeyRange } from '@briarsaddle/key-ranges'
+import { EndpointTransport, type EndpointReply, type Grant, type GrantReply, type ReleaseReply } from '../../endpoint-transport.js'
+
+const keyCount = 65_536
+const mostTransitMilliseconds = 8
+const mostWorkMilliseconds = 60
+const lostAnswerShare = 0.04
+/** Longest time after which a grant without an answer is carried out. */
+const mostLateMilliseconds = 1_500
+
+interface Held extends KeyRange {
+  readonly fence: number
+  readonly until: number
+}
+
+/** One process of an endpoint: what it holds and which tokens it has seen. */
+export class SimulatedEndpoint {
+  readonly fences = new Int32Array(keyCount)
+  held: readonly Held[] = []
+  alive = true
+
+  constructor (readonly holder: Holder) {}
+
+  /** Takes keys away; the parts of a grant beside them stay. */
+  withdraw ({ from, to }: KeyRange): void {
+    this.held = this.held.flatMap(held => held.to < from || held.from > to
+      ? [held]
+      : [{ ...held, to: from - 1 }, { ...held, from: to + 1 }].filter(part => part.from <= part.to))
+  }
+}
+
+/** All endpoints of a simulation. Notes every grant that breaks a rule of exclusive keys. */
+export class SimulatedEndpoints {
+  readonly breaches: string[] = []
+  readonly #random: Random
+  readonly #endpoints = new Map<string, SimulatedEndpoint>()
+  readonly #startedAt = performance.now()
+
+  constructor (random: Random) {
+    this.#random = random
+  }
+
+  add (holder: Holder): SimulatedEndpoint {
+    const endpoint = new SimulatedEndpoint(holder)
+    this.#endpoints.set(nameOf(holder), endpoint)
+    return endpoint
+  }
+
+  get (holder: Holder): SimulatedEndpoint | undefined {
+    return this.#endpoints.get(nameOf(holder))
+  }
+
+  /** Carries a grant out; its time counts from its arrival. Returns whether it was accepted. */
+  take (vm: string, endpoint: SimulatedEndpoint, grant: Grant, arrivedAt: number): boolean {
+    const { from, to, fence, holdMilliseconds } = grant
+    const until = arrivedAt + holdMilliseconds
+    if (endpoint.fences.subarray(from, to + 1).some(seen => seen > fence)) return false
+    endpoint.withdraw(grant)
+    endpoint.fences.fill(fence, from, to + 1)
+    if (until <= performance.now()) return true
+    for (const other of this.#endpoints.values()) if (other !== endpoint && other.alive) this.#check(vm, endpoint, other, grant)
+    endpoint.held = [...endpoint.held, { from, to, fence, until }]
+    return true
+  }
+
+  #check (vm: string, endpoint: SimulatedEndpoint, other: SimulatedEndpoint, { from, to, fence }: Grant): void {
+    const what = `${Math.round(performance.now() - this.#startedAt)} ms: ${vm} grants ${from}-${to} with ${fence} to ${nameOf(endpoint.holder)}`
+    const held = other.held.find(one => one.until > performance.now() && one.from <= to && one.to >= from)
+    if (held !== undefined) this.breaches.push(`${what}, while ${nameOf(other.holder)} holds ${held.from}-${held.to} with ${held.fence}`)
+    else if (other.fences.subarray(from, to + 1).some(seen => seen >= fence)) this.breaches.push(`${what}, below a token of ${nameOf(other.holder)}`)
+  }
+
+  async transit (): Promise<void> {
+    await delay(this.#random.integer(1, mostTransitMilliseconds))
+  }
+
+  async work (): Promise<void> {
+    await delay(this.#random.integer(0, mostWorkMilliseconds))
+  }
+
+  get losesAnswer (): boolean { return this.#random.fraction() < lostAnswerShare }
+  get lateMilliseconds (): number { return this.#random.integer(0, mostLateMilliseconds) }
+}
+
+/** The links of one VM to the endpoints. */
+export class SimulatedLinks extends EndpointTransport {
+  /** Endpoints that this VM cannot reach. */
+  readonly cut = new Set<string>()
+  readonly #vm: string
+  readonly #endpoints: SimulatedEndpoints
+  readonly #callMilliseconds: number
+  readonly #connections = new Map<string, number>()
+
+  constructor (vm: string, endpoints: SimulatedEndpoints, callMilliseconds: number) {
+    super()
+    this.#vm = vm
+    this.#endpoints = endpoints
+    this.#callMilliseconds = callMilliseconds
+  }
+
+  override async send (): Promise<EndpointReply> { return { kind: 'unreachable' } }
+  override keepOnly (): void {}
+  override async reach (holder: Holder): Promise<boolean> { return this.#reached(holder) !== undefined }
+
+  override async grant (holder: Holder, grant: Grant): Promise<GrantReply> {
+    const name = nameOf(holder)
+    const connection = this.#connections.get(name) ?? 1
+    if (grant.connection !== undefined && grant.connection !== connection) return { kind: 'disconnected' }
+    await this.#endpoints.transit()
+    const endpoint = this.#reached(holder)
+    if (endpoint === undefined) return { kind: 'unreachable' }
+    if (this.#endpoints.losesAnswer) {
+      const arrivedAt = performance.now()
+      void delay(this.#endpoints.lateMilliseconds).then(() => { if (endpoint.alive) this.#endpoints.take(this.#vm, endpoint, grant, arrivedAt) })
+      this.#connections.set(name, connection + 1)
+      await delay(this.#callMilliseconds)
+      return { kind: 'broken' }
+    }
+    const accepted = this.#endpoints.take(this.#vm, endpoint, grant, performance.now())
+    await this.#endpoints.transit()
+    return accepted ? { kind: 'granted', connection } : { kind: 'fenced' }
+  }
+
+  override async release (holder: Holder, release: KeyRange & { readonly fence: number }): Promise<ReleaseReply> {
+    await this.#endpoints.transit()
+    const endpoint = this.#reached(holder)
+    if (endpoint === undefined) return { kind: 'failed' }
+    endpoint.withdraw(release)
+    await this.#endpoints.work()
+    return this.#endpoints.losesAnswer ? { kind: 'failed' } : { kind: 'released', handover: 'warm' }
+  }
+
+  #reached (holder: Holder): SimulatedEndpoint | undefined {
+    const endpoint = this.#endpoints.get(holder)
+    return endpoint?.alive === true && !this.cut.has(holder.endpoint) ? endpoint : undefined
+  }
+}
+
+function nameOf ({ endpoint, life }: Holder): string {
+  return `${endpoint}#${life}`
+}
--- /dev/null
+++ b/packages/router/src/control/simulation/simulated-log.ts
@@ -0,0 +1,159 @@
+import { BriarsaddleError, delay, type Random } from '@briarsaddle/common'
+import type { VmEntry } from '@briarsaddle/key-ranges'
+import { MembershipService, type MembershipReport } from '../leadership.js'
+import { WritableTopic, type TopicState } from '../state-topic.js'
+
+/**
+ * How the log treats the calls of one VM: it answers, turns them away, lets them hang, or carries them out (writes
+ * possibly seconds later) without an answer.
+ */
+export type LogMode = 'answers' | 'turns_away' | 'hangs' | 'loses_answers'
+
+const mostAnswerMilliseconds = 10
+const mostLateMilliseconds = 1_500
+const waitStepMilliseconds = 5
+
+/** The log as one VM sees it. */
+export class LogAccess {
+  mode: LogMode = 'answers'
+  readonly #random: Random
+
+  constructor (random: Random) {
+    this.#random = random
+  }
+
+  /** Makes one call. `late` is called when the call is carried out without an answer. */
+  async call<Result> (signal: AbortSignal, carryOut: () => Result, late: () => void): Promise<Result> {
+    await delay(this.#random.integer(1, mostAnswerMilliseconds), signal)
+    const { mode } = this
+    if (mode === 'turns_away') throw unavailable('log_unavailable')
+    if (mode === 'answers') return carryOut()
+    if (mode === 'loses_answers') late()
+    else void delay(this.#random.integer(0, mostLateMilliseconds)).then(late)
+    await new Promise<void>(resolve => {
+      if (signal.aborted) resolve()
+      else signal.addEventListener('abort', () => resolve())
+    })
+    throw unavailable('log_unknown')
+  }
+}
+
+/** A topic that all VMs of a simulation share. */
+export class SharedTopic<State> {
+  newest: TopicState<State>
+
+  constructor (state: State) {
+    this.newest = { position: 1, state }
+  }
+
+  put (state: State): void {
+    this.newest = { position: this.newest.position + 1, state }
+  }
+}
+
+/** A shared topic through the access of one VM. */
+export class SimulatedTopic<State> extends WritableTopic<State> {
+  readonly #shared: SharedTopic<State>
+  readonly #access: LogAccess
+
+  constructor (shared: SharedTopic<State>, access: LogAccess) {
+    super()
+    this.#shared = shared
+    this.#access = access
+  }
+
+  override async read (signal: AbortSignal): Promise<TopicState<State>> {
+    return await this.#access.call(signal, () => this.#shared.newest, () => {})
+  }
+
+  override async next (current: TopicState<State>, waitMilliseconds: number, signal: AbortSignal): Promise<TopicState<State> | undefined> {
+    const until = performance.now() + waitMilliseconds
+    await this.#access.call(signal, () => undefined, () => {})
+    while (performance.now() < until && this.#shared.newest.position <= current.position && !signal.aborted) await delay(waitStepMilliseconds)
+    const newest = await this.read(signal)
+    return newest.position > current.position ? newest : undefined
+  }
+
+  override async write (state: State, position: number, signal: AbortSignal): Promise<number> {
+    const carryOut = (): number => {
+      if (position !== this.#shared.newest.position) throw new BriarsaddleError('another write came first', { code: 'lost_race', step: 'write' })
+      this.#shared.put(state)
+      return this.#shared.newest.position
+    }
+    return await this.#access.call(signal, carryOut, () => { if (position === this.#shared.newest.position) this.#shared.put(state) })
+  }
+}
+
+/** The group of the VMs; the first member leads, unless the platform has just given the lead to another one. */
+export class SharedGroup {
+  readonly #timeToLiveMilliseconds: number
+  readonly #members = new Map<string, { readonly vm: VmEntry, confirmedAt: number }>()
+  #generation = 1
+
+  constructor (timeToLiveMilliseconds: number) {
+    this.#timeToLiveMilliseconds = timeToLiveMilliseconds
+  }
+
+  join (vm: VmEntry): MembershipReport {
+    this.#expire()
+    if (!this.#members.has(vm.id)) this.#generation++
+    const member = this.#members.get(vm.id)
+    if (member === undefined) this.#members.set(vm.id, { vm, confirmedAt: performance.now() })
+    else member.confirmedAt = performance.now()
+    return { generation: this.#generation, leads: [...this.#members.keys()][0] === vm.id }
+  }
+
+  leave (vm: VmEntry): void {
+    if (this.#members.delete(vm.id)) this.#generation++
+  }
+
+  /** Gives the lead to the next member, as the platform may at any time. */
+  reassign (): void {
+    const [first] = this.#members
+    if (first === undefined) return
+    this.#members.delete(first[0])
+    this.#members.set(...first)
+    this.#generation++
+  }
+
+  get members (): readonly VmEntry[] {
+    this.#expire()
+    return [...this.#members.values()].map(({ vm }) => vm)
+  }
+
+  #expire (): void {
+    for (const [id, { confirmedAt }] of this.#members) {
+      if (performance.now() - confirmedAt <= this.#timeToLiveMilliseconds) continue
+      this.#members.delete(id)
+      this.#generation++
+    }
+  }
+}
+
+/** The group through the access of one VM. */
+export class SimulatedMembership extends MembershipService {
+  readonly #group: SharedGroup
+  readonly #access: LogAccess
+
+  constructor (group: SharedGroup, access: LogAccess) {
+    super()
+    this.#group = group
+    this.#access = access
+  }
+
+  override async join (self: VmEntry, signal: AbortSignal): Promise<MembershipReport> {
+    return await this.#access.call(signal, () => this.#group.join(self), () => { this.#group.join(self) })
+  }
+
+  override async leave (self: VmEntry, signal: AbortSignal): Promise<void> {
+    await this.#access.call(signal, () => this.#group.leave(self), () => this.#group.leave(self))
+  }
+
+  override async members (signal: AbortSignal): Promise<readonly VmEntry[]> {
+    return await this.#access.call(signal, () => this.#group.members, () => {})
+  }
+}
+
+function unavailable (code: 'log_unavailable' | 'log_unknown'): BriarsaddleError {
+  return new BriarsaddleError('the log does not answer', { code, step: 'call the log' })
+}
