--- a/packages/router/src/control/ownership-soak.test.ts
+++ b/packages/router/src/control/ownership-soak.test.ts
@@ -12,12 +12,8 @@
 
   // Guards against OWNER: leaders that are replaced, turned away, cut off or started again while keys move.
   it(`gives no key to two endpoints, and settles all keys when the faults are over (seeds ${seeds.join(', ')})`, async () => {
-    const results = await Promise.all(seeds.map(async seed => {
-      const simulation = new OwnershipSimulation(new Random(seed))
-      const { breaches, maps } = await simulation.run(faultyMilliseconds, calmMilliseconds)
-      return { seed, breaches, unsettled: simulation.unsettled, maps }
-    }))
-    expect(results.filter(({ breaches, unsettled }) => breaches.length > 0 || unsettled > 0)).to.deep.equal([])
+    const results = await Promise.all(seeds.map(async seed => ({ seed, ...await new OwnershipSimulation(new Random(seed)).run(faultyMilliseconds, calmMilliseconds) })))
+    expect(results.filter(({ breaches, unsettled }) => breaches.length > 0 || unsettled.length > 0)).to.deep.equal([])
     for (const { seed, maps } of results) expect(maps, `key maps written with seed ${seed}`).to.be.greaterThan(10)
   })
 })
--- a/packages/router/src/control/simulation/ownership-simulation.ts
+++ b/packages/router/src/control/simulation/ownership-simulation.ts
@@ -70,8 +70,18 @@
   readonly demand: RandomDemand
   /** True while it hears nothing from other VMs. */
   alone: boolean
-  map: TopicFollower<KeyMap>
-  lifeCycle: LifeCycle
+  readonly map: TopicFollower<KeyMap>
+  readonly leader: KeyLeader
+  readonly lifeCycle: LifeCycle
+}
+
+/** What a run showed. */
+export interface SimulationResult {
+  /** Grants that gave keys to a second endpoint, or under a token that was too low. */
+  readonly breaches: readonly string[]
+  readonly unsettled: readonly string[]
+  /** How many key maps were written. */
+  readonly maps: number
 }
 
 /** VMs with their leaders, a log and endpoints in one process, to which random faults happen. */
@@ -90,8 +100,8 @@
     this.endpoints = new SimulatedEndpoints(random)
   }
 
-  /** Lets faults happen for the given time, then a calm time. Returns the breaches seen and how many maps were written. */
-  async run (faultyMilliseconds: number, calmMilliseconds: number): Promise<{ readonly breaches: readonly string[], readonly maps: number }> {
+  /** Lets faults happen for the given time, then a calm time. */
+  async run (faultyMilliseconds: number, calmMilliseconds: number): Promise<SimulationResult> {
     for (let index = 0; index < endpointCount; index++) this.#addEndpoint()
     for (let index = 1; index <= vmCount; index++) this.#vms.push(this.#startVm(`vm-${index}`))
     const gossip = setInterval(() => this.#spreadNews(), newsMilliseconds)
@@ -106,13 +116,17 @@
     }
     await delay(calmMilliseconds)
     clearInterval(gossip)
+    const unsettled = this.#unsettled()
     for (const vm of this.#vms) await vm.lifeCycle.close()
-    return { breaches: this.endpoints.breaches, maps: this.#keyMap.newest.position }
+    return { breaches: this.endpoints.breaches, unsettled, maps: this.#keyMap.newest.position }
   }
 
-  /** Segments that are not settled at a live endpoint. */
-  get unsettled (): number {
-    return (this.#keyMap.newest.state.pools[pool] ?? []).filter(({ moving, owner }) => moving || this.endpoints.get(owner)?.alive !== true).length
+  /** Segments that are not settled at a live endpoint, and what each VM believes when there are any. */
+  #unsettled (): readonly string[] {
+    const unsettled = (this.#keyMap.newest.state.pools[pool] ?? []).filter(({ moving, owner }) => moving || this.endpoints.get(owner)?.alive !== true)
+    if (unsettled.length === 0) return []
+    const vms = this.#vms.map(({ entry, map, leader }) => `${entry.id} at ${map.current?.position}, behind ${map.behind}: ${JSON.stringify(leader.snapshot())}`)
+    return [...unsettled.map(segment => JSON.stringify(segment)), ...vms]
   }
 
   async #disturb (): Promise<void> {
@@ -200,7 +214,7 @@
     for (const follower of [map, directory, routing]) follower.start(lifeCycle)
     member.start(lifeCycle)
     leader.start(lifeCycle)
-    return { entry: self, access, links, demand, alone: false, map, lifeCycle }
+    return { entry: self, access, links, demand, alone: false, map, leader, lifeCycle }
   }
 
   #follow<State> (name: string, topic: StateTopic<State>, options: Partial<TopicFollowerOptions<State>> = {}): TopicFollower<State> {
--- a/packages/router/src/control/simulation/simulated-endpoints.ts
+++ b/packages/router/src/control/simulation/simulated-endpoints.ts
@@ -6,6 +6,7 @@
 const mostTransitMilliseconds = 8
 const mostWorkMilliseconds = 60
 const lostAnswerShare = 0.04
+const reportedEvents = 30
 /** Longest time after which a grant without an answer is carried out. */
 const mostLateMilliseconds = 1_500
 
@@ -33,6 +34,7 @@
 /** All endpoints of a simulation. Notes every grant that breaks a rule of exclusive keys. */
 export class SimulatedEndpoints {
   readonly breaches: string[] = []
+  readonly #history: Array<KeyRange & { readonly text: string }> = []
   readonly #random: Random
   readonly #endpoints = new Map<string, SimulatedEndpoint>()
   readonly #startedAt = performance.now()
@@ -55,7 +57,9 @@
   take (vm: string, endpoint: SimulatedEndpoint, grant: Grant, arrivedAt: number): boolean {
     const { from, to, fence, holdMilliseconds } = grant
     const until = arrivedAt + holdMilliseconds
-    if (endpoint.fences.subarray(from, to + 1).some(seen => seen > fence)) return false
+    const accepted = !endpoint.fences.subarray(from, to + 1).some(seen => seen > fence)
+    this.note(grant, `${vm} grants ${from}-${to} with ${fence} to ${nameOf(endpoint.holder)}, arrived ${Math.round(performance.now() - arrivedAt)} ms ago, ${accepted ? 'accepted' : 'refused'}`)
+    if (!accepted) return false
     endpoint.withdraw(grant)
     endpoint.fences.fill(fence, from, to + 1)
     if (until <= performance.now()) return true
@@ -65,10 +69,20 @@
   }
 
   #check (vm: string, endpoint: SimulatedEndpoint, other: SimulatedEndpoint, { from, to, fence }: Grant): void {
-    const what = `${Math.round(performance.now() - this.#startedAt)} ms: ${vm} grants ${from}-${to} with ${fence} to ${nameOf(endpoint.holder)}`
+    const what = `${vm} grants ${from}-${to} with ${fence} to ${nameOf(endpoint.holder)}`
     const held = other.held.find(one => one.until > performance.now() && one.from <= to && one.to >= from)
-    if (held !== undefined) this.breaches.push(`${what}, while ${nameOf(other.holder)} holds ${held.from}-${held.to} with ${held.fence}`)
-    else if (other.fences.subarray(from, to + 1).some(seen => seen >= fence)) this.breaches.push(`${what}, below a token of ${nameOf(other.holder)}`)
+    if (held !== undefined) this.#breach({ from, to }, `${what}, while ${nameOf(other.holder)} holds ${held.from}-${held.to} with ${held.fence}`)
+    else if (other.fences.subarray(from, to + 1).some(seen => seen >= fence)) this.#breach({ from, to }, `${what}, below a token of ${nameOf(other.holder)}`)
+  }
+
+  /** Notes the breach, with what happened on the keys before. */
+  #breach ({ from, to }: KeyRange, text: string): void {
+    this.breaches.push(text, ...this.#history.filter(event => event.from <= to && event.to >= from).slice(-reportedEvents).map(event => event.text))
+  }
+
+  /** Notes what happens on keys, for the report of a breach. */
+  note ({ from, to }: KeyRange, text: string): void {
+    this.#history.push({ from, to, text: `${Math.round(performance.now() - this.#startedAt)} ms: ${text}` })
   }
 
   async transit (): Promise<void> {
@@ -127,6 +141,7 @@
     const endpoint = this.#reached(holder)
     if (endpoint === undefined) return { kind: 'failed' }
     endpoint.withdraw(release)
+    this.#endpoints.note(release, `${this.#vm} releases ${release.from}-${release.to} with ${release.fence} at ${nameOf(holder)}`)
     await this.#endpoints.work()
     return this.#endpoints.losesAnswer ? { kind: 'failed' } : { kind: 'released', handover: 'warm' }
   }
