--- a/packages/router/src/control/key-leader.test.ts
+++ b/packages/router/src/control/key-leader.test.ts
@@ -30,6 +30,10 @@
 /** The key map in memory; while it is away, neither reads nor writes succeed. */
 class MapTopic extends WritableTopic<KeyMap> {
   away = false
+  /** Writes are carried out, but no answer arrives. */
+  losesAnswers = false
+  /** Called between a write and its answer. */
+  afterWrite = (): void => {}
   writes = 0
   newest: TopicState<KeyMap> = { position: 0, state: emptyKeyMap }
 
@@ -47,8 +51,14 @@
     this.writes++
     this.#failWhenAway()
     if (position !== this.newest.position) throw new BriarsaddleError('another write came first', { code: 'lost_race', step: 'write key map' })
-    this.newest = { position: position + 1, state }
-    return this.newest.position
+    const written = { position: position + 1, state }
+    this.newest = written
+    this.afterWrite()
+    if (this.losesAnswers) {
+      this.away = true
+      throw new BriarsaddleError('no answer', { code: 'log_unknown', step: 'write key map' })
+    }
+    return written.position
   }
 
   #failWhenAway (): void {
@@ -60,10 +70,16 @@
   readonly grants: Array<{ readonly endpoint: string, readonly grant: Grant }> = []
   /** Endpoints whose answers to grants are lost. */
   readonly silent = new Set<string>()
+  /** Answers to releases wait for this. */
+  released: Promise<void> = Promise.resolve()
   override async send (): Promise<EndpointReply> { return { kind: 'unreachable' } }
   override async reach (): Promise<boolean> { return true }
   override keepOnly (): void {}
-  override async release (): Promise<ReleaseReply> { return { kind: 'released', handover: '' } }
+  override async release (): Promise<ReleaseReply> {
+    await this.released
+    return { kind: 'released', handover: '' }
+  }
+
   override async grant ({ endpoint }: Holder, grant: Grant): Promise<GrantReply> {
     this.grants.push({ endpoint, grant })
     return this.silent.has(endpoint) ? { kind: 'broken' } : { kind: 'granted', connection: 1 }
@@ -157,4 +173,65 @@
     transport.silent.delete('a')
     while (map.current?.state.pools.ponds?.every(segment => segment.owner.endpoint === 'b' && !segment.moving) !== true) await delay(10)
   })
+
+  function leave (endpoint: string): void {
+    directory.offer({ position: (directory.current?.position ?? 0) + 1, state: new Map([...directory.current?.state ?? [], [endpoint, { ...entry(endpoint), leaving: true }]]) })
+  }
+
+  // Guards against OWNER: a successor that inherits moving keys waits only for grants from before its takeover.
+  it('does not renew keys that a write of its own moves, when the write was carried out without an answer and the log is away', async () => {
+    topic.losesAnswers = true
+    leave('a')
+    while (!topic.away) await delay(5)
+    expect(topic.newest.state.pools.ponds?.some(({ moving, former }) => moving && former.some(({ endpoint }) => endpoint === 'a'))).to.equal(true)
+    await delay(timing.grantCallMilliseconds)
+    const before = transport.grants.length
+    await delay(6 * timing.renewMilliseconds)
+    expect(transport.grants.slice(before).filter(({ endpoint }) => endpoint === 'a')).to.deep.equal([])
+  })
+
+  // Guards against OWNER: as above, for the first grant of a move that a later write replaces.
+  it('grants nothing for a move that a write of its own replaces, when the write was carried out without an answer and the log is away', async () => {
+    let release = (): void => {}
+    transport.released = new Promise(resolve => { release = resolve })
+    directory.offer({ position: 2, state: new Map([...directoryState, ['c', entry('c')]]) })
+    while (map.current?.state.pools.ponds?.some(({ moving, owner }) => moving && owner.endpoint === 'c') !== true) await delay(5)
+    topic.losesAnswers = true
+    leave('c')
+    while (!topic.away) await delay(5)
+    expect(topic.newest.state.pools.ponds?.some(({ owner }) => owner.endpoint === 'c')).to.equal(false)
+    release()
+    await delay(200)
+    expect(transport.grants.filter(({ endpoint }) => endpoint === 'c')).to.deep.equal([])
+  })
+
+  // Guards against OWNER: the tokens of another leader are not its own to grant, also when it learns of them before the answer to its takeover.
+  it('does not lead when another VM has written the key map before the answer to its takeover arrives', async () => {
+    topic.newest = { position: topic.newest.position + 1, state: mapOfOther() }
+    topic.afterWrite = () => {
+      topic.afterWrite = () => {}
+      topic.newest = { position: topic.newest.position + 1, state: mapOfOther() }
+      map.offer(topic.newest)
+      topic.away = true
+    }
+    map.offer(topic.newest)
+    while (!topic.away) await delay(5)
+    const before = transport.grants.length
+    await delay(6 * timing.renewMilliseconds)
+    expect(map.current?.state.author).to.equal(other.id)
+    expect(transport.grants.slice(before)).to.deep.equal([])
+    expect(leader.leading).to.equal(false)
+  })
+
+  it('ends no handover with a grant while another VM is known to have read a newer map', async () => {
+    let release = (): void => {}
+    transport.released = new Promise(resolve => { release = resolve })
+    directory.offer({ position: 2, state: new Map([...directoryState, ['c', entry('c')]]) })
+    while (map.current?.state.pools.ponds?.some(({ moving, owner }) => moving && owner.endpoint === 'c') !== true) await delay(5)
+    topic.away = true
+    map.heardOf(topic.newest.position + 1)
+    release()
+    await delay(200)
+    expect(transport.grants.filter(({ endpoint }) => endpoint === 'c')).to.deep.equal([])
+  })
 })
--- /dev/null
+++ b/packages/router/src/control/leader-succession.test.ts
@@ -0,0 +1,160 @@
+import { expect } from 'chai'
+import { BriarsaddleError, delay, LifeCycle, MonotonicClock } from '@briarsaddle/common'
+import { emptyKeyMap, type Holder, type KeyMap, type KeyRange, type VmEntry } from '@briarsaddle/key-ranges'
+import type { Directory, EndpointEntry } from '../endpoint-entry.js'
+import { EndpointTransport, type EndpointReply, type Grant, type GrantReply, type ReleaseReply } from '../endpoint-transport.js'
+import type { RoutingTable } from '../routing-table.js'
+import { DemandSource, KeyLeader, type MeasuredDemand } from './key-leader.js'
+import { MembershipService, type MembershipReport } from './leadership.js'
+import { Member } from './member.js'
+import { StateTopic, WritableTopic, type TopicState } from './state-topic.js'
+import { defaultControlTiming } from './timing.js'
+import { TopicFollower } from './topic-follower.js'
+
+const timing = { ...defaultControlTiming, settleMilliseconds: 50, confirmMilliseconds: 50, renewMilliseconds: 60, holdMilliseconds: 400, grantCallMilliseconds: 50, logCallMilliseconds: 100 }
+const clock = new MonotonicClock()
+
+class Membership extends MembershipService {
+  leads = false
+  constructor (readonly vm: VmEntry) { super() }
+  override async join (): Promise<MembershipReport> { return { generation: 1, leads: this.leads } }
+  override async leave (): Promise<void> {}
+  override async members (): Promise<readonly VmEntry[]> { return [this.vm] }
+}
+
+class FixedTopic<State> extends StateTopic<State> {
+  constructor (readonly state: State) { super() }
+  override async read (): Promise<TopicState<State>> { return { position: 1, state: this.state } }
+  override async next (): Promise<undefined> { return undefined }
+}
+
+/** The key map that all VMs share. */
+class Log {
+  newest: TopicState<KeyMap> = { position: 0, state: emptyKeyMap }
+}
+
+/** The log as one VM reaches it. */
+class LogOfVm extends WritableTopic<KeyMap> {
+  away = false
+  /** The next write is carried out without an answer, and after that the log is away. */
+  goesAwayWithWrite = false
+  constructor (readonly log: Log) { super() }
+
+  override async read (): Promise<TopicState<KeyMap>> {
+    this.#failWhenAway()
+    return this.log.newest
+  }
+
+  override async next ({ position }: TopicState<KeyMap>): Promise<TopicState<KeyMap> | undefined> {
+    this.#failWhenAway()
+    return this.log.newest.position > position ? this.log.newest : undefined
+  }
+
+  override async write (state: KeyMap, position: number): Promise<number> {
+    this.#failWhenAway()
+    if (position !== this.log.newest.position) throw new BriarsaddleError('another write came first', { code: 'lost_race', step: 'write key map' })
+    this.log.newest = { position: position + 1, state }
+    if (this.goesAwayWithWrite) {
+      this.away = true
+      throw new BriarsaddleError('no answer', { code: 'log_unknown', step: 'write key map' })
+    }
+    return position + 1
+  }
+
+  #failWhenAway (): void {
+    if (this.away) throw new BriarsaddleError('the log does not answer', { code: 'log_unavailable', step: 'use key map' })
+  }
+}
+
+const watchedKeys = Array.from({ length: 64 }, (_, index) => index * 1_024)
+
+/** Endpoints with the grants of some keys, as the protocol has them. */
+class Endpoints extends EndpointTransport {
+  /** Fencing token and end of the grant by endpoint and key. */
+  readonly #held = new Map<string, { fence: number, until: number }>()
+  readonly heldTwice = new Set<string>()
+
+  override async send (): Promise<EndpointReply> { return { kind: 'unreachable' } }
+  override async reach (): Promise<boolean> { return true }
+  override keepOnly (): void {}
+
+  override async grant ({ endpoint }: Holder, { from, to, fence, holdMilliseconds }: Grant): Promise<GrantReply> {
+    await delay(1)
+    const keys = watchedKeys.filter(key => key >= from && key <= to)
+    if (keys.some(key => (this.#held.get(`${endpoint} ${key}`)?.fence ?? 0) > fence)) return { kind: 'fenced' }
+    for (const key of keys) {
+      this.#held.set(`${endpoint} ${key}`, { fence, until: clock.now() + holdMilliseconds })
+      const holders = ['a', 'b', 'c'].filter(id => (this.#held.get(`${id} ${key}`)?.until ?? 0) > clock.now())
+      if (holders.length > 1) this.heldTwice.add(holders.join(' and '))
+    }
+    return { kind: 'granted', connection: 1 }
+  }
+
+  override async release ({ endpoint }: Holder, { from, to }: KeyRange): Promise<ReleaseReply> {
+    await delay(1)
+    for (const key of watchedKeys.filter(key => key >= from && key <= to)) {
+      const held = this.#held.get(`${endpoint} ${key}`)
+      if (held !== undefined) held.until = 0
+    }
+    return { kind: 'released', handover: '' }
+  }
+}
+
+class NoDemand extends DemandSource {
+  override async collect (): Promise<ReadonlyMap<string, MeasuredDemand>> { return new Map() }
+}
+
+const entry = (id: string, leaving = false): EndpointEntry => ({ id, pool: 'ponds', host: '127.0.0.1', port: 1, dataCentre: 'a', slots: 2, leaving, life: 1, warmUpMilliseconds: 0 })
+const table: RoutingTable = { version: 1, routes: [], pools: [{ name: 'ponds', keyed: true, maximumConnections: 100 }] }
+
+/** What a VM needs to lead. */
+class Vm {
+  readonly membership: Membership
+  readonly topic: LogOfVm
+  readonly map: TopicFollower<KeyMap>
+  readonly directory: TopicFollower<Directory>
+  readonly leader: KeyLeader
+
+  constructor (id: string, log: Log, transport: EndpointTransport, lifeCycle: LifeCycle) {
+    const self: VmEntry = { id, host: '127.0.0.1', port: 1, dataCentre: 'a' }
+    const follow = <State>(name: string, source: StateTopic<State>): TopicFollower<State> =>
+      new TopicFollower({ name, topic: source, clock, waitMilliseconds: 50, pauseMilliseconds: 20, isNewer: (one, before) => one.position > before.position })
+    this.membership = new Membership(self)
+    this.topic = new LogOfVm(log)
+    this.map = follow('key map', this.topic)
+    this.directory = follow<Directory>('directory', new FixedTopic(new Map([['a', entry('a')], ['b', entry('b')]])))
+    const routing = follow('routing table', new FixedTopic(table))
+    const member = new Member({ self, service: this.membership, clock, confirmEveryMilliseconds: timing.confirmMilliseconds, callMilliseconds: 100, onRegained: () => {} })
+    this.leader = new KeyLeader({ self, clock, timing, member, topic: this.topic, map: this.map, directory: this.directory, routing, transport, demand: new NoDemand() })
+    for (const follower of [this.map, this.directory, routing]) follower.start(lifeCycle)
+    member.start(lifeCycle)
+    this.leader.start(lifeCycle)
+  }
+}
+
+describe('Succession of leaders', () => {
+  let lifeCycle: LifeCycle
+  let log: Log
+  let endpoints: Endpoints
+
+  beforeEach(() => {
+    lifeCycle = new LifeCycle('test')
+    log = new Log()
+    endpoints = new Endpoints()
+  })
+
+  afterEach(async () => await lifeCycle.close())
+
+  // Guards against OWNER: the successor waits only for grants from before its takeover, since keys that move are not renewed.
+  it('leaves moving keys at one endpoint when the log went away from the former leader with the answer to its last plan', async () => {
+    const [former, next] = [new Vm('vm-1', log, endpoints, lifeCycle), new Vm('vm-2', log, endpoints, lifeCycle)]
+    former.membership.leads = true
+    while (former.map.current?.state.pools.ponds?.every(segment => !segment.moving) !== true) await delay(10)
+    former.topic.goesAwayWithWrite = true
+    for (const vm of [former, next]) vm.directory.offer({ position: 2, state: new Map([['a', entry('a', true)], ['b', entry('b')]]) })
+    while (!former.topic.away) await delay(5)
+    next.membership.leads = true
+    while (next.map.current?.state.pools.ponds?.every(segment => segment.owner.endpoint === 'b' && !segment.moving) !== true) await delay(10)
+    expect([...endpoints.heldTwice]).to.deep.equal([])
+  })
+})
