Do not lead with a key map that another VM wrote before the answer to the takeover arrived

The follower may read the successor's map first; the late answer was then taken for a takeover, and the tokens of the other VM were granted, of which that VM's ledger knows nothing.

--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -1,4 +1,4 @@
-import { describeError, errorCode, Logger, withTimeLimit, type Clock, type LifeCycle } from '@briarsaddle/common'
+import { BriarsaddleError, describeError, errorCode, Logger, withTimeLimit, type Clock, type LifeCycle } from '@briarsaddle/common'
 import {
   emptyKeyMap, GrantLedger, joinSegments, planMembership, planSpread, raiseFences, raiseFencesOf, rangeText, settleRange, withVms,
   type KeyMap, type MemberDemand, type PoolMember, type Segment, type VmEntry
@@ -256,7 +256,10 @@
     const { topic, map: follower, timing } = this.#options
     const position = follower.current?.position ?? 0
     try {
-      follower.offer({ position: await withTimeLimit(timing.logCallMilliseconds, signal, async limited => await topic.write(map, position, limited)), state: map })
+      const written = await withTimeLimit(timing.logCallMilliseconds, signal, async limited => await topic.write(map, position, limited))
+      // The tokens in a map that another VM has written meanwhile are not this one's to grant.
+      if ((follower.current?.position ?? 0) > written) throw new BriarsaddleError('another VM has written the key map since', { code: 'lost_race', step: purpose })
+      follower.offer({ position: written, state: map })
     } catch (error) {
       logger.info('write of the key map failed', { purpose, position, code: errorCode(error) })
       // Whoever was faster, or an append of this VM that got no answer, is the base of the next plan.
