Grant no keys that a write without an answer may have given away

A leader went on renewing keys, and granting moves, under its last known map after a write had got no answer. Where the write had been carried out, the successor inherited the moves and waited only for grants from before its takeover. Handovers also went on while the leader was behind or stale. Both now ask right before each grant. A leader whose write is open writes again, which settles it.

--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -1,6 +1,6 @@
 import { BriarsaddleError, describeError, errorCode, Logger, withTimeLimit, type Clock, type LifeCycle } from '@briarsaddle/common'
 import {
-  emptyKeyMap, GrantLedger, joinSegments, planMembership, planSpread, raiseFences, raiseFencesOf, rangeText, settleRange, withVms,
+  emptyKeyMap, GrantLedger, joinSegments, planMembership, planSpread, raiseFences, raiseFencesOf, rangeText, segmentsIn, settleRange, withVms,
   type KeyMap, type MemberDemand, type PoolMember, type Segment, type VmEntry
 } from '@briarsaddle/key-ranges'
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
@@ -9,7 +9,7 @@
 import { GrantRenewal, holderKey } from './grant-renewal.js'
 import type { Member } from './member.js'
 import { RangeHandover } from './range-handover.js'
-import type { WritableTopic } from './state-topic.js'
+import type { TopicState, WritableTopic } from './state-topic.js'
 import type { ControlTiming } from './timing.js'
 import type { TopicFollower } from './topic-follower.js'
 
@@ -51,6 +51,8 @@
   /** Moves whose owner has its grant and that are not written yet. */
   readonly #settled = new Map<string, { readonly pool: string, readonly segment: Segment }>()
   readonly #changedAt = new Map<string, number>()
+  /** Writes without an answer and the positions that they follow; others may act on one of them unless the log has grown otherwise. */
+  #unanswered: ReadonlyArray<TopicState<KeyMap>> = []
   #leading = false
   #generation: number | undefined
   #vms: readonly VmEntry[] = []
@@ -168,7 +170,8 @@
     this.#demandIsFresh = false
     if (next !== settledOnly) this.#noteChanges(settledOnly, next)
     if (!sameVms(this.#vms, next.vms) && this.#vms.length > 0) next = withVms(next, this.#vms)
-    if (next === before) return
+    // Whatever is written settles whether an unanswered write is in force.
+    if (next === before && this.#openWrites.length === 0) return
     const settled = [...this.#settled.keys()]
     await this.#write(joinSegments(next), 'assign keys', signal)
     for (const key of settled) this.#settled.delete(key)
@@ -255,6 +258,8 @@
   async #write (map: KeyMap, purpose: string, signal: AbortSignal): Promise<void> {
     const { topic, map: follower, timing } = this.#options
     const position = follower.current?.position ?? 0
+    const attempt = { position, state: map }
+    this.#unanswered = [...this.#openWrites, attempt]
     try {
       const written = await withTimeLimit(timing.logCallMilliseconds, signal, async limited => await topic.write(map, position, limited))
       // The tokens in a map that another VM has written meanwhile are not this one's to grant.
@@ -262,14 +267,27 @@
       follower.offer({ position: written, state: map })
     } catch (error) {
       logger.info('write of the key map failed', { purpose, position, code: errorCode(error) })
+      if (errorCode(error) === 'lost_race' || errorCode(error) === 'log_unavailable') this.#unanswered = this.#unanswered.filter(other => other !== attempt)
       // Whoever was faster, or an append of this VM that got no answer, is the base of the next plan.
       await withTimeLimit(timing.logCallMilliseconds, signal, async limited => await follower.refresh(limited))
       throw error
     }
   }
 
+  get #openWrites (): ReadonlyArray<TopicState<KeyMap>> {
+    const position = this.#options.map.current?.position ?? 0
+    return this.#unanswered.filter(write => write.position >= position)
+  }
+
+  /** Whether this VM may still lead, and no write without an answer gives keys of the segment to another owner. */
+  #mayGrant (pool: string, segment: Segment): boolean {
+    if (!this.#leading || this.#options.map.behind || this.#isStale()) return false
+    const { endpoint, life } = segment.owner
+    return this.#openWrites.every(({ state }) => segmentsIn(state, pool, segment).every(({ owner }) => owner.endpoint === endpoint && owner.life === life))
+  }
+
   #mayRenew (pool: string, segment: Segment): boolean {
-    if (!this.#leading) return false
+    if (!this.#mayGrant(pool, segment)) return false
     const current = this.#map.pools[pool]?.find(other => other.from === segment.from && other.fence === segment.fence)
     return current?.moving === false && current.to >= segment.to && current.owner.life === segment.owner.life
   }
@@ -290,7 +308,7 @@
 
   #startHandover (key: string, pool: string, segment: Segment, signal: AbortSignal): void {
     const { clock, timing, transport, directory } = this.#options
-    const handover = new RangeHandover({ clock, timing, transport, ledger: this.#ledger, directory: () => directory.current?.state ?? new Map(), segment, pool, observe: (endpoint, result) => this.#renewal.observe(endpoint, result) })
+    const handover = new RangeHandover({ clock, timing, transport, ledger: this.#ledger, directory: () => directory.current?.state ?? new Map(), segment, pool, mayGrant: () => this.#mayGrant(pool, segment), observe: (endpoint, result) => this.#renewal.observe(endpoint, result) })
     this.#handovers.set(key, handover)
     void handover.run(signal).then(result => {
       if (this.#handovers.get(key) !== handover) return
--- a/packages/router/src/control/range-handover.test.ts
+++ b/packages/router/src/control/range-handover.test.ts
@@ -91,7 +91,7 @@
     renewal = ledger.sending('a 1')
     if (!renewalOnItsWay) renewal.answered()
     if (acknowledged) ledger.acknowledged('a 1', acknowledgedKeys)
-    return new RangeHandover({ clock, timing, transport: endpoints, ledger, directory: () => directory, pool: 'ponds', segment, observe: () => {} })
+    return new RangeHandover({ clock, timing, transport: endpoints, ledger, directory: () => directory, pool: 'ponds', segment, mayGrant: () => true, observe: () => {} })
   }
 
   beforeEach(() => {
--- a/packages/router/src/control/range-handover.ts
+++ b/packages/router/src/control/range-handover.ts
@@ -16,6 +16,8 @@
   readonly directory: () => Directory
   readonly pool: string
   readonly segment: Segment
+  /** Whether the move is still in force; asked right before a grant is sent. */
+  readonly mayGrant: () => boolean
   /** Learns whether calls about grants reach the new owner. */
   readonly observe: (endpoint: string, result: GrantReply['kind']) => void
 }
@@ -155,8 +157,12 @@
   }
 
   async #grant (handover: string, signal: AbortSignal): Promise<HandoverResult> {
-    const { segment: { from, to, fence, owner }, transport, ledger, timing } = this.#options
+    const { segment: { from, to, fence, owner }, transport, ledger, timing, mayGrant } = this.#options
     while (!signal.aborted) {
+      if (!mayGrant()) {
+        await delay(retryMilliseconds, signal)
+        continue
+      }
       const ticket = ledger.sending(holderKey(owner))
       const reply = await transport.grant(owner, { from, to, fence, holdMilliseconds: timing.holdMilliseconds, handover, connection: undefined })
       closeTicket(ticket, reply.kind)
