Ask other VMs for a key map that this one has only heard of

A leader that is behind pauses. A read of the log without an answer fails after 10.7 s, and only then were other VMs asked, while grants run out after 3 s and a VM that still confirms its membership is not replaced.

--- a/packages/router/src/control/control-relay.ts
+++ b/packages/router/src/control/control-relay.ts
@@ -31,7 +31,8 @@
 
   async #ask (): Promise<void> {
     const { map, routing, peers, random } = this.#options
-    if (map.connected && routing.connected) return
+    // A read that gets no answer fails late; what other VMs have read is known before.
+    if (map.connected && !map.behind && routing.connected) return
     const vms = peers.vms.filter(vm => peers.get(vm)?.connected === true)
     if (vms.length === 0) return
     const vm = random.pick(vms)
