Show where a grant reaches a later process, and where one is sent later than the ledger allows for

Tests only; both fail on the code before: a handover takes an endpoint that started again for one that holds nothing, though the new process may have got a token that was meant for the one before; a grant that ended late counts from when it was handed over.

--- a/packages/key-ranges/src/grant-ledger.test.ts
+++ b/packages/key-ranges/src/grant-ledger.test.ts
@@ -94,4 +94,19 @@
     ledger.acknowledged('a', { ...keys, fence: 8 })
     expect(ledger.lostUntil('a', keys)).to.equal(-Infinity)
   })
+
+  // Guards against OWNER: a process that was held up sends what waited for a connection later than the time on the way allows for.
+  it('counts a grant that ended late from its end, since it may have been sent right before', () => {
+    const clock = new ManualClock()
+    const ledger = new GrantLedger({ ...options, clock })
+    ledger.acknowledged('a', keys)
+    const [lost, answered] = [ledger.sending('a'), ledger.sending('b')]
+    clock.advance(3_000)
+    lost.lost()
+    answered.answered()
+    expect(ledger.lostUntil('a', keys)).to.equal(3_000 + 3_060)
+    expect(ledger.mayHoldUntil('a', keys)).to.equal(3_000 + 3_060)
+    ledger.acknowledged('b', keys)
+    expect(ledger.mayHoldUntil('b', keys)).to.equal(3_000 + 3_060)
+  })
 })
--- a/packages/router/src/control/range-handover.test.ts
+++ b/packages/router/src/control/range-handover.test.ts
@@ -188,4 +188,12 @@
     expect((await create().run(signal)).kind).to.equal('fenced')
     expect(endpoints.endpoints.get('b')?.holding).to.equal(false)
   })
+
+  // Guards against OWNER: after its connection was lost, an endpoint gets a new token over the next one, before the directory shows that it started again.
+  it('releases at a later process at the same address, which may have got a grant for the one before', async () => {
+    directory = new Map([['a', { id: 'a', pool: 'ponds', host: '127.0.0.1', port: 1, dataCentre: 'x', slots: 2, leaving: false, life: 2, warmUpMilliseconds: 0 }]])
+    await create().run(signal)
+    expect(endpoints.history).to.deep.equal(['a released', 'b holds'])
+    expect(endpoints.twoHolders).to.equal(false)
+  })
 })
