Count a grant that ended late from its end

A process that was held up may write a grant that waited for its connection long after it was handed over, and before the limit of the call is noticed.

--- a/packages/key-ranges/src/grant-ledger.ts
+++ b/packages/key-ranges/src/grant-ledger.ts
@@ -62,15 +62,17 @@
     const record = this.#recordOf(holder)
     const grant = { sentAt: this.#options.clock.now() }
     record.pending.add(grant)
+    // A process that was held up may have sent it right before the end of the call.
+    const latestSent = (): number => Math.max(grant.sentAt, this.#options.clock.now() - this.#options.transitMilliseconds)
     const sent = (): void => {
       record.pending.delete(grant)
-      record.lastSent = Math.max(record.lastSent, grant.sentAt)
+      record.lastSent = Math.max(record.lastSent, latestSent())
     }
     return {
       answered: sent,
       lost: () => {
         sent()
-        record.lastLost = Math.max(record.lastLost, grant.sentAt)
+        record.lastLost = Math.max(record.lastLost, latestSent())
       },
       notSent: () => { record.pending.delete(grant) }
     }
