--- a/packages/router/src/control/leader-succession.test.ts
+++ b/packages/router/src/control/leader-succession.test.ts
@@ -100,6 +100,22 @@
   }
 }
 
+/** The endpoints as one VM reaches them. */
+class PathOfVm extends EndpointTransport {
+  readonly cut = new Set<string>()
+  constructor (readonly endpoints: Endpoints) { super() }
+  override async send (): Promise<EndpointReply> { return { kind: 'unreachable' } }
+  override async reach ({ endpoint }: Holder): Promise<boolean> { return !this.cut.has(endpoint) }
+  override keepOnly (): void {}
+  override async grant (holder: Holder, grant: Grant): Promise<GrantReply> {
+    return this.cut.has(holder.endpoint) ? { kind: 'unreachable' } : await this.endpoints.grant(holder, grant)
+  }
+
+  override async release (holder: Holder, range: KeyRange & { readonly fence: number }): Promise<ReleaseReply> {
+    return this.cut.has(holder.endpoint) ? { kind: 'failed' } : await this.endpoints.release(holder, range)
+  }
+}
+
 class NoDemand extends DemandSource {
   override async collect (): Promise<ReadonlyMap<string, MeasuredDemand>> { return new Map() }
 }
@@ -114,8 +130,9 @@
   readonly map: TopicFollower<KeyMap>
   readonly directory: TopicFollower<Directory>
   readonly leader: KeyLeader
+  readonly path: PathOfVm
 
-  constructor (id: string, log: Log, transport: EndpointTransport, lifeCycle: LifeCycle) {
+  constructor (id: string, log: Log, endpoints: Endpoints, lifeCycle: LifeCycle) {
     const self: VmEntry = { id, host: '127.0.0.1', port: 1, dataCentre: 'a' }
     const follow = <State>(name: string, source: StateTopic<State>): TopicFollower<State> =>
       new TopicFollower({ name, topic: source, clock, waitMilliseconds: 50, pauseMilliseconds: 20, isNewer: (one, before) => one.position > before.position })
@@ -125,7 +142,8 @@
     this.directory = follow<Directory>('directory', new FixedTopic(new Map([['a', entry('a')], ['b', entry('b')]])))
     const routing = follow('routing table', new FixedTopic(table))
     const member = new Member({ self, service: this.membership, clock, confirmEveryMilliseconds: timing.confirmMilliseconds, callMilliseconds: 100, onRegained: () => {} })
-    this.leader = new KeyLeader({ self, clock, timing, member, topic: this.topic, map: this.map, directory: this.directory, routing, transport, demand: new NoDemand() })
+    this.path = new PathOfVm(endpoints)
+    this.leader = new KeyLeader({ self, clock, timing, member, topic: this.topic, map: this.map, directory: this.directory, routing, transport: this.path, demand: new NoDemand() })
     for (const follower of [this.map, this.directory, routing]) follower.start(lifeCycle)
     member.start(lifeCycle)
     this.leader.start(lifeCycle)
@@ -157,4 +175,21 @@
     while (next.map.current?.state.pools.ponds?.every(segment => segment.owner.endpoint === 'b' && !segment.moving) !== true) await delay(10)
     expect([...endpoints.heldTwice]).to.deep.equal([])
   })
+
+  // Guards against OWNER: the second of three leaders moves keys of an endpoint that it does not reach, and which takes the grants of the first.
+  it('leaves keys at one endpoint when two leaders follow on one that goes on without the log', async () => {
+    const [first, second, third] = [new Vm('vm-1', log, endpoints, lifeCycle), new Vm('vm-2', log, endpoints, lifeCycle), new Vm('vm-3', log, endpoints, lifeCycle)]
+    first.membership.leads = true
+    while (first.map.current?.state.pools.ponds?.every(segment => !segment.moving) !== true) await delay(10)
+    first.topic.away = true
+    second.path.cut.add('a')
+    second.membership.leads = true
+    while (second.map.current?.state.pools.ponds?.some(segment => segment.moving && segment.former.some(({ endpoint }) => endpoint === 'a')) !== true) await delay(10)
+    second.membership.leads = false
+    third.membership.leads = true
+    while (!third.leader.leading) await delay(10)
+    // Until b has the keys; a gets a share of them back in time.
+    while (third.map.current?.state.pools.ponds?.some(segment => segment.moving && segment.owner.endpoint === 'b') !== false) await delay(5)
+    expect([...endpoints.heldTwice]).to.deep.equal([])
+  })
 })
