Wait for every former leader at inherited moves whose former holder did not refuse them yet

The shorter wait holds only where the leader that began the move had been acknowledged by the former holders. The key map now says of a move when it had not. Maps with this mark are not read by earlier versions.

--- a/packages/key-ranges/src/codec.ts
+++ b/packages/key-ranges/src/codec.ts
@@ -6,7 +6,7 @@
   z.int().describe('last key'),
   z.int().describe('index of the owner'),
   z.int().describe('fencing token'),
-  z.union([z.literal(0), z.literal(1)]).describe('1 while moving'),
+  z.union([z.literal(0), z.literal(1), z.literal(2)]).describe('1 while moving, 2 while moving and open to former leaders'),
   z.array(z.int()).describe('indexes of former holders'),
   z.string().describe('handover')
 ])
@@ -24,8 +24,8 @@
 /** Encodes a key map as JSON in which each holder stands once, since a record of the log has a limited size. */
 export function encodeKeyMap (map: KeyMap): string {
   const holders = new HolderTable()
-  const row = ({ from, to, owner, fence, moving, former, handover }: Segment): SegmentRow =>
-    [from, to, holders.indexOf(owner), fence, moving ? 1 : 0, former.map(holder => holders.indexOf(holder)), handover]
+  const row = ({ from, to, owner, fence, moving, open, former, handover }: Segment): SegmentRow =>
+    [from, to, holders.indexOf(owner), fence, moving ? (open === true ? 2 : 1) : 0, former.map(holder => holders.indexOf(holder)), handover]
   const pools = Object.fromEntries(Object.entries(map.pools).map(([pool, segments]) => [pool, segments.map(row)]))
   return JSON.stringify({ fence: map.fence, author: map.author, vms: map.vms, holders: holders.rows, pools })
 }
@@ -38,7 +38,7 @@
     return { endpoint, life, address }
   }
   const segment = ([from, to, owner, token, moving, former, handover]: SegmentRow): Segment =>
-    ({ from, to, owner: holder(owner), fence: token, moving: moving === 1, former: former.map(holder), handover })
+    ({ from, to, owner: holder(owner), fence: token, moving: moving > 0, ...(moving === 2 ? { open: true } : {}), former: former.map(holder), handover })
   return keyMapSchema.parse({ fence, author, vms, pools: Object.fromEntries(Object.entries(pools).map(([pool, rows]) => [pool, rows.map(segment)])) })
 }
 
--- a/packages/key-ranges/src/edit.ts
+++ b/packages/key-ranges/src/edit.ts
@@ -25,7 +25,9 @@
 export function settleRange (map: KeyMap, pool: string, range: KeyRange & { readonly fence: number }): KeyMap {
   const segments = (map.pools[pool] ?? []).map(segment => {
     const same = segment.from === range.from && segment.to === range.to && segment.fence === range.fence
-    return same ? { ...segment, moving: false, former: [], handover: '' } : segment
+    if (!same) return segment
+    const { open, ...settled } = segment
+    return { ...settled, moving: false, former: [], handover: '' }
   })
   return { ...map, pools: { ...map.pools, [pool]: segments } }
 }
@@ -47,6 +49,12 @@
   return { ...map, fence, pools: Object.fromEntries(Object.entries(map.pools).map(([pool, segments]) => [pool, segments.map(raise)])) }
 }
 
+/** Notes on the moves with tokens above `fence` whether a former holder may still take grants of leaders before this one. */
+export function markOpenMoves (map: KeyMap, fence: number, isOpen: (segment: Segment) => boolean): KeyMap {
+  const mark = (segment: Segment): Segment => segment.moving && segment.fence > fence && isOpen(segment) ? { ...segment, open: true } : segment
+  return { ...map, pools: Object.fromEntries(Object.entries(map.pools).map(([pool, segments]) => [pool, segments.map(mark)])) }
+}
+
 /** Joins neighbouring segments of one owner, under a new fencing token where theirs differ, so that one grant covers them. */
 export function joinSegments (map: KeyMap): KeyMap {
   let { fence } = map
--- a/packages/key-ranges/src/grant-ledger.ts
+++ b/packages/key-ranges/src/grant-ledger.ts
@@ -95,11 +95,11 @@
    * Returns the time from which no grant can give keys back that were released for a move with this token, in clock
    * milliseconds: neither one of this leadership without an answer nor one of a former leader.
    */
-  lostUntil (holder: string, move: KeyRange & { readonly fence: number }): number {
+  lostUntil (holder: string, move: KeyRange & { readonly fence: number, readonly open?: boolean | undefined }): number {
     const own = (this.#holders.get(holder)?.lastLost ?? -Infinity) + this.#longestHold
     if (this.refusesFormerLeaders(holder, move)) return own
-    // A leader stops renewing keys before it writes that they move.
-    const inherited = move.fence <= this.#firstFence
+    // A leader stops renewing keys before it writes that they move; those before it are refused unless the move is open to them.
+    const inherited = move.fence <= this.#firstFence && move.open !== true
     return Math.max(own, inherited ? this.#leaderSince + this.#longestHold : this.#formerLeadersUntil)
   }
 
--- a/packages/key-ranges/src/index.ts
+++ b/packages/key-ranges/src/index.ts
@@ -4,7 +4,7 @@
 } from './key-map.js'
 export { decodeKeyMap, encodeKeyMap } from './codec.js'
 export { segmentAt, segmentsIn, holdersOf } from './lookup.js'
-export { assignRange, joinSegments, raiseFences, raiseFencesOf, settleRange, withVms, type RangeMove } from './edit.js'
+export { assignRange, joinSegments, markOpenMoves, raiseFences, raiseFencesOf, settleRange, withVms, type RangeMove } from './edit.js'
 export { planMembership, type PoolMember } from './membership-plan.js'
 export { defaultSpreadSettings, planSpread, type KeyDemand, type MemberDemand, type SpreadSettings } from './spread-plan.js'
 export { GrantLedger, type GrantLedgerOptions, type GrantTicket } from './grant-ledger.js'
--- a/packages/key-ranges/src/key-map.ts
+++ b/packages/key-ranges/src/key-map.ts
@@ -27,6 +27,8 @@
   moving: z.boolean(),
   /** Holders that may still hold the keys; only while moving. */
   former: z.array(holderSchema).readonly().default([]),
+  /** True while a former holder may take grants of leaders before the one that began the move; only while moving. */
+  open: z.boolean().optional(),
   /** What the last holder handed over for the owner; empty without one. */
   handover: z.string().default('')
 }).readonly()
--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -1,6 +1,6 @@
 import { BriarsaddleError, describeError, errorCode, Logger, withTimeLimit, type Clock, type LifeCycle } from '@briarsaddle/common'
 import {
-  emptyKeyMap, GrantLedger, joinSegments, planMembership, planSpread, raiseFences, raiseFencesOf, rangeText, segmentsIn, settleRange, withVms,
+  emptyKeyMap, GrantLedger, joinSegments, markOpenMoves, planMembership, planSpread, raiseFences, raiseFencesOf, rangeText, segmentsIn, settleRange, withVms,
   type KeyMap, type MemberDemand, type PoolMember, type Segment, type VmEntry
 } from '@briarsaddle/key-ranges'
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
@@ -168,7 +168,10 @@
     const settledOnly = next
     for (const pool of this.#keyedPools()) next = this.#planPool(next, pool)
     this.#demandIsFresh = false
-    if (next !== settledOnly) this.#noteChanges(settledOnly, next)
+    if (next !== settledOnly) {
+      next = markOpenMoves(next, settledOnly.fence, segment => segment.former.some(former => !this.#ledger.refusesFormerLeaders(holderKey(former), segment)))
+      this.#noteChanges(settledOnly, next)
+    }
     if (!sameVms(this.#vms, next.vms) && this.#vms.length > 0) next = withVms(next, this.#vms)
     // Whatever is written settles whether an unanswered write is in force.
     if (next === before && this.#openWrites.length === 0) return
--- a/packages/router/src/control/leader-succession.test.ts
+++ b/packages/router/src/control/leader-succession.test.ts
@@ -11,13 +11,17 @@
 import { defaultControlTiming } from './timing.js'
 import { TopicFollower } from './topic-follower.js'
 
-const timing = { ...defaultControlTiming, settleMilliseconds: 50, confirmMilliseconds: 50, renewMilliseconds: 60, holdMilliseconds: 400, grantCallMilliseconds: 50, logCallMilliseconds: 100 }
+const timing = { ...defaultControlTiming, settleMilliseconds: 50, confirmMilliseconds: 50, renewMilliseconds: 60, holdMilliseconds: 400, grantCallMilliseconds: 50, logCallMilliseconds: 100, staleLeaderMilliseconds: 2_000 }
 const clock = new MonotonicClock()
 
 class Membership extends MembershipService {
   leads = false
-  constructor (readonly vm: VmEntry) { super() }
-  override async join (): Promise<MembershipReport> { return { generation: 1, leads: this.leads } }
+  constructor (readonly vm: VmEntry, readonly topic: LogOfVm) { super() }
+  override async join (): Promise<MembershipReport> {
+    if (this.topic.away) throw new BriarsaddleError('the log does not answer', { code: 'log_unavailable', step: 'join' })
+    return { generation: 1, leads: this.leads }
+  }
+
   override async leave (): Promise<void> {}
   override async members (): Promise<readonly VmEntry[]> { return [this.vm] }
 }
@@ -136,8 +140,8 @@
     const self: VmEntry = { id, host: '127.0.0.1', port: 1, dataCentre: 'a' }
     const follow = <State>(name: string, source: StateTopic<State>): TopicFollower<State> =>
       new TopicFollower({ name, topic: source, clock, waitMilliseconds: 50, pauseMilliseconds: 20, isNewer: (one, before) => one.position > before.position })
-    this.membership = new Membership(self)
     this.topic = new LogOfVm(log)
+    this.membership = new Membership(self, this.topic)
     this.map = follow('key map', this.topic)
     this.directory = follow<Directory>('directory', new FixedTopic(new Map([['a', entry('a')], ['b', entry('b')]])))
     const routing = follow('routing table', new FixedTopic(table))
