--- a/packages/key-ranges/src/grant-ledger.ts
+++ b/packages/key-ranges/src/grant-ledger.ts
@@ -57,8 +57,8 @@
   }
 
   /**
-   * A new leadership begins, whose tokens are `firstFence` and higher: whoever led before may go on for a while, but no longer
-   * renews the keys that it was already moving away from their holders.
+   * A new leadership begins, whose tokens are `firstFence` and higher: whoever led before may go on for a while, but nobody
+   * renews the keys of `leftBefore` any more. The leader before had begun to move them, and the holders refuse those before it.
    */
   begin (firstFence: number, leftBefore: readonly HeldRange[]): void {
     this.#firstFence = firstFence
@@ -72,15 +72,17 @@
     const record = this.#recordOf(holder)
     const grant = { sentAt: this.#options.clock.now() }
     record.pending.add(grant)
+    // A process that was held up may have sent it right before the end of the call.
+    const latestSent = (): number => Math.max(grant.sentAt, this.#options.clock.now() - this.#options.transitMilliseconds)
     const sent = (): void => {
       record.pending.delete(grant)
-      record.lastSent = Math.max(record.lastSent, grant.sentAt)
+      record.lastSent = Math.max(record.lastSent, latestSent())
     }
     return {
       answered: sent,
       lost: () => {
         sent()
-        record.lastLost = Math.max(record.lastLost, grant.sentAt)
+        record.lastLost = Math.max(record.lastLost, latestSent())
       },
       notSent: () => { record.pending.delete(grant) }
     }
@@ -106,7 +108,6 @@
   lostUntil (holder: string, range: KeyRange): number {
     const own = (this.#holders.get(holder)?.lastLost ?? -Infinity) + this.#longestHold
     if (this.refusesFormerLeaders(holder, range)) return own
-    // A leader stops renewing keys before it writes that they move.
     const left = this.#leftBefore.some(other => other.holder === holder && contains(other, range))
     return Math.max(own, left ? this.#leaderSince + this.#longestHold : this.#formerLeadersUntil)
   }
--- a/packages/key-ranges/src/membership-plan.ts
+++ b/packages/key-ranges/src/membership-plan.ts
@@ -8,6 +8,8 @@
   readonly accepting: boolean
   /** Slots that its present keys keep busy; 0 when not known. */
   readonly busySlots: number
+  /** True while a move of its keys would leave them without an owner for long; they stay. */
+  readonly keepsKeys?: boolean
 }
 
 // A lost endpoint's keys go to several others, so that none of them gets twice its load.
@@ -42,15 +44,14 @@
   const load = new LoadEstimate(map, pool, accepting)
   return (map.pools[pool] ?? []).reduce((result, segment) => {
     const member = byId.get(segment.owner.endpoint)
-    if (member?.accepting === true && member.life === segment.owner.life) return result
+    if ((member?.accepting === true || member?.keepsKeys === true) && member.life === segment.owner.life) return result
     // A later life under the same id proves that the earlier one has ended.
-    const restarted = member !== undefined && member.life > segment.owner.life
-    if (restarted && member.accepting) return assignRange(result, { ...segment, pool, owner: holderOf(member), ownerMayHold: false })
+    if (member?.accepting === true && member.life > segment.owner.life) return assignRange(result, { ...segment, pool, owner: holderOf(member), ownerMayHold: false })
     return cut(segment, piecesFor(segment, accepting.length)).reduce((next, piece) => {
       const owner = load.least(segment.owner.endpoint)
       if (owner === undefined) return next
       load.add(owner, piece)
-      return assignRange(next, { ...piece, pool, owner: holderOf(owner), ownerMayHold: !restarted })
+      return assignRange(next, { ...piece, pool, owner: holderOf(owner), ownerMayHold: true })
     }, result)
   }, map)
 }
@@ -68,7 +69,8 @@
 }
 
 function shareFor (map: KeyMap, pool: string, newcomer: PoolMember, load: LoadEstimate): RangeMove | undefined {
-  const settled = (map.pools[pool] ?? []).filter(segment => !segment.moving && sizeOf(segment) > 1)
+  const keeping = new Set(load.members.filter(member => member.keepsKeys === true).map(member => member.endpoint))
+  const settled = (map.pools[pool] ?? []).filter(segment => !segment.moving && sizeOf(segment) > 1 && !keeping.has(segment.owner.endpoint))
   const donor = load.most(new Set(settled.map(segment => segment.owner.endpoint)))
   const largest = settled.filter(segment => segment.owner.endpoint === donor?.endpoint).sort((one, other) => sizeOf(other) - sizeOf(one))[0]
   if (donor === undefined || largest === undefined) return undefined
@@ -80,12 +82,12 @@
 
 /** Expected load of the members while keys are given away, in keys and measured work per slot. */
 class LoadEstimate {
-  readonly #members: readonly PoolMember[]
+  readonly members: readonly PoolMember[]
   readonly #load: Map<string, number>
   readonly #perKey: number
 
   constructor (map: KeyMap, pool: string, members: readonly PoolMember[]) {
-    this.#members = members
+    this.members = members
     const keys = new Map<string, number>()
     for (const segment of map.pools[pool] ?? []) keys.set(segment.owner.endpoint, (keys.get(segment.owner.endpoint) ?? 0) + sizeOf(segment))
     const slots = Math.max(1, sum(members, member => member.slots))
@@ -111,7 +113,7 @@
   }
 
   #sorted (): PoolMember[] {
-    return [...this.#members].sort((one, other) => this.of(one) - this.of(other))
+    return [...this.members].sort((one, other) => this.of(one) - this.of(other))
   }
 }
 
--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -1,15 +1,15 @@
-import { describeError, errorCode, Logger, withTimeLimit, type Clock, type LifeCycle } from '@briarsaddle/common'
+import { BriarsaddleError, describeError, errorCode, Logger, withTimeLimit, type Clock, type LifeCycle } from '@briarsaddle/common'
 import {
-  emptyKeyMap, GrantLedger, joinSegments, planMembership, planSpread, raiseFences, raiseFencesOf, rangeText, settleRange, withVms,
+  emptyKeyMap, GrantLedger, joinSegments, markOpenMoves, planMembership, planSpread, raiseFences, raiseFencesOf, rangeText, segmentsIn, settleRange, withVms,
   type KeyMap, type MemberDemand, type PoolMember, type Segment, type VmEntry
 } from '@briarsaddle/key-ranges'
-import type { Directory, EndpointEntry } from '../endpoint-entry.js'
+import { addressOf, type Directory, type EndpointEntry } from '../endpoint-entry.js'
 import type { EndpointTransport } from '../endpoint-transport.js'
 import type { RoutingTable } from '../routing-table.js'
 import { GrantRenewal, holderKey } from './grant-renewal.js'
 import type { Member } from './member.js'
 import { RangeHandover } from './range-handover.js'
-import type { WritableTopic } from './state-topic.js'
+import type { TopicState, WritableTopic } from './state-topic.js'
 import type { ControlTiming } from './timing.js'
 import type { TopicFollower } from './topic-follower.js'
 
@@ -51,6 +51,8 @@
   /** Moves whose owner has its grant and that are not written yet. */
   readonly #settled = new Map<string, { readonly pool: string, readonly segment: Segment }>()
   readonly #changedAt = new Map<string, number>()
+  /** Writes without an answer and the positions that they follow; others may act on one of them unless the log has grown otherwise. */
+  #unanswered: ReadonlyArray<TopicState<KeyMap>> = []
   #leading = false
   #generation: number | undefined
   #vms: readonly VmEntry[] = []
@@ -114,8 +116,12 @@
 
   /** A VM whose membership is not confirmed in time has been replaced, whatever the last report said. */
   async #beginIfMember (signal: AbortSignal): Promise<void> {
+    if (this.#isConfirmed) await this.#begin(signal)
+  }
+
+  get #isConfirmed (): boolean {
     const { clock, member, timing } = this.#options
-    if (clock.now() - member.confirmedAt <= timing.membershipMilliseconds) await this.#begin(signal)
+    return clock.now() - member.confirmedAt <= timing.membershipMilliseconds
   }
 
   /** Takes over: no grant of a former leader is accepted by an endpoint that has seen the new tokens. */
@@ -127,7 +133,8 @@
     await this.#refreshMembers()
     const raised = raiseFences({ ...this.#map, author: self.id })
     await this.#write(joinSegments(raised), 'take over', signal)
-    this.#ledger.begin(raised.fence, Object.values(raised.pools).flat().flatMap(({ from, to, former }) => former.map(holder => ({ holder: holderKey(holder), from, to }))))
+    const left = Object.values(raised.pools).flat().filter(segment => segment.open !== true)
+    this.#ledger.begin(raised.fence, left.flatMap(({ from, to, former }) => former.map(holder => ({ holder: holderKey(holder), from, to }))))
     this.#renewal.reset()
     this.#leading = true
     logger.info('leadership begins', { fence: this.#map.fence, position: map.current?.position, pools: Object.keys(this.#map.pools).length })
@@ -160,13 +167,19 @@
   }
 
   async #plan (signal: AbortSignal): Promise<void> {
+    const unanswered = this.#openWrites.at(-1)
+    // Another plan would withhold grants of yet other keys.
+    if (unanswered !== undefined) return await this.#write(unanswered.state, 'repeat a write without an answer', signal)
     const before = this.#map
     let next = this.#settle(before)
     next = this.#renewal.takeDisconnected().reduce(raiseFencesOf, next)
     const settledOnly = next
     for (const pool of this.#keyedPools()) next = this.#planPool(next, pool)
     this.#demandIsFresh = false
-    if (next !== settledOnly) this.#noteChanges(settledOnly, next)
+    if (next !== settledOnly) {
+      next = markOpenMoves(next, settledOnly.fence, segment => segment.former.some(former => !this.#ledger.refusesFormerLeaders(holderKey(former), segment)))
+      this.#noteChanges(settledOnly, next)
+    }
     if (!sameVms(this.#vms, next.vms) && this.#vms.length > 0) next = withVms(next, this.#vms)
     if (next === before) return
     const settled = [...this.#settled.keys()]
@@ -185,20 +198,17 @@
   #planPool (map: KeyMap, pool: string): KeyMap {
     const members = this.#membersOf(pool)
     if (map.pools[pool] === undefined && !this.#hasSettled(pool, members.length)) return map
-    if (this.#awaitsAcknowledgement(map, pool)) return map
     const planned = planMembership(map, pool, members)
-    if (planned !== map || !this.#demandIsFresh) return planned
-    return planSpread(planned, pool, members.map(member => this.#rested(member) ? member : { ...member, accepting: false, busySlots: 0, keys: [] }))
+    // A spread that the log does not take would only withhold the grants of its keys.
+    if (planned !== map || !this.#demandIsFresh || !this.#isConfirmed) return planned
+    return planSpread(planned, pool, members.map(member => this.#rested(member) && member.keepsKeys !== true ? member : { ...member, accepting: false, busySlots: 0, keys: [] }))
   }
 
   /** After a takeover, keys of an owner that may still take a former leader's grants could be served nowhere for as long as such a grant lasts. */
-  #awaitsAcknowledgement (map: KeyMap, pool: string): boolean {
-    const directory = this.#options.directory.current?.state
-    return (map.pools[pool] ?? []).some(segment => {
-      const { owner, moving } = segment
-      const reachable = directory?.get(owner.endpoint)?.life === owner.life && !this.#renewal.isUnreachable(owner.endpoint)
-      return !moving && reachable && !this.#ledger.refusesFormerLeaders(holderKey(owner), segment)
-    })
+  #awaitsAcknowledgement (pool: string, { id, life }: EndpointEntry): boolean {
+    if (this.#renewal.isUnreachable(id)) return false
+    const segments = this.#map.pools[pool]?.filter(({ owner, moving }) => !moving && owner.endpoint === id && owner.life === life) ?? []
+    return segments.some(segment => !this.#ledger.refusesFormerLeaders(holderKey(segment.owner), segment))
   }
 
   /** Collects the demand now and then; the tick after that plans with it. */
@@ -220,7 +230,7 @@
     for (const entry of this.#options.directory.current?.state.values() ?? []) {
       if (entry.pool !== pool) continue
       const demand = this.#demand.get(entry.id) ?? { busySlots: 0, serviceMilliseconds: 0, keys: [] }
-      members.push({ ...memberOf(entry), ...demand, accepting: !entry.leaving && !this.#renewal.isUnreachable(entry.id) })
+      members.push({ ...memberOf(entry), ...demand, accepting: !entry.leaving && !this.#renewal.isUnreachable(entry.id), keepsKeys: this.#awaitsAcknowledgement(pool, entry) })
     }
     return members.sort((one, other) => one.endpoint < other.endpoint ? -1 : 1)
   }
@@ -255,18 +265,36 @@
   async #write (map: KeyMap, purpose: string, signal: AbortSignal): Promise<void> {
     const { topic, map: follower, timing } = this.#options
     const position = follower.current?.position ?? 0
+    const attempt = { position, state: map }
+    this.#unanswered = [...this.#openWrites, attempt]
     try {
-      follower.offer({ position: await withTimeLimit(timing.logCallMilliseconds, signal, async limited => await topic.write(map, position, limited)), state: map })
+      const written = await withTimeLimit(timing.logCallMilliseconds, signal, async limited => await topic.write(map, position, limited))
+      // The tokens in a map that another VM has written meanwhile are not this one's to grant.
+      if ((follower.current?.position ?? 0) > written) throw new BriarsaddleError('another VM has written the key map since', { code: 'lost_race', step: purpose })
+      follower.offer({ position: written, state: map })
     } catch (error) {
       logger.info('write of the key map failed', { purpose, position, code: errorCode(error) })
+      if (errorCode(error) === 'lost_race' || errorCode(error) === 'log_unavailable') this.#unanswered = this.#unanswered.filter(other => other !== attempt)
       // Whoever was faster, or an append of this VM that got no answer, is the base of the next plan.
       await withTimeLimit(timing.logCallMilliseconds, signal, async limited => await follower.refresh(limited))
       throw error
     }
   }
 
+  get #openWrites (): ReadonlyArray<TopicState<KeyMap>> {
+    const position = this.#options.map.current?.position ?? 0
+    return this.#unanswered.filter(write => write.position >= position)
+  }
+
+  /** Whether this VM may still lead, and no write without an answer gives keys of the segment to another owner. */
+  #mayGrant (pool: string, segment: Segment): boolean {
+    if (!this.#leading || this.#options.map.behind || this.#isStale()) return false
+    const { endpoint, life } = segment.owner
+    return this.#openWrites.every(({ state }) => segmentsIn(state, pool, segment).every(({ owner }) => owner.endpoint === endpoint && owner.life === life))
+  }
+
   #mayRenew (pool: string, segment: Segment): boolean {
-    if (!this.#leading) return false
+    if (!this.#mayGrant(pool, segment)) return false
     const current = this.#map.pools[pool]?.find(other => other.from === segment.from && other.fence === segment.fence)
     return current?.moving === false && current.to >= segment.to && current.owner.life === segment.owner.life
   }
@@ -287,7 +315,7 @@
 
   #startHandover (key: string, pool: string, segment: Segment, signal: AbortSignal): void {
     const { clock, timing, transport, directory } = this.#options
-    const handover = new RangeHandover({ clock, timing, transport, ledger: this.#ledger, directory: () => directory.current?.state ?? new Map(), segment, pool, observe: (endpoint, result) => this.#renewal.observe(endpoint, result) })
+    const handover = new RangeHandover({ clock, timing, transport, ledger: this.#ledger, directory: () => directory.current?.state ?? new Map(), segment, pool, mayGrant: () => this.#mayGrant(pool, segment), observe: (endpoint, result) => this.#renewal.observe(endpoint, result) })
     this.#handovers.set(key, handover)
     void handover.run(signal).then(result => {
       if (this.#handovers.get(key) !== handover) return
@@ -301,7 +329,7 @@
 
 /** Returns an endpoint as a possible owner of keys. */
 export function memberOf (entry: EndpointEntry): PoolMember {
-  return { endpoint: entry.id, life: entry.life, address: `${entry.host}:${entry.port}`, slots: entry.slots, accepting: !entry.leaving, busySlots: 0 }
+  return { endpoint: entry.id, life: entry.life, address: addressOf(entry), slots: entry.slots, accepting: !entry.leaving, busySlots: 0 }
 }
 
 function sameVms (one: readonly VmEntry[], other: readonly VmEntry[]): boolean {
--- a/packages/router/src/control/range-handover.test.ts
+++ b/packages/router/src/control/range-handover.test.ts
@@ -26,7 +26,7 @@
   }
 
   override async send (): Promise<EndpointReply> { return { kind: 'unreachable' } }
-  override async reach (): Promise<boolean> { return true }
+  override async reach ({ endpoint }: Holder): Promise<boolean> { return this.endpoints.get(endpoint)?.reachable === true }
   override keepOnly (): void {}
 
   override async grant (holder: Holder, { fence }: Grant): Promise<GrantReply> {
@@ -91,7 +91,7 @@
     renewal = ledger.sending('a 1')
     if (!renewalOnItsWay) renewal.answered()
     if (acknowledged) ledger.acknowledged('a 1', acknowledgedKeys)
-    return new RangeHandover({ clock, timing, transport: endpoints, ledger, directory: () => directory, pool: 'ponds', segment, observe: () => {} })
+    return new RangeHandover({ clock, timing, transport: endpoints, ledger, directory: () => directory, pool: 'ponds', segment, mayGrant: () => true, observe: () => {} })
   }
 
   beforeEach(() => {
@@ -188,4 +188,12 @@
     expect((await create().run(signal)).kind).to.equal('fenced')
     expect(endpoints.endpoints.get('b')?.holding).to.equal(false)
   })
+
+  // Guards against OWNER: after its connection was lost, an endpoint gets a new token over the next one, before the directory shows that it started again.
+  it('releases at a later process at the same address, which may have got a grant for the one before', async () => {
+    directory = new Map([['a', { id: 'a', pool: 'ponds', host: '127.0.0.1', port: 1, dataCentre: 'x', slots: 2, leaving: false, life: 2, warmUpMilliseconds: 0 }]])
+    await create().run(signal)
+    expect(endpoints.history).to.deep.equal(['a released', 'b holds'])
+    expect(endpoints.twoHolders).to.equal(false)
+  })
 })
--- a/packages/router/src/control/range-handover.ts
+++ b/packages/router/src/control/range-handover.ts
@@ -1,6 +1,6 @@
 import { BriarsaddleError, delay, describeError, Logger, withTimeLimit, type Clock } from '@briarsaddle/common'
 import { rangeText, type GrantLedger, type Holder, type Segment } from '@briarsaddle/key-ranges'
-import type { Directory } from '../endpoint-entry.js'
+import { addressOf, type Directory, type EndpointEntry } from '../endpoint-entry.js'
 import type { EndpointTransport, GrantReply } from '../endpoint-transport.js'
 import { closeTicket, holderKey } from './grant-renewal.js'
 import type { ControlTiming } from './timing.js'
@@ -16,6 +16,8 @@
   readonly directory: () => Directory
   readonly pool: string
   readonly segment: Segment
+  /** Whether the move is still in force; asked right before a grant is sent. */
+  readonly mayGrant: () => boolean
   /** Learns whether calls about grants reach the new owner. */
   readonly observe: (endpoint: string, result: GrantReply['kind']) => void
 }
@@ -80,15 +82,26 @@
     const until = this.#mayHoldUntil.get(holderKey(former)) ?? Infinity
     const startedAt = clock.now()
     while (!signal.aborted) {
-      const ended = this.#hasEnded(former)
-      if (ended || until <= clock.now()) {
-        this.#logVacated(former, { how: ended ? 'ended' : 'grants_ran_out', startedAt, outstandingMilliseconds: 0 })
+      const successor = this.#successorOf(former)
+      const endedElsewhere = successor !== undefined && addressOf(successor) !== former.address
+      if (endedElsewhere || until <= clock.now()) {
+        this.#logVacated(former, { how: endedElsewhere ? 'ended' : 'grants_ran_out', startedAt, outstandingMilliseconds: 0 })
         return ''
       }
       if (ledger.pending(holderKey(former)) > 0) {
         await delay(pendingMilliseconds, signal)
         continue
       }
+      if (successor !== undefined) {
+        // A process that has just started may have taken a grant that was meant for the one before.
+        const reached = await this.#options.transport.reach(former)
+        if (!reached || await this.#release(former, Math.min(until, clock.now() + 2 * releaseAgainMilliseconds), signal) !== undefined) {
+          this.#logVacated(former, { how: 'ended', startedAt, outstandingMilliseconds: 0 })
+          return ''
+        }
+        await delay(retryMilliseconds, signal)
+        continue
+      }
       const lostUntil = ledger.lostUntil(holderKey(former), segment)
       const handover = await this.#release(former, until, signal)
       if (handover !== undefined) {
@@ -149,14 +162,18 @@
   }
 
   /** A later process under the same id proves that the earlier one has ended. */
-  #hasEnded ({ endpoint, life }: Holder): boolean {
+  #successorOf ({ endpoint, life }: Holder): EndpointEntry | undefined {
     const entry = this.#options.directory().get(endpoint)
-    return entry !== undefined && entry.life > life
+    return entry !== undefined && entry.life > life ? entry : undefined
   }
 
   async #grant (handover: string, signal: AbortSignal): Promise<HandoverResult> {
-    const { segment: { from, to, fence, owner }, transport, ledger, timing } = this.#options
+    const { segment: { from, to, fence, owner }, transport, ledger, timing, mayGrant } = this.#options
     while (!signal.aborted) {
+      if (!mayGrant()) {
+        await delay(retryMilliseconds, signal)
+        continue
+      }
       const ticket = ledger.sending(holderKey(owner))
       const reply = await transport.grant(owner, { from, to, fence, holdMilliseconds: timing.holdMilliseconds, handover, connection: undefined })
       closeTicket(ticket, reply.kind)
--- a/packages/router/src/endpoint-entry.ts
+++ b/packages/router/src/endpoint-entry.ts
@@ -16,3 +16,8 @@
 
 /** Endpoints by id. */
 export type Directory = ReadonlyMap<string, EndpointEntry>
+
+/** Returns `host:port` of an endpoint. */
+export function addressOf ({ host, port }: EndpointEntry): string {
+  return `${host}:${port}`
+}
