Count grants, moves, leaderships, store calls, connections, queue waits and the delay of the event loop

Change: one registry per VM is created by the program and shared with the adapter. Calls to endpoints are counted by a transport around the platform's own, so the control loops stay as they are. Refusals by the queue and failures of endpoints name pool, key, how long the request had waited, and what else was queued; a request that this VM refuses to another one, or that reaches its turn too late, is logged, which it was not.

Cost of a request that is answered: two more histogram observations and one more count.

--- a/packages/common/src/loop-delay.ts
+++ b/packages/common/src/loop-delay.ts
@@ -19,8 +19,12 @@
     this.#tickBefore = this.#lastTick = clock.now()
   }
 
-  start (lifeCycle: LifeCycle): void {
-    const timer = setInterval(() => this.tick(), tickMilliseconds)
+  /** `onTick` learns by how many milliseconds the timers were late. */
+  start (lifeCycle: LifeCycle, onTick?: (lateMilliseconds: number) => void): void {
+    const timer = setInterval(() => {
+      this.tick()
+      onTick?.(Math.max(0, this.#lastTick - this.#tickBefore - tickMilliseconds))
+    }, tickMilliseconds)
     lifeCycle.own('loop delay', () => clearInterval(timer))
   }
 
--- a/packages/router/src/control/key-leader.test.ts
+++ b/packages/router/src/control/key-leader.test.ts
@@ -3,6 +3,7 @@
 import { emptyKeyMap, raiseFences, type Holder, type KeyMap, type VmEntry } from '@briarsaddle/key-ranges'
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
 import { EndpointTransport, type EndpointReply, type Grant, type GrantReply, type ReleaseReply } from '../endpoint-transport.js'
+import { RouterMetrics } from '../router-metrics.js'
 import type { RoutingTable } from '../routing-table.js'
 import { DemandSource, KeyLeader, type MeasuredDemand } from './key-leader.js'
 import { MembershipService, type MembershipReport } from './leadership.js'
@@ -86,19 +87,21 @@
   let map: TopicFollower<KeyMap>
   let directory: TopicFollower<Directory>
   let leader: KeyLeader
+  let metrics: RouterMetrics
 
   const follow = <State>(name: string, source: StateTopic<State>): TopicFollower<State> =>
     new TopicFollower({ name, topic: source, clock, waitMilliseconds: 50, pauseMilliseconds: 20, isNewer: (one, before) => one.position > before.position })
 
   beforeEach(async () => {
     lifeCycle = new LifeCycle('test')
+    metrics = new RouterMetrics()
     topic = new MapTopic()
     transport = new GrantingTransport()
     map = follow('key map', topic)
     directory = follow('directory', new FixedTopic(directoryState))
     const routing = follow('routing table', new FixedTopic(table))
     const member = new Member({ self, service: new LeadingService(), clock, confirmEveryMilliseconds: timing.confirmMilliseconds, callMilliseconds: 100, onRegained: () => {} })
-    leader = new KeyLeader({ self, clock, timing, member, topic, map, directory, routing, transport, demand: new NoDemand() })
+    leader = new KeyLeader({ self, clock, timing, member, topic, map, directory, routing, transport, demand: new NoDemand(), metrics })
     for (const follower of [map, directory, routing]) follower.start(lifeCycle)
     member.start(lifeCycle)
     leader.start(lifeCycle)
@@ -157,4 +160,11 @@
     transport.silent.delete('a')
     while (map.current?.state.pools.ponds?.every(segment => segment.owner.endpoint === 'b' && !segment.moving) !== true) await delay(10)
   })
+
+  it('counts the leaderships that began and ended', async () => {
+    map.offer({ position: topic.newest.position + 1, state: mapOfOther() })
+    const page = await metrics.text()
+    expect(page).to.include('briarsaddle_leaderships_total{event="began",reason="take over"} 1')
+    expect(page).to.include('briarsaddle_leaderships_total{event="ended",reason="another VM wrote the key map"} 1')
+  })
 })
--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -5,6 +5,7 @@
 } from '@briarsaddle/key-ranges'
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
 import type { EndpointTransport } from '../endpoint-transport.js'
+import type { RouterMetrics } from '../router-metrics.js'
 import type { RoutingTable } from '../routing-table.js'
 import { GrantRenewal, holderKey } from './grant-renewal.js'
 import type { Member } from './member.js'
@@ -35,6 +36,7 @@
   readonly routing: TopicFollower<RoutingTable>
   readonly transport: EndpointTransport
   readonly demand: DemandSource
+  readonly metrics: RouterMetrics
 }
 
 const tickMilliseconds = 100
@@ -76,6 +78,8 @@
 
   /** True while this VM assigns keys. */
   get leading (): boolean { return this.#leading }
+  /** Moves of keys that this VM carries out. */
+  get movesUnderWay (): number { return this.#handovers.size - this.#settled.size }
 
   start (lifeCycle: LifeCycle): void {
     lifeCycle.every('key leader', tickMilliseconds, async () => await this.#tick(lifeCycle.signal), error => {
@@ -130,6 +134,7 @@
     this.#ledger.begin(raised.fence)
     this.#renewal.reset()
     this.#leading = true
+    this.#options.metrics.leadership('began', 'take over')
     logger.info('leadership begins', { fence: this.#map.fence, position: map.current?.position, pools: Object.keys(this.#map.pools).length })
   }
 
@@ -139,7 +144,8 @@
     for (const handover of this.#handovers.values()) handover.stop()
     this.#handovers.clear()
     this.#settled.clear()
-    logger.info('leadership ends', { reason })
+    this.#options.metrics.leadership('ended', reason)
+    logger.info('leadership ends', { reason, position: this.#options.map.current?.position, author: this.#map.author, fence: this.#map.fence })
   }
 
   #isStale (): boolean {
@@ -286,8 +292,8 @@
   }
 
   #startHandover (key: string, pool: string, segment: Segment, signal: AbortSignal): void {
-    const { clock, timing, transport, directory } = this.#options
-    const handover = new RangeHandover({ clock, timing, transport, ledger: this.#ledger, directory: () => directory.current?.state ?? new Map(), segment, pool, observe: (endpoint, result) => this.#renewal.observe(endpoint, result) })
+    const { clock, timing, transport, directory, metrics } = this.#options
+    const handover = new RangeHandover({ clock, timing, transport, metrics, ledger: this.#ledger, directory: () => directory.current?.state ?? new Map(), segment, pool, observe: (endpoint, result) => this.#renewal.observe(endpoint, result) })
     this.#handovers.set(key, handover)
     void handover.run(signal).then(result => {
       if (this.#handovers.get(key) !== handover) return
--- a/packages/router/src/control/range-handover.test.ts
+++ b/packages/router/src/control/range-handover.test.ts
@@ -3,6 +3,7 @@
 import { GrantLedger, type GrantTicket, type Holder, type KeyRange, type Segment } from '@briarsaddle/key-ranges'
 import type { Directory } from '../endpoint-entry.js'
 import { EndpointTransport, type EndpointReply, type Grant, type GrantReply, type ReleaseReply } from '../endpoint-transport.js'
+import { RouterMetrics } from '../router-metrics.js'
 import { RangeHandover } from './range-handover.js'
 import { defaultControlTiming } from './timing.js'
 
@@ -84,6 +85,7 @@
   let endpoints: FakeEndpoints
   let directory: Directory
   let renewal: GrantTicket
+  let metrics: RouterMetrics
 
   function create (acknowledged = true, renewalOnItsWay = false, justTookOver = !acknowledged, acknowledgedKeys: KeyRange & { readonly fence: number } = segment): RangeHandover {
     const clock = new MonotonicClock()
@@ -91,10 +93,11 @@
     renewal = ledger.sending('a 1')
     if (!renewalOnItsWay) renewal.answered()
     if (acknowledged) ledger.acknowledged('a 1', acknowledgedKeys)
-    return new RangeHandover({ clock, timing, transport: endpoints, ledger, directory: () => directory, pool: 'ponds', segment, observe: () => {} })
+    return new RangeHandover({ clock, timing, transport: endpoints, ledger, directory: () => directory, pool: 'ponds', segment, observe: () => {}, metrics })
   }
 
   beforeEach(() => {
+    metrics = new RouterMetrics()
     endpoints = new FakeEndpoints()
     endpoints.add('a', true)
     endpoints.add('b', false)
@@ -188,4 +191,17 @@
     expect((await create().run(signal)).kind).to.equal('fenced')
     expect(endpoints.endpoints.get('b')?.holding).to.equal(false)
   })
+
+  // Guards against incidents like inc1, whose metrics did not say what moves waited for.
+  it('counts what it waited for at the former holder, and how long the whole move took', async () => {
+    await create().run(signal)
+    const lost = create(true, true).run(signal)
+    renewal.lost()
+    await lost
+    const page = await metrics.text()
+    expect(page).to.include('briarsaddle_vacate_seconds_count{waited_for="release"} 1')
+    expect(page).to.include('briarsaddle_vacate_seconds_count{waited_for="release_and_grants_without_answer"} 1')
+    expect(page).to.include('briarsaddle_vacate_seconds_bucket{le="0.5",waited_for="release_and_grants_without_answer"} 0')
+    expect(page).to.include('briarsaddle_handover_seconds_count{result="granted"} 2')
+  })
 })
--- a/packages/router/src/control/range-handover.ts
+++ b/packages/router/src/control/range-handover.ts
@@ -2,6 +2,7 @@
 import { rangeText, type GrantLedger, type Holder, type Segment } from '@briarsaddle/key-ranges'
 import type { Directory } from '../endpoint-entry.js'
 import type { EndpointTransport, GrantReply } from '../endpoint-transport.js'
+import type { RouterMetrics, VacateCause } from '../router-metrics.js'
 import { closeTicket, holderKey } from './grant-renewal.js'
 import type { ControlTiming } from './timing.js'
 
@@ -18,6 +19,7 @@
   readonly segment: Segment
   /** Learns whether calls about grants reach the new owner. */
   readonly observe: (endpoint: string, result: GrantReply['kind']) => void
+  readonly metrics: RouterMetrics
 }
 
 /** How a handover ended. */
@@ -57,7 +59,8 @@
     const handovers = await Promise.all(this.#options.segment.former.map(async former => await this.#vacate(former, limit)))
     const vacatedAt = this.#options.clock.now()
     const result = await this.#grant(handovers.find(handover => handover !== '') ?? '', limit)
-    const { pool, segment } = this.#options
+    const { pool, segment, metrics } = this.#options
+    metrics.handover(result.kind, this.#options.clock.now() - startedAt)
     logger.info('handover ended', {
       pool,
       keys: rangeText(segment),
@@ -104,7 +107,9 @@
 
   /** `outstandingMilliseconds` is the wait after the release for grants that may still take effect. */
   #logVacated (former: Holder, { how, startedAt, outstandingMilliseconds }: { readonly how: 'released' | 'ended' | 'grants_ran_out', readonly startedAt: number, readonly outstandingMilliseconds: number }): void {
-    const { clock, ledger, pool, segment } = this.#options
+    const { clock, ledger, pool, segment, metrics } = this.#options
+    const refusesFormerLeaders = ledger.refusesFormerLeaders(holderKey(former), segment)
+    metrics.vacated(causeOf(how, outstandingMilliseconds, refusesFormerLeaders), clock.now() - startedAt)
     logger.info('keys vacated', {
       pool,
       keys: rangeText(segment),
@@ -113,7 +118,7 @@
       how,
       milliseconds: Math.round(clock.now() - startedAt),
       outstandingMilliseconds: Math.round(outstandingMilliseconds),
-      refusesFormerLeaders: ledger.refusesFormerLeaders(holderKey(former), segment)
+      refusesFormerLeaders
     })
   }
 
@@ -172,3 +177,10 @@
     return { kind: 'stopped' }
   }
 }
+
+function causeOf (how: 'released' | 'ended' | 'grants_ran_out', outstandingMilliseconds: number, refusesFormerLeaders: boolean): VacateCause {
+  if (how === 'ended') return 'later_process'
+  if (how === 'grants_ran_out') return refusesFormerLeaders ? 'grants_ran_out' : 'former_leader'
+  if (outstandingMilliseconds === 0) return 'release'
+  return refusesFormerLeaders ? 'release_and_grants_without_answer' : 'release_and_former_leader'
+}
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -11,3 +11,4 @@
 export { CallerProtocol, type CallerFields } from './request/caller-protocol.js'
 export { routingTableSchema, type Pool, type Route, type RoutingTable } from './routing-table.js'
 export { JsonLog } from './json-log.js'
+export { RouterMetrics, type ConnectionEvent, type ConnectionUse } from './router-metrics.js'
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -13,6 +13,7 @@
 import { TopicFollower } from './control/topic-follower.js'
 import type { Directory } from './endpoint-entry.js'
 import type { EndpointTransport } from './endpoint-transport.js'
+import { MeasuredTransport } from './measured-transport.js'
 import type { RangeNodeSettings } from './node-settings.js'
 import type { CallerProtocol } from './request/caller-protocol.js'
 import { Changes } from './request/changes.js'
@@ -21,7 +22,7 @@
 import { RangeControlHandler, RangeFrameHandler } from './request/inner-handlers.js'
 import { RangeRouter, type RoutedRequest } from './request/range-router.js'
 import { RetryShare } from './retry-share.js'
-import { RouterMetrics } from './router-metrics.js'
+import type { RouterMetrics } from './router-metrics.js'
 import type { RoutingTable } from './routing-table.js'
 import { StatusServer, type StatusPage } from './status-server.js'
 
@@ -35,6 +36,8 @@
   readonly membership: MembershipService
   readonly transport: EndpointTransport
   readonly callers: CallerProtocol
+  /** Also used by the parts of the platform itself. */
+  readonly metrics: RouterMetrics
 }
 
 const maximumHeaderBytes = 64 * 1024
@@ -58,7 +61,8 @@
   readonly #random = new Random(randomInt(2 ** 31))
   readonly #changes = new Changes()
   readonly #coordinators = new Coordinators()
-  readonly #metrics = new RouterMetrics()
+  readonly #metrics: RouterMetrics
+  readonly #transport: EndpointTransport
   readonly #self: VmEntry
   readonly #map: TopicFollower<KeyMap>
   readonly #routing: TopicFollower<RoutingTable>
@@ -77,6 +81,8 @@
   constructor (settings: RangeNodeSettings, platform: RangeNodePlatform) {
     this.#settings = settings
     this.#platform = platform
+    this.#metrics = platform.metrics
+    this.#transport = new MeasuredTransport(platform.transport, platform.metrics, this.#clock)
     const { timing, listen } = settings
     const clock = this.#clock
     this.#self = { ...settings.vm, host: listen.inner.host, port: listen.inner.port }
@@ -108,7 +114,7 @@
   /** Starts all parts. Throws `listen_failed`. */
   async start (): Promise<void> {
     this.#followChanges()
-    this.#loopDelay.start(this.#lifeCycle)
+    this.#loopDelay.start(this.#lifeCycle, milliseconds => this.#metrics.loopDelay(milliseconds))
     await this.#inner.listen()
     this.#lifeCycle.own('inner server', async () => await this.#inner.stop(0))
     await new StatusServer({ '/ready': async () => this.#readiness() }).listen(this.#settings.listen.readiness, this.#lifeCycle)
@@ -158,11 +164,12 @@
       vm: this.#settings.vm.id,
       coordinators: this.#coordinators,
       peers: new PoolForwarder(this.#peers),
-      transport: this.#platform.transport,
+      transport: this.#transport,
       directory: () => this.#endpoints,
       clock: this.#clock,
       loopDelay: this.#loopDelay,
-      random: this.#random
+      random: this.#random,
+      metrics: this.#metrics
     })
   }
 
@@ -191,8 +198,9 @@
       map: this.#map,
       directory: this.#directory,
       routing: this.#routing,
-      transport: this.#platform.transport,
-      demand: new PeerDemand(this.#peers, this.#control, this.#news)
+      transport: this.#transport,
+      demand: new PeerDemand(this.#peers, this.#control, this.#news),
+      metrics: this.#metrics
     })
   }
 
@@ -206,18 +214,24 @@
 
   #followChanges (): void {
     this.#map.onChange(map => {
+      this.#noteKeyMap(map)
       this.#coordinators.update(map.vms)
       this.#peers.update(map.vms.filter(vm => vm.id !== this.#self.id).map(({ id, host, port }) => ({ vm: id, host, port })))
       this.#changes.notify()
     })
     this.#directory.onChange(directory => {
       this.#dispatcher.update(directory)
-      this.#platform.transport.keepOnly(directory)
+      this.#transport.keepOnly(directory)
       this.#changes.notify()
     })
     this.#routing.onChange(table => this.#useRouting(table))
   }
 
+  #noteKeyMap ({ author, fence, vms, pools }: KeyMap): void {
+    const segments = Object.values(pools).flat()
+    logger.info('key map in force', { position: this.#map.current?.position, author, fence, vms: vms.length, ranges: segments.length, moving: segments.filter(segment => segment.moving).length })
+  }
+
   #useRouting (table: RoutingTable): void {
     logger.info('routing table in force', { version: table.version, before: this.#router.version, routes: table.routes.length })
     this.#router.use(table)
@@ -254,18 +268,24 @@
   }
 
   #reportState (): void {
-    const { rss } = process.memoryUsage()
+    const { user, system } = process.cpuUsage()
+    const moving = Object.values(this.#map.current?.state.pools ?? {}).flat().filter(segment => segment.moving).length
     this.#metrics.state({
       leading: Number(this.#leader.leading),
       routingVersion: this.#router.version ?? 0,
       keyMapPosition: this.#map.current?.position ?? 0,
       endpoints: this.#endpoints.size,
       callersInFlight: this.#entry.inFlight,
-      residentBytes: rss
+      movesUnderWay: this.#leader.movesUnderWay,
+      movingRanges: moving,
+      residentBytes: process.memoryUsage.rss(),
+      processorSeconds: (user + system) / microsecondsPerSecond
     })
   }
 }
 
+const microsecondsPerSecond = 1_000_000
+
 class PoolForwarder extends PeerForwarder {
   readonly #peers: PeerPool
 
--- a/packages/router/src/request/dispatcher.ts
+++ b/packages/router/src/request/dispatcher.ts
@@ -2,6 +2,7 @@
 import { notRunAnswer, Outcome, peerReasons, type Answer, type Forward } from '@briarsaddle/protocol'
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
 import type { EndpointTransport } from '../endpoint-transport.js'
+import type { RouterMetrics } from '../router-metrics.js'
 import type { Coordinators } from './coordinators.js'
 import { EndpointGate } from './endpoint-gate.js'
 
@@ -23,6 +24,7 @@
   readonly clock: Clock
   readonly loopDelay: LoopDelay
   readonly random: Random
+  readonly metrics: RouterMetrics
 }
 
 /** Reasons of a peer that took no part in the request: this VM may send it itself. */
@@ -57,9 +59,9 @@
     const startedAt = this.#options.clock.now()
     await processTurns.turn()
     const endpoint = this.#options.directory().get(forward.endpoint)
-    if (endpoint === undefined) return notRunAnswer('endpoint_unknown')
+    if (endpoint === undefined) return refuseForwarded(forward, 'endpoint_unknown', waited)
     const deadlineMilliseconds = forward.deadlineMilliseconds - waited - (this.#options.clock.now() - startedAt)
-    if (deadlineMilliseconds <= 0) return notRunAnswer('deadline_exceeded')
+    if (deadlineMilliseconds <= 0) return refuseForwarded(forward, 'deadline_exceeded', waited)
     return await this.#gate(endpoint).handle({ ...forward, deadlineMilliseconds }, signal)
   }
 
@@ -83,3 +85,9 @@
     return gate
   }
 }
+
+/** `waited` is the time in milliseconds for which this VM may have been late to read the request. */
+function refuseForwarded ({ requestId, endpoint, pool, bucket, deadlineMilliseconds }: Forward, reason: string, waited: number): Answer {
+  logger.info('request of another VM refused', { request: requestId, endpoint, pool, key: bucket < 0 ? undefined : bucket, reason, remainingMilliseconds: Math.round(deadlineMilliseconds), loopDelayMilliseconds: Math.round(waited) })
+  return notRunAnswer(reason)
+}
