Log and count every refusal before routing, with the age of what decided it

Cause: requests that were refused before they had an endpoint (overloaded, no route, no configuration, key missing, invalid, memory limit, body too long, not valid HTTP) left no line with their id, and all but "overloaded" were missing from the metrics. Lines of routed requests did not say by which owner and token they were routed, nor how old the key map was. A connection closed for the limit of connections was not seen anywhere.

Change: each refusal is one line and one count; the entry passes what it has accepted to its handler, so refusals after the head was read have id and pool. A final line names endpoint, owner, token, position and age of the key map, and whether the repeats were used up. Ages are metrics as well. Answered requests write nothing.

--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -49,11 +49,13 @@
 const lastAnswersMilliseconds = 200
 
 /** One request whose answer is not yet finished. */
-interface Exchange {
+interface Exchange<Accepted> {
   readonly request: IncomingMessage
   readonly response: ServerResponse
   readonly controller: AbortController
   readonly arrivedAt: number
+  /** Undefined until the request has been accepted. */
+  accepted: Accepted | undefined
   reading: boolean
   /** The body is too long; the connection ends with the refusal, whether or not all of it has arrived meanwhile. */
   bodyRefused: boolean
@@ -64,11 +66,12 @@
   readonly #options: EntryServerOptions
   readonly #handler: CallerRequestHandler<Accepted>
   readonly #server: Server
-  readonly #exchanges = new Set<Exchange>()
+  readonly #exchanges = new Set<Exchange<Accepted>>()
   #maximumBodyBytes: number
   #bufferedBytes = 0
   #stopping: Promise<void> | undefined
   #onIdle: (() => void) | undefined
+  #refusedConnections = 0
 
   constructor (options: EntryServerOptions, handler: CallerRequestHandler<Accepted>) {
     this.#options = options
@@ -83,6 +86,7 @@
       noDelay: true
     })
     this.#server.maxConnections = options.maximumCallerConnections
+    this.#server.on('drop', () => this.#connectionRefused())
     this.#server.on('clientError', (error, socket) => this.#clientFailed(error, socket as Socket))
     const application = polka({ server: this.#server, onNoMatch: (request, response) => this.#handle(request, response) })
     // polka completes the request object itself and creates `next` when it is missing.
@@ -97,6 +101,11 @@
     return this.#exchanges.size
   }
 
+  /** Connections that were closed at once because too many were open. */
+  get refusedConnections (): number {
+    return this.#refusedConnections
+  }
+
   /** True until the stop begins. */
   get serving (): boolean {
     return this.#server.listening && this.#stopping === undefined
@@ -154,7 +163,7 @@
   }
 
   async #handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const exchange: Exchange = { request, response, controller: new AbortController(), arrivedAt: this.#options.clock.now() - (this.#options.loopDelay?.milliseconds ?? 0), reading: false, bodyRefused: false }
+    const exchange: Exchange<Accepted> = { request, response, controller: new AbortController(), arrivedAt: this.#options.clock.now() - (this.#options.loopDelay?.milliseconds ?? 0), accepted: undefined, reading: false, bodyRefused: false }
     this.#exchanges.add(exchange)
     const leave = (): void => exchange.controller.abort()
     request.socket.on('end', leave)
@@ -177,21 +186,22 @@
     } catch (error) {
       logger.error('request failed unexpectedly', { step: 'answer request', error: describeError(error) })
       if (response.headersSent) response.destroy()
-      else this.#write(exchange, this.#handler.unknownOutcome('internal_error'))
+      else this.#write(exchange, this.#handler.unknownOutcome('internal_error', exchange.accepted))
     }
   }
 
   /** Returns the final answer, or undefined when the caller is gone. */
-  async #answer (exchange: Exchange): Promise<CallerAnswer | undefined> {
+  async #answer (exchange: Exchange<Accepted>): Promise<CallerAnswer | undefined> {
     const { request, response, controller } = exchange
     const accepted = this.#handler.accept(this.#describe(exchange))
     if (isAnswer(accepted)) return accepted
+    exchange.accepted = accepted
     if (!hasBody(request)) return await this.#route(exchange, accepted, Buffer.alloc(0))
     const { maximumBufferedBytes = defaultMaximumBufferedBytes } = this.#options
     const maximumBodyBytes = this.#maximumBodyBytes
     // A body of unknown length counts as the longest one.
     const reserved = Math.min(maximumBodyBytes, Number(request.headers['content-length'] ?? maximumBodyBytes))
-    if (this.#bufferedBytes + reserved > maximumBufferedBytes) return this.#handler.refusal('memory_limit')
+    if (this.#bufferedBytes + reserved > maximumBufferedBytes) return this.#handler.refusal('memory_limit', accepted)
     this.#bufferedBytes += reserved
     try {
       if (request.headers.expect !== undefined && Number(request.headers['content-length'] ?? 0) <= maximumBodyBytes) response.writeContinue()
@@ -199,20 +209,20 @@
       const result = await readBody(request, maximumBodyBytes)
       exchange.reading = false
       exchange.bodyRefused = result.kind === 'too_large'
-      if (result.kind !== 'body') return result.kind === 'too_large' ? this.#handler.refusal('body_too_large') : undefined
-      if (controller.signal.aborted) return this.#handler.refusal('stopping')
+      if (result.kind !== 'body') return result.kind === 'too_large' ? this.#handler.refusal('body_too_large', accepted) : undefined
+      if (controller.signal.aborted) return this.#handler.refusal('stopping', accepted)
       return await this.#route(exchange, accepted, result.body)
     } finally {
       this.#bufferedBytes -= reserved
     }
   }
 
-  async #route (exchange: Exchange, accepted: Accepted, body: Buffer): Promise<CallerAnswer | undefined> {
+  async #route (exchange: Exchange<Accepted>, accepted: Accepted, body: Buffer): Promise<CallerAnswer | undefined> {
     const answer = await this.#handler.route(accepted, body, exchange.controller.signal)
     return exchange.response.closed ? undefined : answer
   }
 
-  #describe ({ request, arrivedAt }: Exchange): CallerRequest {
+  #describe ({ request, arrivedAt }: Exchange<Accepted>): CallerRequest {
     return {
       method: request.method ?? '',
       target: originForm(request.url ?? '/'),
@@ -223,7 +233,7 @@
     }
   }
 
-  #write ({ request, response, bodyRefused }: Exchange, answer: CallerAnswer): void {
+  #write ({ request, response, bodyRefused }: Exchange<Accepted>, answer: CallerAnswer): void {
     const headers = answer.headers.flatMap(({ name, value }) => [name, value])
     const unread = hasBody(request) && (bodyRefused || !request.complete)
     if (unread || (this.#stopping !== undefined && this.#isLastOnConnection(request))) headers.push('Connection', 'close')
@@ -256,6 +266,11 @@
     request.resume()
   }
 
+  #connectionRefused (): void {
+    this.#refusedConnections++
+    logger.warning('connection of a caller refused, because too many are open', { limit: this.#options.maximumCallerConnections, refused: this.#refusedConnections, inFlight: this.#exchanges.size })
+  }
+
   /** Answers what is not valid HTTP or did not arrive in time. */
   #clientFailed (error: Error, socket: Socket): void {
     const open = [...this.#exchanges].filter(exchange => exchange.request.socket === socket)
@@ -265,7 +280,7 @@
       socket.destroy()
       return
     }
-    const answer = this.#handler.refusal(clientErrorReasons.get(errorCode(error)) ?? 'bad_request')
+    const answer = this.#handler.refusal(clientErrorReasons.get(errorCode(error)) ?? 'bad_request', open[0]?.accepted)
     const head = answer.headers.map(({ name, value }) => `${name}: ${value}\r\n`).join('')
     socket.end(`HTTP/1.1 ${answer.status} Refused\r\n${head}Connection: close\r\n\r\n${answer.body.toString()}`)
   }
--- a/packages/entry/src/request-handler.ts
+++ b/packages/entry/src/request-handler.ts
@@ -33,10 +33,10 @@
   abstract accept (request: CallerRequest): Accepted | CallerAnswer
   /** Routes an accepted request. Always resolves to the final answer; an abort ends it truthfully at once. */
   abstract route (accepted: Accepted, body: Buffer, signal: AbortSignal): Promise<CallerAnswer>
-  /** Creates the answer to a request that surely did not run. */
-  abstract refusal (reason: string): CallerAnswer
+  /** Creates the answer to a request that surely did not run; `accepted` is missing for one that was not read as far. */
+  abstract refusal (reason: string, accepted?: Accepted): CallerAnswer
   /** Creates the answer to a request that may have run. */
-  abstract unknownOutcome (reason: string): CallerAnswer
+  abstract unknownOutcome (reason: string, accepted?: Accepted): CallerAnswer
 }
 
 /** Removes scheme and authority of a target in absolute form, which HTTP/1.1 servers must accept. */
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -3,6 +3,7 @@
 import { EntryServer } from '@briarsaddle/entry'
 import type { KeyMap, VmEntry } from '@briarsaddle/key-ranges'
 import { InnerServer, PeerPool, type Answer, type Forward } from '@briarsaddle/protocol'
+import { beliefAges, type BeliefAges } from './control/beliefs.js'
 import { ControlRelay } from './control/control-relay.js'
 import { KeyLeader } from './control/key-leader.js'
 import type { MembershipService } from './control/leadership.js'
@@ -184,7 +185,8 @@
       map: () => this.#map.current?.state,
       directory: () => this.#endpoints,
       changes: this.#changes,
-      metrics: this.#metrics
+      metrics: this.#metrics,
+      beliefs: () => this.#beliefs
     })
   }
 
@@ -232,6 +234,10 @@
     logger.info('key map in force', { position: this.#map.current?.position, author, fence, vms: vms.length, ranges: segments.length, moving: segments.filter(segment => segment.moving).length })
   }
 
+  get #beliefs (): BeliefAges {
+    return beliefAges(this.#clock, { map: this.#map, routing: this.#routing, directory: this.#directory })
+  }
+
   #useRouting (table: RoutingTable): void {
     logger.info('routing table in force', { version: table.version, before: this.#router.version, routes: table.routes.length })
     this.#router.use(table)
@@ -269,6 +275,7 @@
 
   #reportState (): void {
     const { user, system } = process.cpuUsage()
+    const { keyMapAgeMilliseconds, routingAgeMilliseconds, directoryAgeMilliseconds } = this.#beliefs
     const moving = Object.values(this.#map.current?.state.pools ?? {}).flat().filter(segment => segment.moving).length
     this.#metrics.state({
       leading: Number(this.#leader.leading),
@@ -276,8 +283,12 @@
       keyMapPosition: this.#map.current?.position ?? 0,
       endpoints: this.#endpoints.size,
       callersInFlight: this.#entry.inFlight,
+      refusedConnections: this.#entry.refusedConnections,
       movesUnderWay: this.#leader.movesUnderWay,
       movingRanges: moving,
+      keyMapAgeSeconds: secondsOf(keyMapAgeMilliseconds),
+      routingAgeSeconds: secondsOf(routingAgeMilliseconds),
+      directoryAgeSeconds: secondsOf(directoryAgeMilliseconds),
       residentBytes: process.memoryUsage.rss(),
       processorSeconds: (user + system) / microsecondsPerSecond
     })
@@ -286,6 +297,11 @@
 
 const microsecondsPerSecond = 1_000_000
 
+/** NaN, which Prometheus knows, for an age that there is not yet. */
+function secondsOf (milliseconds: number | undefined): number {
+  return milliseconds === undefined ? NaN : milliseconds / 1000
+}
+
 class PoolForwarder extends PeerForwarder {
   readonly #peers: PeerPool
 
--- a/packages/router/src/request/caller-protocol.ts
+++ b/packages/router/src/request/caller-protocol.ts
@@ -12,7 +12,7 @@
 /** How callers state what they want, and what they learn from the router's own answers. */
 export abstract class CallerProtocol {
   /** Returns a reason when the request is not valid. */
-  abstract read (request: CallerRequest): CallerFields | { readonly invalid: string }
+  abstract read (request: CallerRequest): CallerFields | { readonly invalid: string, readonly requestId: string }
   /** Headers of the router's own answers. */
   abstract ownHeaders (requestId: string): readonly CallerHeader[]
   /** Names in lower case of the headers that `read` understands; they need not travel between VMs. */
--- a/packages/router/src/request/range-router.ts
+++ b/packages/router/src/request/range-router.ts
@@ -1,7 +1,8 @@
-import { Logger, withTimeLimit, type Clock, type Random } from '@briarsaddle/common'
+import { Logger, withTimeLimit, type Clock, type LogFields, type Random } from '@briarsaddle/common'
 import { CallerRequestHandler, endToEndHeaders, headerPairs, headerValue, isValidHeader, type CallerAnswer, type CallerHeader, type CallerRequest } from '@briarsaddle/entry'
 import { segmentAt, type KeyMap, type Segment } from '@briarsaddle/key-ranges'
 import { notRunAnswer, Outcome, ServiceClass, type Answer, type Forward } from '@briarsaddle/protocol'
+import type { BeliefAges } from '../control/beliefs.js'
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
 import { RouteMatcher } from '../route-matcher.js'
 import type { Pool, Route, RoutingTable } from '../routing-table.js'
@@ -29,6 +30,8 @@
   readonly directory: () => Directory
   readonly changes: Changes
   readonly metrics: RouterMetrics
+  /** Asked for log lines only. */
+  readonly beliefs: () => BeliefAges
 }
 
 /** A request that matched a route. */
@@ -49,6 +52,12 @@
   readonly excluded: Set<string>
   sent: number
   mayHaveRun: boolean
+  /** The entry of the key map by which the request was last routed. */
+  segment: Segment | undefined
+  /** The endpoint that it was last sent to. */
+  endpoint: string | undefined
+  /** A repeat was due, and this VM's share of the repeats was used up. */
+  retriesSpent: boolean
 }
 
 const notForwarded: ReadonlySet<string> = new Set(['content-length', 'expect'])
@@ -102,19 +111,18 @@
 
   override accept (request: CallerRequest): RoutedRequest | CallerAnswer {
     const fields = this.#options.protocol.read(request)
-    if ('invalid' in fields) return this.#own(refusalFor(fields.invalid), '')
-    if (this.#matcher === undefined) return this.#own(refusalFor('no_configuration'), fields.requestId)
+    if ('invalid' in fields) return this.#refuse(request, fields, refusalFor(fields.invalid))
+    if (this.#matcher === undefined) return this.#refuse(request, fields, refusalFor('no_configuration'))
     const waited = this.#clock.now() - request.arrivedAt
     const route = this.#matcher.match(fields.host, request.target)
-    if (route === undefined) return this.#own(refusalFor('no_route'), fields.requestId)
+    if (route === undefined) return this.#refuse(request, fields, refusalFor('no_route'), { host: fields.host, target: request.target })
     const pool = this.#pools.get(this.#rotation.choose(route))
-    if (pool === undefined) return this.#own(refusalFor('no_pool'), fields.requestId)
-    if (pool.keyed && fields.key === undefined) return this.#own(refusalFor('key_missing'), fields.requestId)
+    if (pool === undefined) return this.#refuse(request, fields, refusalFor('no_pool'), { route: route.name })
+    if (pool.keyed && fields.key === undefined) return this.#refuse(request, fields, refusalFor('key_missing'), { route: route.name, pool: pool.name })
     const waits = Math.min(fields.deadlineMilliseconds ?? Infinity, route.timeoutMilliseconds)
     const objectiveMilliseconds = Math.min(waits, route.objectiveMilliseconds > 0 ? route.objectiveMilliseconds : waits)
     if (waited > overloadShare * objectiveMilliseconds) {
-      this.#options.metrics.request({ pool: pool.name, outcome: 'not-run', reason: 'overloaded', milliseconds: waited })
-      return this.#own(refusalFor('overloaded', waited), fields.requestId)
+      return this.#refuse(request, fields, refusalFor('overloaded', waited), { route: route.name, pool: pool.name, limitMilliseconds: Math.round(overloadShare * objectiveMilliseconds) })
     }
     this.#options.retries.requested(pool.name)
     return { request, fields, route, pool, deadlineAt: request.arrivedAt + waits, objectiveMilliseconds }
@@ -122,18 +130,18 @@
 
   override async route (routed: RoutedRequest, body: Buffer, signal: AbortSignal): Promise<CallerAnswer> {
     return await withTimeLimit(routed.deadlineAt - this.#clock.now(), signal, async limited => {
-      const attempt: Attempt = { routed, body, signal: limited, excluded: new Set(), sent: 0, mayHaveRun: false }
+      const attempt: Attempt = { routed, body, signal: limited, excluded: new Set(), sent: 0, mayHaveRun: false, segment: undefined, endpoint: undefined, retriesSpent: false }
       const answer = await this.#run(attempt)
       return this.#finish(attempt, attempt.mayHaveRun && answer.outcome === Outcome.OUTCOME_NOT_RUN ? { ...answer, outcome: Outcome.OUTCOME_UNKNOWN } : answer)
     })
   }
 
-  override refusal (reason: string): CallerAnswer {
-    return this.#own(refusalFor(reason), '')
+  override refusal (reason: string, accepted?: RoutedRequest): CallerAnswer {
+    return this.#ownForEntry('not-run', refusalFor(reason), accepted)
   }
 
-  override unknownOutcome (reason: string): CallerAnswer {
-    return this.#own(unknownFor(reason), '')
+  override unknownOutcome (reason: string, accepted?: RoutedRequest): CallerAnswer {
+    return this.#ownForEntry('unknown', unknownFor(reason), accepted)
   }
 
   snapshot (): Readonly<Record<string, unknown>> {
@@ -146,7 +154,7 @@
       if ('outcome' in endpoint) return endpoint
       const answer = await this.#send(attempt, endpoint)
       if (!await this.#maySendAgain(attempt, endpoint, answer)) return answer
-      this.#options.metrics.resent(attempt.routed.pool.name, answer.reason)
+      this.#noteRepeat(attempt, answer)
     }
   }
 
@@ -156,7 +164,7 @@
     const startedAt = this.#clock.now()
     for (;;) {
       if (this.#remaining(attempt) < leastRemainingMilliseconds) return notRunAnswer('deadline_exceeded')
-      const endpoint = routed.pool.keyed ? this.#ownerOf(routed) : this.#anyOf(attempt)
+      const endpoint = routed.pool.keyed ? this.#ownerOf(attempt) : this.#anyOf(attempt)
       if (typeof endpoint === 'object') return endpoint
       const share = endpoint === 'keys_moving' ? plannedMoveWaitShare : lossWaitShare
       const left = startedAt + share * routed.objectiveMilliseconds - this.#clock.now()
@@ -165,9 +173,11 @@
     }
   }
 
-  #ownerOf ({ pool, fields }: RoutedRequest): EndpointEntry | 'keys_moving' | 'owner_lost' | 'no_owner' {
+  #ownerOf (attempt: Attempt): EndpointEntry | 'keys_moving' | 'owner_lost' | 'no_owner' {
+    const { pool, fields } = attempt.routed
     const map = this.#options.map()
     const segment = map === undefined ? undefined : segmentAt(map, pool.name, fields.key ?? 0)
+    attempt.segment = segment
     if (segment === undefined) return 'no_owner'
     const directory = this.#options.directory()
     if (segment.moving) return this.#isPlanned(segment, directory) ? 'keys_moving' : 'owner_lost'
@@ -188,6 +198,7 @@
     const { pool } = attempt.routed
     const startedAt = this.#clock.now()
     attempt.sent++
+    attempt.endpoint = endpoint.id
     this.#chooser.started(pool.name, endpoint.id)
     const answer = await this.#options.dispatcher.dispatch(endpoint, this.#forward(attempt, endpoint), attempt.signal)
     this.#chooser.finished(pool.name, endpoint.id, answer, this.#clock.now() - startedAt)
@@ -233,7 +244,8 @@
     // What was refused before it was sent to the endpoint is no repeat there.
     const reached = answer.outcome === Outcome.OUTCOME_UNKNOWN || answer.reason === 'endpoint_full' || answer.reason === 'not_owner'
     if (pool.keyed && !reached && answer.reason !== 'endpoint_unreachable') return false
-    if (reached && !this.#options.retries.take(pool.name)) return false
+    attempt.retriesSpent = reached && !this.#options.retries.take(pool.name)
+    if (attempt.retriesSpent) return false
     if (answer.reason === 'not_owner' || answer.reason === 'endpoint_unreachable') await this.#options.changes.next(ownerWaitMilliseconds, attempt.signal)
     else if (pool.keyed) await this.#options.changes.next(againAfterMilliseconds, attempt.signal)
     return true
@@ -250,17 +262,52 @@
     this.#options.metrics.request({ pool: pool.name, outcome, reason: answer.reason, milliseconds })
     if (answer.outcome === Outcome.OUTCOME_ANSWERED) return callerAnswer(answer, request.method, this.#options.protocol.ownHeaders(fields.requestId))
     logger.info('request not answered by an endpoint', {
-      request: fields.requestId, route: route.name, pool: pool.name, key: fields.key, outcome, reason: answer.reason, sent, milliseconds: Math.round(milliseconds), routingVersion: this.version
+      request: fields.requestId, route: route.name, pool: pool.name, key: fields.key, outcome, reason: answer.reason, sent, milliseconds: Math.round(milliseconds), ...decidedBy(attempt), routingVersion: this.version, ...this.#options.beliefs()
     })
     const own = answer.outcome === Outcome.OUTCOME_NOT_RUN ? refusalFor(answer.reason, answer.retryAfterMilliseconds || undefined) : unknownFor(answer.reason)
     return this.#own(own, fields.requestId)
   }
 
+  #noteRepeat (attempt: Attempt, { reason }: Answer): void {
+    const { routed: { fields, pool }, sent, endpoint, segment } = attempt
+    this.#options.metrics.resent(pool.name, reason)
+    logger.info('request is sent again', { request: fields.requestId, pool: pool.name, key: fields.key, endpoint, fence: segment?.fence, reason, sent, remainingMilliseconds: Math.round(this.#remaining(attempt)) })
+  }
+
+  /** Refuses a request that is not routed. `inputs` are what decided it. */
+  #refuse (request: CallerRequest, { requestId }: Pick<CallerFields, 'requestId'>, answer: OwnAnswer, inputs: LogFields & { readonly pool?: string } = {}): CallerAnswer {
+    const milliseconds = this.#clock.now() - request.arrivedAt
+    this.#options.metrics.request({ pool: inputs.pool ?? '', outcome: 'not-run', reason: answer.reason, milliseconds })
+    const { routingAgeMilliseconds } = this.#options.beliefs()
+    logger.info('request refused before routing', { request: requestId, reason: answer.reason, status: answer.status, ...inputs, milliseconds: Math.round(milliseconds), routingVersion: this.version, routingAgeMilliseconds })
+    return this.#own(answer, requestId)
+  }
+
+  /** Answers a request that the entry could not hand over; one that it could not read has neither id nor pool. */
+  #ownForEntry (outcome: string, answer: OwnAnswer, accepted: RoutedRequest | undefined): CallerAnswer {
+    const pool = accepted?.pool.name
+    const milliseconds = accepted === undefined ? 0 : this.#clock.now() - accepted.request.arrivedAt
+    this.#options.metrics.request({ pool: pool ?? '', outcome, reason: answer.reason, milliseconds })
+    logger.info('request ended by the entry', { request: accepted?.fields.requestId ?? '', route: accepted?.route.name, pool, key: accepted?.fields.key, outcome, reason: answer.reason, status: answer.status, milliseconds: Math.round(milliseconds) })
+    return this.#own(answer, accepted?.fields.requestId ?? '')
+  }
+
   #own (answer: OwnAnswer, requestId: string): CallerAnswer {
     return renderOwnAnswer(answer, this.#options.protocol.ownHeaders(requestId), this.#options.random)
   }
 }
 
+/** What decided where a request went: the last endpoint, and the owner of its key with the token that the key map gave it. */
+function decidedBy ({ segment, endpoint, retriesSpent }: Attempt): LogFields {
+  return {
+    endpoint,
+    owner: segment?.owner.endpoint,
+    fence: segment?.fence,
+    ...(segment?.moving === true ? { moving: true, former: segment.former.map(former => former.endpoint).join(',') } : {}),
+    ...(retriesSpent ? { retriesSpent } : {})
+  }
+}
+
 function outcomeName (outcome: Outcome): string {
   if (outcome === Outcome.OUTCOME_ANSWERED) return 'answered'
   return outcome === Outcome.OUTCOME_NOT_RUN ? 'not-run' : 'unknown'
