Bound log lines by reason, and say what was left out

Cause: the bound of 40 lines a second was by message, so in a crest the refusals by deadline left out the few lines with another cause. Lines left out at the end of a flood were never reported when no line of the kind followed, and no metric counted them. A caller's id or target could make a line as long as its headers. A status page that failed left its request without an answer.

Texts end after 2,000 characters. A page that fails is answered with 500 and logged.

--- a/packages/router/src/json-log.test.ts
+++ b/packages/router/src/json-log.test.ts
@@ -11,7 +11,8 @@
 /** Writes far more than a pipe holds, of more kinds than one bound covers, and reports how it went on standard error. */
 const program = `
 import { JsonLog } from '${new URL('./json-log.js', import.meta.url).href}'
-const log = new JsonLog('vm-1')
+import { RouterMetrics } from '${new URL('./router-metrics.js', import.meta.url).href}'
+const log = new JsonLog('vm-1', new RouterMetrics())
 let last = performance.now()
 let longestPause = 0
 const before = process.memoryUsage().rss
@@ -28,6 +29,21 @@
 }, 5)
 `
 
+/** Writes a flood of one kind and reason, a line of another reason, and nothing more. */
+const floodProgram = `
+import { JsonLog } from '${new URL('./json-log.js', import.meta.url).href}'
+import { RouterMetrics } from '${new URL('./router-metrics.js', import.meta.url).href}'
+const metrics = new RouterMetrics()
+const log = new JsonLog('vm-1', metrics)
+for (let line = 0; line < 1000; line++) log.write('test', 'info', 'refused', { request: 'r' + line, reason: 'frequent', padding: 'x'.repeat(10_000) })
+log.write('test', 'info', 'refused', { request: 'r', reason: 'rare' })
+setTimeout(async () => {
+  await log.close()
+  process.stderr.write(await metrics.text())
+  process.exit(0)
+}, 2_000)
+`
+
 describe('JsonLog', function () {
   this.timeout(30_000)
 
@@ -47,4 +63,22 @@
       child.kill('SIGKILL')
     }
   })
+
+  it('says how many lines of which kind it left out, also when no line of the kind follows, and bounds each reason for itself', async () => {
+    const child = spawn(process.execPath, ['--input-type=module', '--eval', floodProgram], { stdio: ['ignore', 'pipe', 'pipe'] })
+    let output = ''
+    child.stdout.on('data', (data: Buffer) => { output += data.toString() })
+    const [[report]] = await Promise.all([once(child.stderr, 'data') as Promise<[Buffer]>, once(child, 'close')])
+    const lines = output.trim().split('\n').map(line => JSON.parse(line) as { readonly msg: string, readonly reason?: string, readonly line?: string, readonly lineReason?: string, readonly lines?: number, readonly omittedBefore?: number, readonly padding?: string })
+    expect(lines.filter(({ msg, reason }) => msg === 'refused' && reason === 'rare')).to.have.length(1)
+    const written = lines.filter(({ msg, reason }) => msg === 'refused' && reason === 'frequent')
+    // The flood may cross the end of a second.
+    expect(written.length).to.be.within(40, 80)
+    const leftOut = lines.filter(({ msg }) => msg === 'lines were left out')
+    expect(leftOut[0]).to.deep.include({ line: 'refused', lineReason: 'frequent' })
+    const omitted = [...leftOut.map(({ lines: count }) => count ?? 0), ...lines.map(({ omittedBefore }) => omittedBefore ?? 0)].reduce((sum, count) => sum + count, 0)
+    expect(written.length + omitted).to.equal(1_000)
+    expect(report.toString()).to.include(`briarsaddle_log_lines_total{result="omitted"} ${omitted}`)
+    expect(lines.every(({ padding = '' }) => padding.length <= 2_000)).to.equal(true)
+  })
 })
--- a/packages/router/src/status-server.ts
+++ b/packages/router/src/status-server.ts
@@ -1,8 +1,10 @@
 import { createServer, type ServerResponse } from 'node:http'
 import polka from 'polka'
-import { BriarsaddleError, type LifeCycle } from '@briarsaddle/common'
+import { BriarsaddleError, describeError, Logger, type LifeCycle } from '@briarsaddle/common'
 import type { ListenAddress } from './node-settings.js'
 
+const logger = new Logger('status')
+
 /** Content of one page. */
 export interface StatusPage {
   readonly status: number
@@ -24,7 +26,7 @@
     const server = createServer()
     const application = polka({ server })
     for (const [path, page] of Object.entries(this.#pages)) {
-      application.get(path, async (_request, response) => send(response, await page()))
+      application.get(path, async (_request, response) => send(response, await contentOf(path, page)))
     }
     await new Promise<void>((resolve, reject) => {
       server.once('error', error => reject(new BriarsaddleError(`cannot listen on ${host}:${port}: ${error.message}`, { code: 'listen_failed', step: 'listen', peer: `${host}:${port}`, cause: error })))
@@ -41,3 +43,12 @@
   response.writeHead(status, { 'Content-Type': type, 'Content-Length': Buffer.byteLength(text) })
   response.end(text)
 }
+
+async function contentOf (path: string, page: () => Promise<StatusPage>): Promise<StatusPage> {
+  try {
+    return await page()
+  } catch (error) {
+    logger.error('page could not be created', { path, error: describeError(error) })
+    return { status: 500, type: 'text/plain', text: 'the page could not be created\n' }
+  }
+}
