--- a/packages/common/src/loop-delay.test.ts
+++ b/packages/common/src/loop-delay.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
-import { ManualClock } from './clock.js'
+import { ManualClock, MonotonicClock } from './clock.js'
+import { LifeCycle } from './life-cycle.js'
 import { LoopDelay } from './loop-delay.js'
 
 describe('LoopDelay', () => {
@@ -17,4 +18,15 @@
     delay.tick()
     expect(delay.milliseconds).to.equal(0)
   })
+
+  it('reports by how much the timers of a process that was held up were late', async () => {
+    const lifeCycle = new LifeCycle('test')
+    const late: number[] = []
+    new LoopDelay(new MonotonicClock()).start(lifeCycle, milliseconds => late.push(milliseconds))
+    const heldUntil = performance.now() + 200
+    while (performance.now() < heldUntil);
+    while (late.length === 0) await new Promise(resolve => setTimeout(resolve, 5))
+    await lifeCycle.close()
+    expect(late[0]).to.be.at.least(145)
+  })
 })
--- a/packages/entry/src/entry-server.test.ts
+++ b/packages/entry/src/entry-server.test.ts
@@ -12,6 +12,7 @@
   asked = 0
   answer = answer
   cancelled = 0
+  readonly refusals: string[] = []
 
   override accept (request: CallerRequest): CallerRequest { return request }
 
@@ -22,7 +23,11 @@
     return this.answer
   }
 
-  override refusal (): CallerAnswer { return { ...answer, status: 503 } }
+  override refusal (reason: string, accepted?: CallerRequest): CallerAnswer {
+    this.refusals.push(`${reason} ${accepted?.target ?? 'not accepted'}`)
+    return { ...answer, status: 503 }
+  }
+
   override unknownOutcome (): CallerAnswer { return { ...answer, status: 504 } }
 }
 
@@ -54,6 +59,22 @@
     await once(socket, 'close')
     expect(received).to.match(/^HTTP\/1\.1 503 /)
     expect(handler.asked).to.equal(0)
+    expect(handler.refusals, 'named by what was accepted').to.deep.equal(['body_too_large /'])
+    await server.stop(0)
+  })
+})
+
+describe('EntryServer, with more connections than it takes', () => {
+  it('counts those that it closes (they were seen nowhere)', async () => {
+    const server = new EntryServer({ host: '127.0.0.1', port: 0, maximumHeaderBytes: 8_192, maximumBodyBytes: 100, maximumCallerConnections: 1, clock: new MonotonicClock() }, new SlowHandler())
+    const port = await server.listen()
+    const first = connect(port, '127.0.0.1')
+    await once(first, 'connect')
+    const second = connect(port, '127.0.0.1')
+    second.on('error', () => {})
+    await once(second, 'close')
+    expect(server.refusedConnections).to.equal(1)
+    first.destroy()
     await server.stop(0)
   })
 })
