--- a/packages/router/src/control/member.ts
+++ b/packages/router/src/control/member.ts
@@ -67,7 +67,7 @@
 
   #regained (): void {
     this.#lost = false
-    logger.info('dependency regained', { dependency: 'membership' })
+    logger.info('dependency regained', { dependency: 'membership', unconfirmedMilliseconds: Math.round(this.#options.clock.now() - this.#confirmedAt) })
     this.#options.onRegained()
   }
 
--- a/packages/router/src/control/topic-follower.ts
+++ b/packages/router/src/control/topic-follower.ts
@@ -28,6 +28,7 @@
   #confirmedAt = -Infinity
   #failures = 0
   #reading = new AbortController()
+  #lostAt = -Infinity
   #heardOf = 0
   #heardAt = -Infinity
 
@@ -95,7 +96,7 @@
       signal.addEventListener('abort', end)
       try {
         await this.#read(reading.signal)
-        if (this.#failures > 0) logger.info('dependency regained', { topic: this.#options.name, failures: this.#failures })
+        if (this.#failures > 0) logger.info('dependency regained', { topic: this.#options.name, failures: this.#failures, lostMilliseconds: Math.round(this.#options.clock.now() - this.#lostAt), position: this.#current?.position })
         this.#failures = 0
         await delay(this.#options.pauseMilliseconds, signal)
       } catch (error) {
@@ -126,7 +127,7 @@
   }
 
   #failed (error: unknown): void {
-    this.#failures++
+    if (this.#failures++ === 0) this.#lostAt = this.#options.clock.now()
     const fields = { topic: this.#options.name, code: errorCode(error), error: describeError(error), positionHeld: this.#current?.position }
     if (errorCode(error) === 'log_forgotten') {
       // The next read starts from the newest state; what is in force stays until then.
