Name the other VM as peer in log lines

Lines about another VM had its name in the field "vm", which every line has for the VM that wrote it. The line "started" now says which states the VM starts with and how old they are.

--- a/packages/router/src/control/control-relay.ts
+++ b/packages/router/src/control/control-relay.ts
@@ -41,9 +41,9 @@
       if (response === undefined) return
       if (response.keyMap !== '') map.offer({ position: response.keyMapPosition, state: decodeKeyMap(response.keyMap) })
       if (response.routingTable !== '') routing.offer({ position: routing.current?.position ?? 0, state: routingTableSchema.parse(JSON.parse(response.routingTable)) })
-      if (response.keyMap !== '' || response.routingTable !== '') logger.info('control state taken from another VM', { vm, position: response.keyMapPosition, routingVersion: response.routingVersion })
+      if (response.keyMap !== '' || response.routingTable !== '') logger.info('control state taken from another VM', { peer: vm, position: response.keyMapPosition, routingVersion: response.routingVersion })
     } catch (error) {
-      logger.info('another VM did not hand out its control state', { vm, error: describeError(error) })
+      logger.info('another VM did not hand out its control state', { peer: vm, error: describeError(error) })
     }
   }
 }
--- a/packages/router/src/control/member.ts
+++ b/packages/router/src/control/member.ts
@@ -43,7 +43,7 @@
     this.#leaving = true
     try {
       await withTimeLimit(this.#options.callMilliseconds, undefined, async limited => await this.#options.service.leave(this.#options.self, limited))
-      logger.info('left the members', { vm: this.#options.self.id })
+      logger.info('left the members', { generation: this.#report?.generation, led: this.#report?.leads })
     } catch (error) {
       logger.warning('could not leave the members; the membership expires by itself', { code: errorCode(error), error: describeError(error) })
     }
--- a/packages/router/src/control/peer-demand.ts
+++ b/packages/router/src/control/peer-demand.ts
@@ -34,7 +34,7 @@
       this.#news.heard(response)
       return response.endpoints
     } catch (error) {
-      logger.info('a VM did not report its demand', { vm, error: describeError(error) })
+      logger.info('a VM did not report its demand', { peer: vm, error: describeError(error) })
       return []
     }
   }
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -126,7 +126,7 @@
     new ControlRelay({ peers: this.#peers, map: this.#map, routing: this.#routing, random: this.#random }).start(this.#lifeCycle)
     this.#lifeCycle.every('state metrics', reportMilliseconds, () => this.#reportState(), error => logger.error('state metrics failed', { error: String(error) }))
     await this.#listenWhenPrepared()
-    logger.info('started', { vm: this.#self.id, dataCentre: this.#self.dataCentre, inner: `${this.#self.host}:${this.#self.port}` })
+    logger.info('started', { dataCentre: this.#self.dataCentre, inner: `${this.#self.host}:${this.#self.port}`, routingVersion: this.#router.version, ...this.#beliefs })
   }
 
   /** Requests that are read before this VM knows the routes would wait or be refused here, and served elsewhere. */
