--- a/packages/router/src/control/member.ts
+++ b/packages/router/src/control/member.ts
@@ -43,7 +43,7 @@
     this.#leaving = true
     try {
       await withTimeLimit(this.#options.callMilliseconds, undefined, async limited => await this.#options.service.leave(this.#options.self, limited))
-      logger.info('left the members', { vm: this.#options.self.id })
+      logger.info('left the members', { generation: this.#report?.generation, led: this.#report?.leads })
     } catch (error) {
       logger.warning('could not leave the members; the membership expires by itself', { code: errorCode(error), error: describeError(error) })
     }
@@ -67,7 +67,7 @@
 
   #regained (): void {
     this.#lost = false
-    logger.info('dependency regained', { dependency: 'membership' })
+    logger.info('dependency regained', { dependency: 'membership', unconfirmedMilliseconds: Math.round(this.#options.clock.now() - this.#confirmedAt) })
     this.#options.onRegained()
   }
 
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -3,6 +3,7 @@
 import { EntryServer } from '@briarsaddle/entry'
 import type { KeyMap, VmEntry } from '@briarsaddle/key-ranges'
 import { InnerServer, PeerPool, type Answer, type Forward } from '@briarsaddle/protocol'
+import { beliefAges, type BeliefAges } from './control/beliefs.js'
 import { ControlRelay } from './control/control-relay.js'
 import { KeyLeader } from './control/key-leader.js'
 import type { MembershipService } from './control/leadership.js'
@@ -13,6 +14,7 @@
 import { TopicFollower } from './control/topic-follower.js'
 import type { Directory } from './endpoint-entry.js'
 import type { EndpointTransport } from './endpoint-transport.js'
+import { MeasuredTransport } from './measured-transport.js'
 import type { RangeNodeSettings } from './node-settings.js'
 import type { CallerProtocol } from './request/caller-protocol.js'
 import { Changes } from './request/changes.js'
@@ -21,7 +23,7 @@
 import { RangeControlHandler, RangeFrameHandler } from './request/inner-handlers.js'
 import { RangeRouter, type RoutedRequest } from './request/range-router.js'
 import { RetryShare } from './retry-share.js'
-import { RouterMetrics } from './router-metrics.js'
+import type { RouterMetrics } from './router-metrics.js'
 import type { RoutingTable } from './routing-table.js'
 import { StatusServer, type StatusPage } from './status-server.js'
 
@@ -35,6 +37,8 @@
   readonly membership: MembershipService
   readonly transport: EndpointTransport
   readonly callers: CallerProtocol
+  /** Also used by the parts of the platform itself. */
+  readonly metrics: RouterMetrics
 }
 
 const maximumHeaderBytes = 64 * 1024
@@ -58,7 +62,8 @@
   readonly #random = new Random(randomInt(2 ** 31))
   readonly #changes = new Changes()
   readonly #coordinators = new Coordinators()
-  readonly #metrics = new RouterMetrics()
+  readonly #metrics: RouterMetrics
+  readonly #transport: EndpointTransport
   readonly #self: VmEntry
   readonly #map: TopicFollower<KeyMap>
   readonly #routing: TopicFollower<RoutingTable>
@@ -77,6 +82,8 @@
   constructor (settings: RangeNodeSettings, platform: RangeNodePlatform) {
     this.#settings = settings
     this.#platform = platform
+    this.#metrics = platform.metrics
+    this.#transport = new MeasuredTransport(platform.transport, platform.metrics, this.#clock)
     const { timing, listen } = settings
     const clock = this.#clock
     this.#self = { ...settings.vm, host: listen.inner.host, port: listen.inner.port }
@@ -108,7 +115,7 @@
   /** Starts all parts. Throws `listen_failed`. */
   async start (): Promise<void> {
     this.#followChanges()
-    this.#loopDelay.start(this.#lifeCycle)
+    this.#loopDelay.start(this.#lifeCycle, milliseconds => this.#metrics.loopDelay(milliseconds))
     await this.#inner.listen()
     this.#lifeCycle.own('inner server', async () => await this.#inner.stop(0))
     await new StatusServer({ '/ready': async () => this.#readiness() }).listen(this.#settings.listen.readiness, this.#lifeCycle)
@@ -119,7 +126,7 @@
     new ControlRelay({ peers: this.#peers, map: this.#map, routing: this.#routing, random: this.#random }).start(this.#lifeCycle)
     this.#lifeCycle.every('state metrics', reportMilliseconds, () => this.#reportState(), error => logger.error('state metrics failed', { error: String(error) }))
     await this.#listenWhenPrepared()
-    logger.info('started', { vm: this.#self.id, dataCentre: this.#self.dataCentre, inner: `${this.#self.host}:${this.#self.port}` })
+    logger.info('started', { dataCentre: this.#self.dataCentre, inner: `${this.#self.host}:${this.#self.port}`, routingVersion: this.#router.version, ...this.#beliefs })
   }
 
   /** Requests that are read before this VM knows the routes would wait or be refused here, and served elsewhere. */
@@ -158,11 +165,12 @@
       vm: this.#settings.vm.id,
       coordinators: this.#coordinators,
       peers: new PoolForwarder(this.#peers),
-      transport: this.#platform.transport,
+      transport: this.#transport,
       directory: () => this.#endpoints,
       clock: this.#clock,
       loopDelay: this.#loopDelay,
-      random: this.#random
+      random: this.#random,
+      metrics: this.#metrics
     })
   }
 
@@ -177,7 +185,8 @@
       map: () => this.#map.current?.state,
       directory: () => this.#endpoints,
       changes: this.#changes,
-      metrics: this.#metrics
+      metrics: this.#metrics,
+      beliefs: () => this.#beliefs
     })
   }
 
@@ -191,8 +200,9 @@
       map: this.#map,
       directory: this.#directory,
       routing: this.#routing,
-      transport: this.#platform.transport,
-      demand: new PeerDemand(this.#peers, this.#control, this.#news)
+      transport: this.#transport,
+      demand: new PeerDemand(this.#peers, this.#control, this.#news),
+      metrics: this.#metrics
     })
   }
 
@@ -206,18 +216,28 @@
 
   #followChanges (): void {
     this.#map.onChange(map => {
+      this.#noteKeyMap(map)
       this.#coordinators.update(map.vms)
       this.#peers.update(map.vms.filter(vm => vm.id !== this.#self.id).map(({ id, host, port }) => ({ vm: id, host, port })))
       this.#changes.notify()
     })
     this.#directory.onChange(directory => {
       this.#dispatcher.update(directory)
-      this.#platform.transport.keepOnly(directory)
+      this.#transport.keepOnly(directory)
       this.#changes.notify()
     })
     this.#routing.onChange(table => this.#useRouting(table))
   }
 
+  #noteKeyMap ({ author, fence, vms, pools }: KeyMap): void {
+    const segments = Object.values(pools).flat()
+    logger.info('key map in force', { position: this.#map.current?.position, author, fence, vms: vms.length, ranges: segments.length, moving: segments.filter(segment => segment.moving).length })
+  }
+
+  get #beliefs (): BeliefAges {
+    return beliefAges(this.#clock, { map: this.#map, routing: this.#routing, directory: this.#directory })
+  }
+
   #useRouting (table: RoutingTable): void {
     logger.info('routing table in force', { version: table.version, before: this.#router.version, routes: table.routes.length })
     this.#router.use(table)
@@ -254,18 +274,34 @@
   }
 
   #reportState (): void {
-    const { rss } = process.memoryUsage()
+    const { user, system } = process.cpuUsage()
+    const { keyMapAgeMilliseconds, routingAgeMilliseconds, directoryAgeMilliseconds } = this.#beliefs
+    const moving = Object.values(this.#map.current?.state.pools ?? {}).flat().filter(segment => segment.moving).length
     this.#metrics.state({
       leading: Number(this.#leader.leading),
       routingVersion: this.#router.version ?? 0,
       keyMapPosition: this.#map.current?.position ?? 0,
       endpoints: this.#endpoints.size,
       callersInFlight: this.#entry.inFlight,
-      residentBytes: rss
+      refusedConnections: this.#entry.refusedConnections,
+      movesUnderWay: this.#leader.movesUnderWay,
+      movingRanges: moving,
+      keyMapAgeSeconds: secondsOf(keyMapAgeMilliseconds),
+      routingAgeSeconds: secondsOf(routingAgeMilliseconds),
+      directoryAgeSeconds: secondsOf(directoryAgeMilliseconds),
+      residentBytes: process.memoryUsage.rss(),
+      processorSeconds: (user + system) / microsecondsPerSecond
     })
   }
 }
 
+const microsecondsPerSecond = 1_000_000
+
+/** NaN, which Prometheus knows, for an age that there is not yet. */
+function secondsOf (milliseconds: number | undefined): number {
+  return milliseconds === undefined ? NaN : milliseconds / 1000
+}
+
 class PoolForwarder extends PeerForwarder {
   readonly #peers: PeerPool
 
