Send a limited number of grants at a time

Cause: the renewals of all segments fall due in the same tick, since a takeover makes all of them due, and stay together. A VM with a third of a core needs longer to send 267 grants and read the answers than one call may take (400 ms), so those at the end are late for reasons that have nothing to do with their endpoints.

Change: at most 32 renewals are on their way, and the next one is sent when one has been answered. Endpoints that do not answer have 8 places of their own, so that they do not hold up the others.

--- a/packages/router/src/control/grant-renewal.ts
+++ b/packages/router/src/control/grant-renewal.ts
@@ -17,6 +17,11 @@
 
 // Some answers are lost on the way.
 const suspectFailures = 3
+// Grants that are on their way at once. More would wait in this process for longer than an endpoint may take, as a VM of a
+// third of a core handles about one in a millisecond.
+const mostInFlight = 32
+// Endpoints that do not answer hold their places for the whole limit of a call; the others have to be renewed meanwhile.
+const mostInFlightToFailing = 8
 
 interface SegmentState {
   dueAt: number
@@ -25,12 +30,23 @@
   inFlight: boolean
 }
 
+interface DueRenewal {
+  readonly pool: string
+  readonly segment: Segment
+  readonly state: SegmentState
+}
+
 /** Renews the grants of settled segments and finds endpoints that cannot be reached. */
 export class GrantRenewal {
   readonly #options: GrantRenewalOptions
   readonly #segments = new Map<string, SegmentState>()
   readonly #failing = new Map<string, { readonly since: number, failures: number }>()
   readonly #disconnected = new Set<string>()
+  /** Renewals that wait for a place, the one that has been due the longest last. */
+  #due: DueRenewal[] = []
+  #dueToFailing: DueRenewal[] = []
+  #inFlight = 0
+  #inFlightToFailing = 0
 
   constructor (options: GrantRenewalOptions) {
     this.#options = options
@@ -52,6 +68,8 @@
     this.#segments.clear()
     this.#failing.clear()
     this.#disconnected.clear()
+    this.#due = []
+    this.#dueToFailing = []
   }
 
   /** Returns the endpoints whose connection was lost since the last call; their segments need new tokens. */
@@ -89,19 +107,45 @@
     }))
   }
 
-  /** Sends the grants that are due. */
+  /** Sends the grants that are due, a limited number at a time. */
   renewDue (pools: Readonly<Record<string, readonly Segment[]>>): void {
     const now = this.#options.clock.now()
     const present = new Set<string>()
+    const due: DueRenewal[] = []
     for (const [pool, segments] of Object.entries(pools)) {
       for (const segment of segments) {
         const key = keyOf(pool, segment)
         present.add(key)
         const state = this.#stateOf(key, segment)
-        if (!segment.moving && !state.inFlight && state.dueAt <= now) void this.#renew(pool, segment, state)
+        if (!segment.moving && !state.inFlight && state.dueAt <= now) due.push({ pool, segment, state })
       }
     }
     for (const key of this.#segments.keys()) if (!present.has(key)) this.#segments.delete(key)
+    due.sort((one, other) => other.state.dueAt - one.state.dueAt)
+    this.#due = due.filter(({ segment }) => !this.#failing.has(segment.owner.endpoint))
+    this.#dueToFailing = due.filter(({ segment }) => this.#failing.has(segment.owner.endpoint))
+    this.#sendDue()
+  }
+
+  #sendDue (): void {
+    while (this.#inFlight < mostInFlight) {
+      const renewal = this.#due.pop()
+      if (renewal === undefined) break
+      this.#inFlight++
+      void this.#renew(renewal).finally(() => {
+        this.#inFlight--
+        this.#sendDue()
+      })
+    }
+    while (this.#inFlightToFailing < mostInFlightToFailing) {
+      const renewal = this.#dueToFailing.pop()
+      if (renewal === undefined) break
+      this.#inFlightToFailing++
+      void this.#renew(renewal).finally(() => {
+        this.#inFlightToFailing--
+        this.#sendDue()
+      })
+    }
   }
 
   /** A segment that was joined or cut keeps the connection on which its token was accepted. */
@@ -115,7 +159,7 @@
     return state
   }
 
-  async #renew (pool: string, segment: Segment, state: SegmentState): Promise<void> {
+  async #renew ({ pool, segment, state }: DueRenewal): Promise<void> {
     const { transport, ledger, timing, clock, mayRenew } = this.#options
     if (!mayRenew(pool, segment)) return
     state.inFlight = true
