Ask few VMs at a time for their demand

What callers saw: `deadline_unreachable` for seconds at endpoints with busy keys while others were half idle: no keys moved.

Cause: once a second, the leader asks all other VMs at the same time. It has a third of a core, so with 84 of them the answers are read after the limit of 400 ms; an overdue call takes its connection down, and then there is none for the next rounds ("there is no connection").

Change: twelve VMs are asked at a time. All of them are asked in each round.

--- /dev/null
+++ b/packages/router/src/control/peer-demand.test.ts
@@ -0,0 +1,56 @@
+import { expect } from 'chai'
+import { delay } from '@briarsaddle/common'
+import type { EndpointKeyLoad, FetchKeyLoadsResponse } from '@briarsaddle/protocol'
+import { PeerDemand, type DemandPeers } from './peer-demand.js'
+
+const answerMilliseconds = 5
+
+function report (vm: string): FetchKeyLoadsResponse {
+  const endpoint: EndpointKeyLoad = { endpoint: `endpoint of ${vm}`, busySlots: 1, queued: 0, serviceMilliseconds: 100, keys: [] }
+  return { keyMapPosition: 0, routingVersion: 0, endpoints: [endpoint] }
+}
+
+/** VMs that answer after a few milliseconds, or not at all. */
+class Peers implements DemandPeers {
+  readonly vms = Array.from({ length: 84 }, (_, index) => `vm-${index}`)
+  readonly silent = new Set<string>()
+  asked = 0
+  mostAsked = 0
+
+  get (vm: string): { fetchKeyLoads: () => Promise<FetchKeyLoadsResponse> } {
+    return { fetchKeyLoads: async () => await this.#answer(vm) }
+  }
+
+  async #answer (vm: string): Promise<FetchKeyLoadsResponse> {
+    this.asked++
+    this.mostAsked = Math.max(this.mostAsked, this.asked)
+    await delay(answerMilliseconds)
+    this.asked--
+    if (this.silent.has(vm)) throw new Error('no answer')
+    return report(vm)
+  }
+}
+
+describe('PeerDemand', () => {
+  const own = { fetchKeyLoads: async () => report('self') }
+  const news = { own: { keyMapPosition: 0, routingVersion: 0 }, heard: () => {} }
+  let peers: Peers
+  let demand: PeerDemand
+
+  beforeEach(() => {
+    peers = new Peers()
+    demand = new PeerDemand(peers, own, news)
+  })
+
+  // Pattern: dozens of VMs answer at the same time to a leader with a third of a core.
+  it('asks few VMs at a time, and all of them (connections closed because their answers were read late)', async () => {
+    const collected = await demand.collect()
+    expect(collected.size).to.equal(peers.vms.length + 1)
+    expect(peers.mostAsked).to.be.at.most(12)
+  })
+
+  it('collects the demand of the others when some VMs do not answer', async () => {
+    for (const vm of peers.vms.slice(0, 20)) peers.silent.add(vm)
+    expect((await demand.collect()).size).to.equal(peers.vms.length + 1 - 20)
+  })
+})
--- a/packages/router/src/control/peer-demand.ts
+++ b/packages/router/src/control/peer-demand.ts
@@ -1,19 +1,28 @@
 import { describeError, Logger } from '@briarsaddle/common'
-import type { EndpointKeyLoad, PeerPool } from '@briarsaddle/protocol'
+import type { EndpointKeyLoad, PeerClient } from '@briarsaddle/protocol'
 import type { RangeControlHandler } from '../request/inner-handlers.js'
 import type { News } from './news.js'
 import { DemandSource, type MeasuredDemand } from './key-leader.js'
 
 const logger = new Logger('demand')
 const callMilliseconds = 400
+// VMs that are asked at the same time. The answers of all of them at once take a VM of a third of a core longer to read than
+// a call may take, and connections whose calls are overdue are closed.
+const mostAsked = 12
+
+/** The other VMs, as far as they are asked for their demand. */
+export interface DemandPeers {
+  readonly vms: readonly string[]
+  get (vm: string): Pick<PeerClient, 'fetchKeyLoads'> | undefined
+}
 
 /** Collects demand from the VMs that coordinate endpoints, this one included. */
 export class PeerDemand extends DemandSource {
-  readonly #peers: PeerPool
-  readonly #own: RangeControlHandler
-  readonly #news: News
+  readonly #peers: DemandPeers
+  readonly #own: Pick<RangeControlHandler, 'fetchKeyLoads'>
+  readonly #news: Pick<News, 'own' | 'heard'>
 
-  constructor (peers: PeerPool, own: RangeControlHandler, news: News) {
+  constructor (peers: DemandPeers, own: Pick<RangeControlHandler, 'fetchKeyLoads'>, news: Pick<News, 'own' | 'heard'>) {
     super()
     this.#news = news
     this.#peers = peers
@@ -21,9 +30,14 @@
   }
 
   override async collect (): Promise<ReadonlyMap<string, MeasuredDemand>> {
-    const reports = await Promise.all([this.#own.fetchKeyLoads(this.#news.own).then(({ endpoints }) => endpoints), ...this.#peers.vms.map(async vm => await this.#ask(vm))])
+    const reports = [...(await this.#own.fetchKeyLoads(this.#news.own)).endpoints]
+    const vms = [...this.#peers.vms]
+    const askInTurn = async (): Promise<void> => {
+      for (let vm = vms.pop(); vm !== undefined; vm = vms.pop()) reports.push(...await this.#ask(vm))
+    }
+    await Promise.all(Array.from({ length: mostAsked }, askInTurn))
     const demand = new Map<string, MeasuredDemand>()
-    for (const report of reports.flat()) demand.set(report.endpoint, add(demand.get(report.endpoint), report))
+    for (const report of reports) demand.set(report.endpoint, add(demand.get(report.endpoint), report))
     return demand
   }
 
