Do not give up connections to other VMs because this VM was held up

Cause: when calls are overdue, a link is closed unless a frame arrives within 50 ms; a connection that is not set up within 400 ms is given up. Both are timers, which run before the sockets are read after a hold-up.

Change: both times are counted in eight parts, of which a hold-up uses up one, so what has arrived is handled in between. The set-up of a connection takes several turns of the event loop; that one more turn is enough, as for a call, would not be true here.

--- /dev/null
+++ b/packages/common/src/loop-timeout.test.ts
@@ -0,0 +1,27 @@
+import { expect } from 'chai'
+import { delay } from './clock.js'
+import { afterLoopTime } from './loop-timeout.js'
+
+describe('afterLoopTime', () => {
+  it('calls back after the time', async () => {
+    const startedAt = performance.now()
+    await new Promise<void>(resolve => { afterLoopTime(40, resolve) })
+    expect(performance.now() - startedAt).to.be.at.least(35)
+  })
+
+  it('goes on waiting after the event loop was held up (connections closed while their set-up was not handled)', async () => {
+    const called = new Promise<number>(resolve => { afterLoopTime(80, () => resolve(performance.now())) })
+    const heldUpUntil = performance.now() + 150
+    while (performance.now() < heldUpUntil);
+    expect(await called - heldUpUntil).to.be.at.least(50)
+  })
+
+  it('does not call back once cancelled', async () => {
+    let called = false
+    const cancel = afterLoopTime(20, () => { called = true })
+    await delay(10)
+    cancel()
+    await delay(40)
+    expect(called).to.equal(false)
+  })
+})
--- a/packages/protocol/src/exchange.test.ts
+++ b/packages/protocol/src/exchange.test.ts
@@ -43,9 +43,11 @@
 class Relay {
   readonly #server: Server
   readonly #sockets: Socket[] = []
+  accepted = 0
 
   constructor (targetPort: number) {
     this.#server = createServer(socket => {
+      this.accepted++
       const upstream = connect(targetPort, '127.0.0.1')
       this.#sockets.push(socket, upstream)
       for (const end of [socket, upstream]) end.on('error', () => {})
@@ -146,6 +148,16 @@
     expect(performance.now() - begun).to.be.lessThan(20)
   })
 
+  // Pattern: a VM with a third of a core connects to dozens of others at the same time.
+  it('goes on connecting after the event loop was held up for longer than the limit (connections that are given up and begun again without end)', async () => {
+    const client = new PeerClient(`127.0.0.1:${relayPort}`, { connectTimeoutMilliseconds: 60 })
+    clients.push(client)
+    const heldUpUntil = performance.now() + 150
+    while (performance.now() < heldUpUntil);
+    await waitUntil(() => client.connected)
+    expect(relay.accepted).to.equal(1)
+  })
+
   it('aborts the handler when the caller cancels (work for nobody)', async () => {
     const client = await connectClient()
     const controller = new AbortController()
--- a/packages/protocol/src/peer-link.ts
+++ b/packages/protocol/src/peer-link.ts
@@ -1,5 +1,5 @@
 import { credentials, type ClientDuplexStream } from '@grpc/grpc-js'
-import type { Clock } from '@briarsaddle/common'
+import { afterLoopTime, type Clock } from '@briarsaddle/common'
 import { InnerClient, type Frame } from './generated/inner.js'
 import { channelOptions, type ConnectionOptions } from './options.js'
 import { WriteBuffer } from './write-buffer.js'
@@ -59,13 +59,13 @@
   readonly #pending = new Map<number, Pending>()
   // A set keeps the order of insertion and removes an aborted request in constant time.
   readonly #waiting = new Set<Pending>()
-  readonly #connectTimer: NodeJS.Timeout
+  readonly #stopConnectTimer: () => void
   #waitingBytes = 0
   #nextId = 1
   #state: 'connecting' | 'open' | 'leaving' | 'closed' = 'connecting'
   #writable = false
   #lastFrameAt: number
-  #confirmationTimer: NodeJS.Timeout | undefined
+  #stopConfirmationTimer: (() => void) | undefined
 
   constructor (address: string, options: LinkOptions, clock: Clock, events: LinkEvents) {
     this.#options = options
@@ -80,7 +80,7 @@
     this.#stream.on('drain', () => this.#drain())
     this.#stream.on('error', () => this.close())
     this.#stream.on('end', () => this.close())
-    this.#connectTimer = setTimeout(() => this.close(), options.connectTimeoutMilliseconds)
+    this.#stopConnectTimer = afterLoopTime(options.connectTimeoutMilliseconds, () => this.close())
   }
 
   /** Frames that wait for the stream plus requests that wait for a reply. */
@@ -124,8 +124,8 @@
     if (this.#state === 'closed') return
     this.#state = 'closed'
     this.#writable = false
-    clearTimeout(this.#connectTimer)
-    clearTimeout(this.#confirmationTimer)
+    this.#stopConnectTimer()
+    this.#stopConfirmationTimer?.()
     for (const pending of [...this.#pending.values()]) pending.settle({ kind: 'closed', written: pending.written })
     this.#stream.cancel()
     this.client.close()
@@ -139,12 +139,12 @@
 
   /** Notes an overdue reply; closes the link when nothing has arrived on it for a while. */
   noteOverdue (): void {
-    if (this.#state === 'closed' || this.#confirmationTimer !== undefined || !this.#isSilent()) return
+    if (this.#state === 'closed' || this.#stopConfirmationTimer !== undefined || !this.#isSilent()) return
     const lastFrameAt = this.#lastFrameAt
-    this.#confirmationTimer = setTimeout(() => {
-      this.#confirmationTimer = undefined
+    this.#stopConfirmationTimer = afterLoopTime(overdueConfirmationMilliseconds, () => {
+      this.#stopConfirmationTimer = undefined
       if (this.#lastFrameAt === lastFrameAt) this.close()
-    }, overdueConfirmationMilliseconds)
+    })
   }
 
   #isSilent (): boolean {
@@ -200,7 +200,7 @@
 
   #open (): void {
     if (this.#state !== 'connecting') return
-    clearTimeout(this.#connectTimer)
+    this.#stopConnectTimer()
     this.#state = 'open'
     this.noteAlive()
     this.#events.onOpen()
