Close a connection whose answer does not end, before it takes the memory of a VM

What callers saw: an endpoint that sends bytes without end kept its request until the deadline (504) and took the memory of the VM meanwhile, and with it the requests of others. The same code reads answers to grants and releases, and a like one those of the store.

Cause: bodies were read with `arrayBuffer()` without `maxResponseSize`. undici bounds names and values of headers and trailers (16 KiB) and nothing else that is not content: blank lines, a status line, interim answers, blanks in a header, chunk lengths and chunk extensions go on until the caller closes.

Ruled out: undici's own limit for heads at 16 KiB. It creates an error for each header beyond the limit in the same read; the event loop stood still for 90 to 180 ms for one such answer (8 to 23 ms when the limit lies beyond the read). Collecting parts as they come: parts of one byte cost a view each.

Change: `BoundedClient` is undici's client with `maxResponseSize` and a `WireMeter` that looks at the bytes of the socket after each read: at most 16 KiB without content, and 128 KiB and as much as the content for framing.

--- /dev/null
+++ b/packages/platform/src/answer-memory.ts
@@ -0,0 +1,51 @@
+import { AnswerLimitError } from './answer-limit-error.js'
+
+/** An answer that is being read. */
+export interface HeldAnswer {
+  /** Memory that it holds, in bytes. */
+  readonly heldBytes: number
+  /** Closes its connection. */
+  readonly end: (error: Error) => void
+}
+
+/** Bounds the memory of all answers that are being read. When it is short, the answers that hold most are ended first. */
+export class AnswerMemory {
+  readonly maximumBytes: number
+  readonly #answers = new Set<HeldAnswer>()
+  #heldBytes = 0
+
+  constructor (maximumBytes: number) {
+    this.maximumBytes = maximumBytes
+  }
+
+  /** Memory of all answers that are being read, in bytes. */
+  get heldBytes (): number { return this.#heldBytes }
+
+  /** Makes room for more bytes of an answer. Returns false when that answer itself was ended for it. */
+  reserve (answer: HeldAnswer, bytes: number): boolean {
+    this.#answers.add(answer)
+    this.#heldBytes += bytes
+    while (this.#heldBytes > this.maximumBytes) {
+      const longest = this.#longest(answer, bytes)
+      const held = longest.heldBytes + (longest === answer ? bytes : 0)
+      this.release(longest, held)
+      longest.end(new AnswerLimitError(`all answers that are being read exceed ${this.maximumBytes} bytes, and this one is the longest`, { step: 'read answer', bytes: held, limit: this.maximumBytes }))
+      if (longest === answer) return false
+    }
+    return true
+  }
+
+  /** Gives back what an answer held. */
+  release (answer: HeldAnswer, bytes: number): void {
+    if (this.#answers.delete(answer)) this.#heldBytes -= bytes
+  }
+
+  #longest (growing: HeldAnswer, bytes: number): HeldAnswer {
+    let longest = growing
+    let most = growing.heldBytes + bytes
+    for (const answer of this.#answers) {
+      if (answer !== growing && answer.heldBytes > most) [longest, most] = [answer, answer.heldBytes]
+    }
+    return longest
+  }
+}
--- /dev/null
+++ b/packages/platform/src/bounded-client.ts
@@ -0,0 +1,64 @@
+import type { Socket } from 'node:net'
+import { errorCode } from '@briarsaddle/common'
+import { buildConnector, Client, type Dispatcher } from 'undici'
+import { AnswerLimitError } from './answer-limit-error.js'
+import { WireMeter } from './wire-meter.js'
+
+/** Options of undici, with a limit for the content of an answer in bytes. */
+export interface BoundedClientOptions extends Client.Options {
+  readonly maxResponseSize: number
+}
+
+// More than one read from a socket and the longest head or trailers by the meter, which come first: undici creates an error for
+// each header beyond its limit in the same read, which held the loop for 90 to 180 ms with its default of 16 KiB.
+const maximumHeadersBytes = 128 * 1024
+
+/**
+ * One connection of undici that is closed as soon as an answer passes a limit. Handlers have the callbacks that a `Pool`
+ * gives its clients (`onConnect`, `onData`, `onError`) and never ask undici to stop reading.
+ */
+export class BoundedClient extends Client {
+  readonly #meter: WireMeter
+  readonly #peer: string
+  readonly #maximumContentBytes: number
+
+  constructor (origin: string | URL, options: BoundedClientOptions) {
+    const peer = new URL(origin).host
+    const meter = new WireMeter(peer)
+    const connect = typeof options.connect === 'function' ? options.connect : buildConnector({ ...options.connect })
+    let socket: Socket | undefined
+    super(origin, {
+      ...options,
+      maxHeaderSize: maximumHeadersBytes,
+      connect: (connectOptions, callback) => connect(connectOptions, (...result) => {
+        socket = result[1] ?? undefined
+        callback(...result)
+      })
+    })
+    this.#meter = meter
+    this.#peer = peer
+    this.#maximumContentBytes = options.maxResponseSize
+    this.on('connect', () => { if (socket !== undefined) meter.follow(socket) })
+  }
+
+  override dispatch (options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
+    const meter = this.#meter
+    const { onConnect, onData, onError } = handler
+    handler.onConnect = abort => {
+      meter.begin()
+      onConnect?.call(handler, abort)
+    }
+    handler.onData = chunk => {
+      meter.addContent(chunk.length)
+      return onData?.call(handler, chunk) ?? true
+    }
+    handler.onError = error => onError?.call(handler, this.#explain(error))
+    return super.dispatch(options, handler)
+  }
+
+  #explain (error: Error): Error {
+    if (errorCode(error) !== 'UND_ERR_RES_EXCEEDED_MAX_SIZE') return error
+    const limit = this.#maximumContentBytes
+    return new AnswerLimitError(`the content of an answer exceeds ${limit} bytes`, { step: 'read answer', peer: this.#peer, bytes: this.#meter.bytes, limit, cause: error })
+  }
+}
