Hold little more than the bytes of a request body that comes in small parts

What callers saw: nothing yet. A caller who sends its body in chunks of one byte took far more memory than the limit of the body that is reserved for it (`limits.maximumBufferedBytes`).

Cause: `readBody` kept each part, and a part of one byte costs some hundred bytes.

Change: `readBody` uses `ByteCollector`.

Blank lines on a kept connection are read without end: open.

--- a/packages/common/src/byte-collector.test.ts
+++ b/packages/common/src/byte-collector.test.ts
@@ -32,5 +32,7 @@
     for (let index = 0; index < 1_000_000; index++) collector.add(read.subarray(index % 1_000, index % 1_000 + 1))
     expect(collector.capacity).to.be.within(1_000_000, 1_100_000)
     expect(collector.take().length).to.equal(1_000_000)
+    for (let index = 0; index < 10_000; index++) collector.add(Buffer.from(Uint8Array.of(1)))
+    expect(collector.capacity).to.be.within(10_000, 30_000)
   })
 })
--- a/packages/common/src/byte-collector.ts
+++ b/packages/common/src/byte-collector.ts
@@ -1,6 +1,8 @@
 // Room for small parts is allocated in steps that grow with the whole, up to the size of one read from a socket.
 const smallestStepBytes = 1024
 const largestStepBytes = 64 * 1024
+// The object of a kept part takes some hundred bytes.
+const smallestKeptBytes = 4 * 1024
 
 /**
  * Collects the parts of a body as they arrive. A peer may send one byte at a time, and a view of each costs a hundred bytes
@@ -62,7 +64,7 @@
   }
 }
 
-/** True when the part is most of the memory behind it. */
+/** True when the part is worth an object of its own and most of the memory behind it. */
 function isLarge (part: Buffer): boolean {
-  return 2 * part.length >= part.buffer.byteLength
+  return part.length >= smallestKeptBytes && 2 * part.length >= part.buffer.byteLength
 }
--- a/packages/entry/src/body.ts
+++ b/packages/entry/src/body.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http'
+import { ByteCollector } from '@briarsaddle/common'
 
 /** Result of reading a request body. */
 export type BodyResult =
@@ -23,22 +24,20 @@
   if (!hasBody(request)) return { kind: 'body', body: emptyBody }
   if (announcedLength(request) > maximumBytes) return { kind: 'too_large' }
   return await new Promise(resolve => {
-    const chunks: Buffer[] = []
-    let bytes = 0
+    const body = new ByteCollector()
     const end = (result: BodyResult): void => {
       request.off('data', onData).off('end', onEnd).off('close', onClose)
       resolve(result)
     }
     const onData = (chunk: Buffer): void => {
-      bytes += chunk.length
-      if (bytes <= maximumBytes) {
-        chunks.push(chunk)
+      if (body.length + chunk.length <= maximumBytes) {
+        body.add(chunk)
         return
       }
       request.pause()
       end({ kind: 'too_large' })
     }
-    const onEnd = (): void => end({ kind: 'body', body: chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks, bytes) })
+    const onEnd = (): void => end({ kind: 'body', body: body.take() })
     const onClose = (): void => end({ kind: 'aborted' })
     request.on('data', onData).on('end', onEnd).on('close', onClose)
     // Errors are followed by `close`.
--- a/packages/entry/src/entry-server.test.ts
+++ b/packages/entry/src/entry-server.test.ts
@@ -1,6 +1,8 @@
 import { expect } from 'chai'
 import { connect, type Socket } from 'node:net'
 import { once } from 'node:events'
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
 import { delay, MonotonicClock } from '@briarsaddle/common'
 import { EntryServer } from './entry-server.js'
 import { CallerRequestHandler, type CallerAnswer, type CallerRequest } from './request-handler.js'
@@ -58,6 +60,39 @@
   })
 })
 
+describe('EntryServer, with a body in many small parts', () => {
+  // Guards against a body in chunks of one byte that takes two hundred times its length while it is read.
+  it('holds little more than the bytes of the body', async function () {
+    this.timeout(20_000)
+    setFlagsFromString('--expose-gc')
+    const collect = runInNewContext('gc') as () => void
+    const held = (): number => {
+      collect()
+      const { heapUsed, external } = process.memoryUsage()
+      return heapUsed + external
+    }
+    const handler = new SlowHandler()
+    const bodyBytes = 200_000
+    const server = new EntryServer({ host: '127.0.0.1', port: 0, maximumHeaderBytes: 8_192, maximumBodyBytes: bodyBytes, maximumCallerConnections: 10, clock: new MonotonicClock() }, handler)
+    const socket = connect(await server.listen(), '127.0.0.1')
+    await once(socket, 'connect')
+    try {
+      const before = held()
+      socket.write('POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n')
+      const block = '1\r\nx\r\n'.repeat(bodyBytes / 100)
+      for (let index = 0; index < 100; index++) await new Promise(resolve => socket.write(block, resolve))
+      await delay(500)
+      expect(handler.asked).to.equal(0)
+      expect(held() - before).to.be.lessThan(10 * bodyBytes)
+      socket.write('0\r\n\r\n')
+      while (handler.asked === 0) await delay(10)
+    } finally {
+      socket.destroy()
+      await server.stop(0)
+    }
+  })
+})
+
 describe('EntryServer, when a caller leaves', () => {
   let handler: SlowHandler
   let server: EntryServer<CallerRequest>
