Suspect a VM that sends heartbeats but answers none

Seen by callers: a coordinator whose inner port receives nothing was not replaced. Through the other VMs, its keys had no answer until the fault ended.

Cause: Membership.answer counted an incoming heartbeat as a sign of life. All VMs watch each other in a small ring, so the unreachable VM's own questions, ten a second, reset both the time of silence and the count of failed checks of its watchers.

Ruled out: the log's round trip, the endpoints' grants and the start-up of the test's processes, none of which appear between the fault and the first suspicion.

Change: only answers count. A heartbeat from a suspected VM makes the watcher try a fresh connection at once, so that a VM that is back is not suspected until its stream is open again. The three partition tests now also hold the keys to 1 s through the other VMs, which the old code fails.

--- a/packages/daemon/src/control/membership.test.ts
+++ b/packages/daemon/src/control/membership.test.ts
@@ -16,12 +16,13 @@
   silentMilliseconds = Infinity
   /** Real time until a fresh connection fails; the clock of the test goes on meanwhile. */
   freshMilliseconds = 0
+  reachable = false
 
   async heartbeat (): Promise<never> { throw new Error('no answer') }
 
-  async freshHeartbeat (): Promise<never> {
+  async freshHeartbeat (): Promise<void> {
     await delay(this.freshMilliseconds)
-    throw new Error('no answer')
+    if (!this.reachable) throw new Error('no answer')
   }
 }
 
@@ -79,6 +80,26 @@
     expect(events).to.include('suspicion')
   })
 
+  it('suspects a VM that answers nothing although its own heartbeats arrive (a one-way failure towards a coordinator that nobody notices)', async () => {
+    for (let step = 0; step < 9; step++) {
+      membership.answer({ vm: 'vm-2', instance: 'two', position: 1 })
+      await pass(50)
+    }
+    expect([...membership.suspected]).to.deep.equal(['vm-2'])
+    membership.answer({ vm: 'vm-2', instance: 'two', position: 1 })
+    await delay(50)
+    expect([...membership.suspected]).to.deep.equal(['vm-2'])
+  })
+
+  it('tries a suspected VM at once when its heartbeat arrives (a VM that is back and gets no work)', async () => {
+    await pass(450)
+    expect([...membership.suspected]).to.deep.equal(['vm-2'])
+    peer.reachable = true
+    membership.answer({ vm: 'vm-2', instance: 'two', position: 1 })
+    await delay(10)
+    expect(membership.suspected.size).to.equal(0)
+  })
+
   it('does not suspect a VM whose frames arrive while it is checked (a busy VM taken for a lost one)', async () => {
     peer.silentMilliseconds = 10
     peer.freshMilliseconds = 60
--- a/packages/daemon/src/control/membership.ts
+++ b/packages/daemon/src/control/membership.ts
@@ -139,9 +139,13 @@
     lifeCycle.every('heartbeats', this.#timing.heartbeatMilliseconds, () => this.#beat(), error => this.#report('heartbeats', error))
   }
 
-  /** Answers a heartbeat of another VM, which also shows that the sender lives. */
+  /**
+   * Answers a heartbeat of another VM. That the sender lives does not show that it can be reached: a VM to which nothing
+   * gets through still sends, and its callers need a successor. A suspected sender is tried again at once.
+   */
   answer (request: HeartbeatRequest): HeartbeatResponse {
-    this.#heard(request.vm)
+    const watched = this.#watched.get(request.vm)
+    if (watched !== undefined && this.#suspectedSince.has(request.vm)) void this.#checkReturn(request.vm, watched)
     return { vm: this.#self.id, instance: this.#instance, position: Math.max(0, this.#position()), leaving: this.#selfLeaving }
   }
 
@@ -221,16 +225,15 @@
     watched.checking = true
     const startedAt = this.#clock.now()
     try {
-      await this.#peers.get(vm)?.freshHeartbeat(this.#request(), freshHeartbeatTimeoutMilliseconds)
-      this.#heard(vm)
-    } catch (error) {
+      const failure = await this.#tryFresh(vm)
+      if (failure === undefined) return this.#heard(vm)
       watched.failedChecks += 1
       const now = this.#clock.now()
       const silent = now - watched.lastHeard > this.#timing.suspectMilliseconds && !this.#framesArrivedSince(vm, startedAt)
       const broken = this.#isBroken(vm, watched) && watched.failedChecks >= failedChecksOfBrokenStream
       if (!silent && !broken) return
       this.#suspectedSince.set(vm, now)
-      logger.warning('VM suspected', { vm, reason: describeError(error) })
+      logger.warning('VM suspected', { vm, reason: failure })
       this.#rebuild()
       this.#suspicionBegan()
     } finally {
@@ -238,6 +241,26 @@
     }
   }
 
+  async #checkReturn (vm: string, watched: Watched): Promise<void> {
+    if (watched.checking) return
+    watched.checking = true
+    try {
+      if (await this.#tryFresh(vm) === undefined) this.#heard(vm)
+    } finally {
+      watched.checking = false
+    }
+  }
+
+  /** Returns why a fresh connection failed, or undefined when the VM answered. */
+  async #tryFresh (vm: string): Promise<string | undefined> {
+    try {
+      await this.#peers.get(vm)?.freshHeartbeat(this.#request(), freshHeartbeatTimeoutMilliseconds)
+      return undefined
+    } catch (error) {
+      return describeError(error)
+    }
+  }
+
   /**
    * Any frame of the VM shows that it lives, also while its answers to heartbeats wait behind long ones. Frames from
    * before the check do not count: under traffic they would put off the check of a lost VM by up to an interval.
--- a/packages/integration/src/bed/failure-run.ts
+++ b/packages/integration/src/bed/failure-run.ts
@@ -42,11 +42,11 @@
     return [...incomplete, ...findBreaches(this.records, this.traces)]
   }
 
-  /** The key that had no answer for the longest time, in milliseconds; 0 when no key is wanted. */
-  worstKey (wanted: (key: string) => boolean = () => true, to = this.endedAt, from = this.failedAt): { readonly key: string, readonly milliseconds: number } {
+  /** The key that had no answer for the longest time, in milliseconds, through the wanted VMs; 0 when no key is wanted. */
+  worstKey (wanted: (key: string) => boolean = () => true, to = this.endedAt, from = this.failedAt, through: (vm: string) => boolean = () => true): { readonly key: string, readonly milliseconds: number } {
     const keys = [...new Set(this.probes.map(({ key }) => key))].filter(wanted)
     if (keys.length === 0) return { key: 'none', milliseconds: 0 }
-    return keys.map(key => ({ key, milliseconds: longestGap(this.probes, from, to, trace => trace.key === key) }))
+    return keys.map(key => ({ key, milliseconds: longestGap(this.probes, from, to, trace => trace.key === key && through(trace.vm)) }))
       .reduce((worst, other) => other.milliseconds > worst.milliseconds ? other : worst)
   }
 
--- a/packages/integration/src/scenarios/partitions.test.ts
+++ b/packages/integration/src/scenarios/partitions.test.ts
@@ -1,6 +1,6 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import { expect } from 'chai'
-import { coordinators, runFailure, smallAtlas, startSpread, vmPlans, type Deployment, type FailureResult, type FaultSettings, type RunningProxy } from '../bed/index.js'
+import { coordinators, runFailure, smallAtlas, startSpread, vmPlans, type Deployment, type FailureResult, type FaultSettings, type RunningProxy, type RunningVm } from '../bed/index.js'
 
 // Stated target: a key is served again within 1 s of a loss.
 const servedAgainMilliseconds = 1_000
@@ -36,21 +36,31 @@
     expect(result.worstKey().milliseconds).to.be.at.most(servedAgainMilliseconds)
   }
 
-  async function coordinatorProxy (): Promise<RunningProxy | undefined> {
-    const vm = (await coordinators(deployment)).get('ponds-1') as string
-    return deployment.vms.get(vm)?.innerProxy
+  async function coordinatorOfPonds (): Promise<RunningVm> {
+    return deployment.vms.get((await coordinators(deployment)).get('ponds-1') as string) as RunningVm
+  }
+
+  /** Runs traffic while connections of other VMs to the coordinator of `ponds-1` misbehave. */
+  async function runWithUnreachableCoordinator (seed: number, fault: FaultSettings): Promise<FailureResult> {
+    const { plan: { id }, innerProxy } = await coordinatorOfPonds()
+    const result = await runWithFault(seed, innerProxy, fault)
+    // The VM itself may go on serving its callers, which would hide that the others do not notice the failure.
+    const others = result.worstKey(undefined, undefined, undefined, vm => vm !== id)
+    console.log(`      through VMs other than ${id}: ${JSON.stringify(others)}`)
+    expect(others.milliseconds, `keys through VMs other than ${id}`).to.be.at.most(servedAgainMilliseconds)
+    return result
   }
 
   it('serves the keys of a coordinator that no other VM can reach, so that a VM that still reads the log does not keep its keys from callers', async () => {
-    expectService(await runWithFault(301, await coordinatorProxy(), { mode: 'cut' }))
+    expectService(await runWithUnreachableCoordinator(301, { mode: 'cut' }))
   })
 
   it('serves the keys of a coordinator that receives nothing from other VMs, so that a one-way failure towards it is noticed', async () => {
-    expectService(await runWithFault(302, await coordinatorProxy(), { mode: 'silence-to-target' }))
+    expectService(await runWithUnreachableCoordinator(302, { mode: 'silence-to-target' }))
   })
 
   it('serves the keys of a coordinator whose answers to other VMs do not arrive, so that a one-way failure from it is noticed and nothing is run twice', async () => {
-    expectService(await runWithFault(303, await coordinatorProxy(), { mode: 'silence-to-client' }))
+    expectService(await runWithUnreachableCoordinator(303, { mode: 'silence-to-client' }))
   })
 
   it('goes on with fresh connections to an endpoint whose open ones are silent, so that it is neither lost nor stuck', async () => {
@@ -63,7 +73,7 @@
   })
 
   it('gives late answers to the callers who asked, so that answers which arrive out of order are not crossed', async () => {
-    const result = await runWithFault(306, await coordinatorProxy(), { delayMilliseconds: 60 })
+    const result = await runWithFault(306, (await coordinatorOfPonds()).innerProxy, { delayMilliseconds: 60 })
     expectService(result)
     expect(result.traces.some(({ startedAt, endedAt }) => startedAt > result.failedAt && endedAt - startedAt >= 120), 'some answers were late').to.equal(true)
   })
