Begin the check of a silent or killed VM when it is due

Cause: checks over fresh connections began only on the heartbeat grid of 100 ms: up to 100 ms after a VM had been silent for 150 ms, and up to 100 ms after the stream of a killed process had ended. A check that failed at once, or a millisecond before the time of silence was over, was repeated from the start.

Change: a question that has no answer starts the check when it is due; the timer ends with the answer. The end of an open stream starts it at once (PeerPool.onStreamEnded), and the second one follows an interval after the first. A failed check waits for the rest of the time of silence, instead of being repeated. The times themselves (300 ms, two attempts 100 ms apart) are unchanged, and a process that stalled reads the answers that wait in its sockets before it judges.

--- a/packages/daemon/src/control-plane.ts
+++ b/packages/daemon/src/control-plane.ts
@@ -71,6 +71,7 @@
     this.follower = new LogFollower({ log, clock, maximumRuleFileBytes: settings.limits.maximumRuleFileBytes })
     this.writer = new RecordWriter(log, this.follower, clock)
     this.membership = new Membership({ self: settings.vm, list, peers: this.peers, hasher, clock, timing, position: () => this.follower.state.position, changed: () => this.#reviews.changed(), suspicionBegan: () => this.#reviews.reviewNow() })
+    this.peers.onStreamEnded(vm => this.membership.streamEnded(vm))
     const witness = new Witness(this.follower, clock)
     const poll = new WitnessPoll({ self, witness, peers: this.peers })
     const takeAway = new TakeAwayWait({ follower: this.follower, poll, clock, rightOptions })
--- a/packages/daemon/src/control/membership-broken-stream.test.ts
+++ b/packages/daemon/src/control/membership-broken-stream.test.ts
@@ -31,15 +31,17 @@
 
 describe('Membership, after the stream of a VM has ended', () => {
   const timing = { heartbeatMilliseconds: 20, suspectMilliseconds: 1000, vmListMilliseconds: 1000 }
+  let suspicionBegan: () => void
   let peer: TestPeer
   let membership: Membership
   let lifeCycle: LifeCycle
 
   beforeEach(async () => {
     peer = new TestPeer()
+    suspicionBegan = () => {}
     lifeCycle = new LifeCycle('test')
     const peers = { get: () => peer, update: () => {} } as unknown as PeerPool
-    membership = new Membership({ self: { id: 'vm-1', dataCentre: 'a' }, list: new TwoVms(), peers, hasher: await KeyHasher.create(), clock: new MonotonicClock(), timing, position: () => 0, changed: () => {}, suspicionBegan: () => {} })
+    membership = new Membership({ self: { id: 'vm-1', dataCentre: 'a' }, list: new TwoVms(), peers, hasher: await KeyHasher.create(), clock: new MonotonicClock(), timing, position: () => 0, changed: () => {}, suspicionBegan: () => suspicionBegan() })
     await membership.start(lifeCycle)
     await delay(50)
   })
@@ -54,6 +56,17 @@
     expect(peer.freshChecks).to.equal(2)
   })
 
+  it('checks a VM at once when its stream has ended, and again one interval later (a loss that waits for the next heartbeat)', async () => {
+    const suspicion = new Promise<number>(resolve => { suspicionBegan = () => resolve(performance.now()) })
+    peer.streamOpen = false
+    peer.answersFresh = false
+    const endedAt = performance.now()
+    membership.streamEnded('vm-2')
+    expect(peer.freshChecks).to.equal(1)
+    expect(await suspicion - endedAt).to.be.at.least(timing.heartbeatMilliseconds)
+    expect(peer.freshChecks).to.equal(2)
+  })
+
   it('keeps a VM whose stream broke but that answers over a fresh connection (a lost connection taken for a lost VM)', async () => {
     peer.streamOpen = false
     await delay(300)
--- a/packages/daemon/src/control/membership.test.ts
+++ b/packages/daemon/src/control/membership.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { delay, LifeCycle, ManualClock } from '@briarsaddle/common'
+import { delay, LifeCycle, ManualClock, MonotonicClock } from '@briarsaddle/common'
 import { KeyHasher } from '@briarsaddle/ownership'
 import { VmListClient, type ListedVm } from '@briarsaddle/platform'
 import type { PeerPool } from '@briarsaddle/protocol'
@@ -107,6 +107,38 @@
     expect(membership.suspected.size).to.equal(0)
   })
 
+  it('begins the check of a silent VM when it is due, also between two heartbeats (a suspicion that waits for the grid)', async () => {
+    const slow = new Membership({
+      self,
+      list,
+      peers: { get: () => slowPeer, update: () => {} } as unknown as PeerPool,
+      hasher: await KeyHasher.create(),
+      clock: new MonotonicClock(),
+      timing: { ...timing, heartbeatMilliseconds: 200, suspectMilliseconds: 450 },
+      position: () => 1,
+      changed: () => {},
+      suspicionBegan: () => {}
+    })
+    const calls: string[] = []
+    const slowPeer = {
+      silentMilliseconds: 1_000,
+      heartbeat: async () => {
+        calls.push('heartbeat')
+        if (calls.length === 1) return { leaving: false }
+        await delay(150)
+        throw new Error('no answer')
+      },
+      freshHeartbeat: async () => {
+        calls.push('check')
+        throw new Error('no answer')
+      }
+    }
+    await slow.start(lifeCycle)
+    while (slow.suspected.size === 0) await delay(5)
+    // The check is due 300 ms after the first heartbeat and decides after 450 ms; the third heartbeat is sent after 400 ms.
+    expect(calls).to.deep.equal(['heartbeat', 'heartbeat', 'check', 'heartbeat'])
+  })
+
   it('does not count frames from before the check (a lost VM that is suspected later under traffic)', async () => {
     peer.silentMilliseconds = 250
     peer.freshMilliseconds = 60
--- a/packages/daemon/src/control/membership.ts
+++ b/packages/daemon/src/control/membership.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto'
-import { describeError, Logger, type Clock, type LifeCycle } from '@briarsaddle/common'
+import { setImmediate as readWaiting } from 'node:timers/promises'
+import { delay, describeError, Logger, type Clock, type LifeCycle } from '@briarsaddle/common'
 import { MembershipRing, type KeyHasher, type RingVm } from '@briarsaddle/ownership'
 import type { ListedVm, VmListClient } from '@briarsaddle/platform'
 import type { HeartbeatRequest, HeartbeatResponse, PeerPool } from '@briarsaddle/protocol'
@@ -18,7 +19,7 @@
 }
 
 /**
- * Failed checks over fresh connections, one per heartbeat interval, after which a VM is suspected before the time of
+ * Failed checks over fresh connections, one heartbeat interval apart, after which a VM is suspected before the time of
  * silence is over, when its stream has broken as well: a killed process ends its connections and refuses new ones.
  */
 const failedChecksOfBrokenStream = 2
@@ -55,6 +56,8 @@
   #lastBeat: number
   #listAge = Infinity
   #selfLeaving = false
+  /** Aborted when the heartbeats end. */
+  #stopped = new AbortController().signal
 
   constructor (options: {
     readonly self: RingVm
@@ -134,6 +137,7 @@
 
   /** Starts polling the list and sending heartbeats. */
   async start (lifeCycle: LifeCycle): Promise<void> {
+    this.#stopped = lifeCycle.signal
     await this.#refresh()
     lifeCycle.every('VM list', this.#timing.vmListMilliseconds, async () => await this.#refresh(), error => this.#report('VM list', error))
     lifeCycle.every('heartbeats', this.#timing.heartbeatMilliseconds, () => this.#beat(), error => this.#report('heartbeats', error))
@@ -149,6 +153,14 @@
     return { vm: this.#self.id, instance: this.#instance, position: Math.max(0, this.#position()), leaving: this.#selfLeaving }
   }
 
+  /** Called when the open stream to a VM has ended: a killed process is noticed without waiting for the next heartbeat. */
+  streamEnded (vm: string): void {
+    const watched = this.#watched.get(vm)
+    if (watched === undefined) return
+    watched.connected = true
+    this.#startCheck(vm, watched)
+  }
+
   /** State for the dump. */
   snapshot (): Readonly<Record<string, unknown>> {
     return {
@@ -202,12 +214,13 @@
     for (const [vm, watched] of this.#watched) {
       if (!watched.asking) void this.#ask(vm, watched)
       watched.connected ||= this.#streamIsOpen(vm)
-      if (!watched.checking && !this.#suspectedSince.has(vm) && (now - watched.lastHeard > this.#checkAfterMilliseconds || this.#isBroken(vm, watched))) void this.#check(vm, watched)
+      if (now - watched.lastHeard > this.#checkAfterMilliseconds || this.#isBroken(vm, watched)) this.#startCheck(vm, watched)
     }
   }
 
   async #ask (vm: string, watched: Watched): Promise<void> {
     watched.asking = true
+    const silence = this.#watchSilence(vm, watched)
     try {
       const response = await this.#peers.get(vm)?.heartbeat(this.#request(), heartbeatTimeoutMilliseconds)
       if (response === undefined) return
@@ -216,26 +229,41 @@
     } catch {
       // Silence is judged by the time since the last answer.
     } finally {
+      clearTimeout(silence)
       watched.asking = false
     }
   }
 
+  /** Begins the check when it is due, which is up to an interval before the next heartbeat. */
+  #watchSilence (vm: string, watched: Watched): NodeJS.Timeout {
+    const dueAt = Math.max(this.#clock.now(), watched.lastHeard + this.#checkAfterMilliseconds)
+    return setTimeout(() => {
+      const now = this.#clock.now()
+      // After a pause of this process the next heartbeat decides what the silence means.
+      if (now - dueAt < pauseMilliseconds && now - watched.lastHeard >= this.#checkAfterMilliseconds) this.#startCheck(vm, watched)
+    }, Math.ceil(dueAt - this.#clock.now()) + 1)
+  }
+
+  #startCheck (vm: string, watched: Watched): void {
+    if (!watched.checking && !this.#suspectedSince.has(vm)) void this.#check(vm, watched)
+  }
+
   /** A connection may have gone silent while new ones work, so a fresh one decides. */
   async #check (vm: string, watched: Watched): Promise<void> {
     watched.checking = true
-    const startedAt = this.#clock.now()
     try {
-      const failure = await this.#tryFresh(vm)
-      if (failure === undefined) return this.#heard(vm)
-      watched.failedChecks += 1
-      const now = this.#clock.now()
-      const silent = now - watched.lastHeard > this.#timing.suspectMilliseconds && !this.#framesArrivedSince(vm, startedAt)
-      const broken = this.#isBroken(vm, watched) && watched.failedChecks >= failedChecksOfBrokenStream
-      if (!silent && !broken) return
-      this.#suspectedSince.set(vm, now)
-      logger.warning('VM suspected', { vm, reason: failure })
-      this.#rebuild()
-      this.#suspicionBegan()
+      while (!this.#stopped.aborted && this.#watched.get(vm) === watched) {
+        const startedAt = this.#clock.now()
+        const failure = await this.#tryFresh(vm)
+        if (failure === undefined) return this.#heard(vm)
+        watched.failedChecks += 1
+        // After a stall of this process, time-outs fire before the answers that wait in its sockets are read.
+        await readWaiting()
+        await this.#awaitSilence(vm, watched)
+        if (this.#mustSuspect(vm, watched, startedAt)) return this.#suspect(vm, failure)
+        if (!this.#isBroken(vm, watched)) return
+        await delay(Math.max(1, Math.ceil(startedAt + this.#timing.heartbeatMilliseconds - this.#clock.now())), this.#stopped)
+      }
     } finally {
       watched.checking = false
     }
@@ -261,6 +289,26 @@
     }
   }
 
+  /** A check that failed at once, or a moment early, decides when the time of silence is over. */
+  async #awaitSilence (vm: string, { lastHeard }: Watched): Promise<void> {
+    const rest = lastHeard + this.#timing.suspectMilliseconds - this.#clock.now()
+    if (rest < 0 || rest > freshHeartbeatTimeoutMilliseconds || !this.#streamIsOpen(vm)) return
+    await delay(Math.ceil(rest) + 1, this.#stopped)
+  }
+
+  #mustSuspect (vm: string, watched: Watched, startedAt: number): boolean {
+    const silent = this.#clock.now() - watched.lastHeard > this.#timing.suspectMilliseconds && !this.#framesArrivedSince(vm, startedAt)
+    const broken = this.#isBroken(vm, watched) && watched.failedChecks >= failedChecksOfBrokenStream
+    return (silent || broken) && this.#watched.get(vm) === watched && !this.#stopped.aborted
+  }
+
+  #suspect (vm: string, reason: string): void {
+    this.#suspectedSince.set(vm, this.#clock.now())
+    logger.warning('VM suspected', { vm, reason })
+    this.#rebuild()
+    this.#suspicionBegan()
+  }
+
   /**
    * Any frame of the VM shows that it lives, also while its answers to heartbeats wait behind long ones. Frames from
    * before the check do not count: under traffic they would put off the check of a lost VM by up to an interval.
--- a/packages/protocol/src/peer-client.ts
+++ b/packages/protocol/src/peer-client.ts
@@ -21,6 +21,8 @@
   readonly maximumBackoffMilliseconds?: number
   readonly clock?: Clock
   readonly random?: Random
+  /** Called when the stream was open and has ended, other than by this side. */
+  readonly streamEnded?: () => void
 }
 
 const defaultLinkOptions = {
@@ -211,15 +213,21 @@
   }
 
   #connect (): void {
+    let opened = false
     const link: PeerLink = new PeerLink(this.address, this.#linkOptions, this.#clock, {
-      onOpen: () => { this.#failures = 0 },
+      onOpen: () => {
+        opened = true
+        this.#failures = 0
+      },
       onLeaving: () => {
         this.#leavingLinks.add(link)
         this.#replace(link)
       },
       onClosed: () => {
+        const ended = opened && this.#link === link && !this.#closed
         this.#leavingLinks.delete(link)
         this.#replace(link)
+        if (ended) this.#options.streamEnded?.()
       }
     })
     this.#link = link
--- a/packages/protocol/src/peer-pool.ts
+++ b/packages/protocol/src/peer-pool.ts
@@ -16,6 +16,7 @@
   readonly #clients = new Map<string, PeerClient>()
   readonly #finishing = new Set<PeerClient>()
   readonly #options: PeerClientOptions
+  #streamEnded: (vm: string) => void = () => {}
   #closed = false
 
   constructor (lifeCycle: LifeCycle, options: PeerClientOptions = {}) {
@@ -23,6 +24,11 @@
     lifeCycle.own('peer pool', () => this.#close())
   }
 
+  /** Sets what is called when the open stream to a VM has ended, other than by this side. */
+  onStreamEnded (listener: (vm: string) => void): void {
+    this.#streamEnded = listener
+  }
+
   /** Connects to new addresses; clients of addresses that are gone finish their requests and close. */
   update (peers: readonly PeerAddress[]): void {
     if (this.#closed) return
@@ -31,7 +37,7 @@
       if (addresses.get(vm) !== client.address) this.#remove(vm, client)
     }
     for (const [vm, address] of addresses) {
-      if (!this.#clients.has(vm)) this.#clients.set(vm, new PeerClient(address, this.#options))
+      if (!this.#clients.has(vm)) this.#clients.set(vm, new PeerClient(address, { ...this.#options, streamEnded: () => this.#streamEnded(vm) }))
     }
   }
 
