Keep requests for the end of a takeover that is near

Seen by callers: after the loss of a coordinator whose endpoints do not check, a key was first served up to 0.12 s after the takeover had taken effect, when its next request arrived.

Cause: the successor refused every request while it waited for the former coordinator's rights and the longest deadline, although it knows when that wait ends.

Change: the time is kept instead of a flag, and a request that arrives in the last 250 ms waits if it can still run before its deadline.

--- a/packages/daemon/src/coordinator/coordinator.ts
+++ b/packages/daemon/src/coordinator/coordinator.ts
@@ -39,7 +39,8 @@
   /** Resolves once the journal of the former coordinator was loaded or given up. */
   journalLoaded: Promise<void>
   formerRightsEnd: Promise<number | undefined>
-  takeoverEffective: boolean
+  /** Local time from which the requests of a former coordinator have ended, where the endpoint does not refuse them; undefined when not known. */
+  takeoverAt: number | undefined
 }
 
 /** What the coordinator needs from the daemon. */
@@ -185,7 +186,7 @@
 
   #begin (endpoint: EndpointState, provisional: boolean, former: FormerCoordinator | undefined): void {
     const { description, coordinator: { token, standby } } = endpoint
-    const { settings, clock, lifeCycle: parent } = this.#options
+    const { settings, lifeCycle: parent } = this.#options
     const lifeCycle = parent.child(`session ${description.id}`)
     const first = !provisional && this.#history.isFirst(description.id, token)
     const session = new EndpointSession({
@@ -197,7 +198,7 @@
       token: { offset: token, provisional: provisional ? 1 : 0 },
       standby: provisional ? undefined : standby,
       timing: { ...settings.timing, suspectMilliseconds: settings.timing.endpointSuspectMilliseconds },
-      view: new StateEndpointView(this.#options.view, description.id, description.pool, () => this.#coordinated.get(description.id)?.takeoverEffective === true),
+      view: new StateEndpointView(this.#options.view, description.id, description.pool, () => this.#coordinated.get(description.id)?.takeoverAt),
       policy: this.#options.createPolicy(),
       longDurations: this.#longDurations,
       admission: settings.experiments.admission,
@@ -215,20 +216,19 @@
       journalLoaded: this.#loadJournal(session, description.id, first ? undefined : former, first),
       formerRightsEnd,
       // An endpoint that checks arbitrates itself; for another one the former rights must have expired.
-      takeoverEffective: description.checks || first
+      takeoverAt: description.checks || first ? -Infinity : undefined
     }
     this.#coordinated.set(description.id, coordinated)
-    if (!coordinated.takeoverEffective) void formerRightsEnd.then(end => this.#takeEffect(coordinated, end, clock))
+    if (coordinated.takeoverAt === undefined) void formerRightsEnd.then(end => this.#planTakeover(coordinated, end))
     logger.info('session begins', { endpoint: description.id, token, provisional, former: former?.vm })
     session.start()
   }
 
-  #takeEffect (coordinated: Coordinated, end: number | undefined, clock: Clock): void {
+  #planTakeover (coordinated: Coordinated, end: number | undefined): void {
     if (end === undefined) return
-    const longest = this.#options.longestDeadline(coordinated.session.description.pool)
-    const timer = setTimeout(() => { coordinated.takeoverEffective = true }, Math.max(0, end + longest - clock.now()))
-    if (coordinated.lifeCycle.closed) clearTimeout(timer)
-    else coordinated.lifeCycle.own('takeover wait', () => clearTimeout(timer))
+    coordinated.takeoverAt = end + this.#options.longestDeadline(coordinated.session.description.pool)
+    const milliseconds = Math.round(coordinated.takeoverAt - this.#options.clock.now())
+    logger.info('takeover waits for the former coordinator', { endpoint: coordinated.session.description.id, milliseconds })
   }
 
   async #loadJournal (session: EndpointSession, endpoint: string, former: FormerCoordinator | undefined, first: boolean): Promise<void> {
--- a/packages/daemon/src/coordinator/endpoint-session.test.ts
+++ b/packages/daemon/src/coordinator/endpoint-session.test.ts
@@ -16,11 +16,12 @@
 }
 
 class NoBuckets extends EndpointView {
+  takeoverEndsAt: number | undefined = -Infinity
   override owned (): readonly never[] { return [] }
   override leaving (): readonly number[] { return [] }
   override handedOver (): readonly never[] { return [] }
   override bucket (): undefined { return undefined }
-  override takeoverEffective (): boolean { return true }
+  override takeoverAt (): number | undefined { return this.takeoverEndsAt }
 }
 
 class NoObserver extends SessionObserver {
@@ -66,14 +67,22 @@
   let rights: TestRights
   let lifeCycle: LifeCycle
   let session: EndpointSession
+  let view: NoBuckets
 
   beforeEach(async () => {
     endpoint = new HeldEndpoint()
     rights = new TestRights()
+    view = new NoBuckets()
     lifeCycle = new LifeCycle('test')
     await new Promise<void>(resolve => endpoint.server.listen(0, '127.0.0.1', resolve))
     const { port } = endpoint.server.address() as AddressInfo
-    session = new EndpointSession({
+    session = createSession(port)
+    session.start()
+    while (session.grants.state !== 'active') await delay(5)
+  })
+
+  function createSession (port: number): EndpointSession {
+    return new EndpointSession({
       coordinatorName: 'vm1/1',
       description: { id: 'e1', pool: 'dispatch', dataCentre: 'a', host: '127.0.0.1', port, checks: true },
       token: { offset: 1, provisional: 0 },
@@ -82,7 +91,7 @@
       random: new Random(1),
       rights,
       timing: { grantMilliseconds: 400, renewMilliseconds: 50, suspectMilliseconds: 250, clockMarginPercent: 2 },
-      view: new NoBuckets(),
+      view,
       observer: new NoObserver(),
       journalSink: new NoJournal(),
       formerHolders: new NoFormerHolders(),
@@ -94,9 +103,7 @@
       maximumConnections: 5,
       maximumAnswerBytes: 1_000
     }, lifeCycle)
-    session.start()
-    while (session.grants.state !== 'active') await delay(5)
-  })
+  }
 
   afterEach(async () => {
     endpoint.finishAll()
@@ -105,8 +112,8 @@
     await new Promise(resolve => endpoint.server.close(resolve))
   })
 
-  async function send (requestId: string): Promise<Answer> {
-    const forward = Forward.create({ requestId, method: 'POST', target: '/dispatches', bucket: -1, rule: 1, deadlineMilliseconds: 60_000 })
+  async function send (requestId: string, deadlineMilliseconds = 60_000): Promise<Answer> {
+    const forward = Forward.create({ requestId, method: 'POST', target: '/dispatches', bucket: -1, rule: 1, deadlineMilliseconds })
     return await session.handle(forward, new AbortController().signal)
   }
 
@@ -143,6 +150,35 @@
     expect(await queued).to.include({ outcome: Outcome.OUTCOME_ANSWERED })
   })
 
+  describe('while a former coordinator may still act', () => {
+    beforeEach(async () => {
+      view.takeoverEndsAt = undefined
+      session = createSession((endpoint.server.address() as AddressInfo).port)
+      session.start()
+      while (session.grants.state !== 'waiting') await delay(5)
+    })
+
+    it('keeps requests that can run before their deadline (keys that are served only when callers ask again)', async () => {
+      view.takeoverEndsAt = performance.now() + 200
+      const waiting = send('waiting', 600)
+      while (endpoint.running === 0) await delay(5)
+      expect(performance.now()).to.be.at.least(view.takeoverEndsAt)
+      endpoint.finishAll()
+      expect(await waiting).to.include({ outcome: Outcome.OUTCOME_ANSWERED })
+    })
+
+    it('refuses requests at once whose deadline comes earlier, or when the end is not known or far off (callers that wait for nothing)', async () => {
+      const startedAt = performance.now()
+      expect(await send('unknown end')).to.include({ outcome: Outcome.OUTCOME_NOT_RUN, reason: 'endpoint_unavailable' })
+      view.takeoverEndsAt = startedAt + 10_000
+      expect(await send('long wait')).to.include({ outcome: Outcome.OUTCOME_NOT_RUN, reason: 'endpoint_unavailable' })
+      view.takeoverEndsAt = startedAt + 600
+      expect(await send('early deadline', 100)).to.include({ outcome: Outcome.OUTCOME_NOT_RUN, reason: 'endpoint_unavailable' })
+      expect(performance.now() - startedAt).to.be.below(500)
+      expect(endpoint.running).to.equal(0)
+    })
+  })
+
   it('answers queued requests at once when the endpoint knows a newer coordinator (callers that wait for nothing)', async () => {
     const { queued } = await sendTwo()
     endpoint.fenced = true
--- a/packages/daemon/src/coordinator/endpoint-session.ts
+++ b/packages/daemon/src/coordinator/endpoint-session.ts
@@ -29,8 +29,8 @@
   abstract handedOver (): readonly HandedOverBucket[]
   /** The bucket of the endpoint's pool. */
   abstract bucket (bucket: number): BucketState | undefined
-  /** False while a former coordinator of an endpoint that does not check may still act. */
-  abstract takeoverEffective (): boolean
+  /** Local time until which a former coordinator of an endpoint that does not check may still act; undefined when not known. */
+  abstract takeoverAt (): number | undefined
 }
 
 /** What a session reports to the control loops. */
@@ -159,7 +159,7 @@
   }
 
   override takeoverEffective (): boolean {
-    return this.#options.view.takeoverEffective()
+    return this.#options.clock.now() >= (this.#options.view.takeoverAt() ?? Infinity)
   }
 
   override bucketsToGrant (formerly: readonly BucketGrant[]): readonly BucketGrant[] {
@@ -317,7 +317,7 @@
   async #waitUntilActive (deadlineAt: number, signal: AbortSignal): Promise<boolean> {
     const { state } = this.grants
     if (state === 'active') return true
-    if (state !== 'offering' || this.#activeWaiters.length >= this.#options.maximumQueued) return false
+    if (!this.#activatesBefore(deadlineAt) || this.#activeWaiters.length >= this.#options.maximumQueued) return false
     await new Promise<void>(resolve => {
       const finish = (): void => {
         clearTimeout(timer)
@@ -331,12 +331,22 @@
     return this.grants.state === 'active' && !signal.aborted
   }
 
+  /** A takeover is worth waiting for when its end is known, near and before the deadline. */
+  #activatesBefore (deadlineAt: number): boolean {
+    const { state } = this.grants
+    if (state !== 'waiting') return state === 'offering'
+    const takeoverAt = this.#options.view.takeoverAt() ?? Infinity
+    return takeoverAt < deadlineAt && takeoverAt - this.#options.clock.now() < maximumTakeoverWaitMilliseconds
+  }
+
   #complete (answer: Answer): Answer {
     return { ...answer, outstanding: this.queue.outstanding }
   }
 }
 
 const maximumActivationWaitMilliseconds = 1000
+/** Requests of a longer time would all begin at once and hold up the first answers. */
+const maximumTakeoverWaitMilliseconds = 250
 const movedRetryMilliseconds = 50
 
 function describeJob (forward: Forward, deadlineAt: number, signal: AbortSignal): JobDescription {
--- a/packages/daemon/src/coordinator/state-endpoint-view.ts
+++ b/packages/daemon/src/coordinator/state-endpoint-view.ts
@@ -15,16 +15,16 @@
   readonly #view: ControlView
   readonly #endpoint: string
   readonly #pool: string
-  readonly #takeoverEffective: () => boolean
+  readonly #takeoverAt: () => number | undefined
   /** Buckets of the pool state for which they were last selected: renewals ask ten times a second. */
   #selected: SelectedBuckets | undefined
 
-  constructor (view: ControlView, endpoint: string, pool: string, takeoverEffective: () => boolean) {
+  constructor (view: ControlView, endpoint: string, pool: string, takeoverAt: () => number | undefined) {
     super()
     this.#view = view
     this.#endpoint = endpoint
     this.#pool = pool
-    this.#takeoverEffective = takeoverEffective
+    this.#takeoverAt = takeoverAt
   }
 
   override owned (): readonly BucketGrant[] {
@@ -46,8 +46,8 @@
     })
   }
 
-  override takeoverEffective (): boolean {
-    return this.#takeoverEffective()
+  override takeoverAt (): number | undefined {
+    return this.#takeoverAt()
   }
 
   #select (): SelectedBuckets {
