--- a/packages/daemon/src/control/membership.test.ts
+++ b/packages/daemon/src/control/membership.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { delay, LifeCycle, ManualClock } from '@briarsaddle/common'
+import { delay, LifeCycle, ManualClock, MonotonicClock } from '@briarsaddle/common'
 import { KeyHasher } from '@briarsaddle/ownership'
 import { VmListClient, type ListedVm } from '@briarsaddle/platform'
 import type { PeerPool } from '@briarsaddle/protocol'
@@ -16,12 +16,13 @@
   silentMilliseconds = Infinity
   /** Real time until a fresh connection fails; the clock of the test goes on meanwhile. */
   freshMilliseconds = 0
+  reachable = false
 
   async heartbeat (): Promise<never> { throw new Error('no answer') }
 
-  async freshHeartbeat (): Promise<never> {
+  async freshHeartbeat (): Promise<void> {
     await delay(this.freshMilliseconds)
-    throw new Error('no answer')
+    if (!this.reachable) throw new Error('no answer')
   }
 }
 
@@ -79,6 +80,26 @@
     expect(events).to.include('suspicion')
   })
 
+  it('suspects a VM that answers nothing although its own heartbeats arrive (a one-way failure towards a coordinator that nobody notices)', async () => {
+    for (let step = 0; step < 9; step++) {
+      membership.answer({ vm: 'vm-2', instance: 'two', position: 1 })
+      await pass(50)
+    }
+    expect([...membership.suspected]).to.deep.equal(['vm-2'])
+    membership.answer({ vm: 'vm-2', instance: 'two', position: 1 })
+    await delay(50)
+    expect([...membership.suspected]).to.deep.equal(['vm-2'])
+  })
+
+  it('tries a suspected VM at once when its heartbeat arrives (a VM that is back and gets no work)', async () => {
+    await pass(450)
+    expect([...membership.suspected]).to.deep.equal(['vm-2'])
+    peer.reachable = true
+    membership.answer({ vm: 'vm-2', instance: 'two', position: 1 })
+    await delay(10)
+    expect(membership.suspected.size).to.equal(0)
+  })
+
   it('does not suspect a VM whose frames arrive while it is checked (a busy VM taken for a lost one)', async () => {
     peer.silentMilliseconds = 10
     peer.freshMilliseconds = 60
@@ -86,6 +107,38 @@
     expect(membership.suspected.size).to.equal(0)
   })
 
+  it('begins the check of a silent VM when it is due, also between two heartbeats (a suspicion that waits for the grid)', async () => {
+    const slow = new Membership({
+      self,
+      list,
+      peers: { get: () => slowPeer, update: () => {} } as unknown as PeerPool,
+      hasher: await KeyHasher.create(),
+      clock: new MonotonicClock(),
+      timing: { ...timing, heartbeatMilliseconds: 200, suspectMilliseconds: 450 },
+      position: () => 1,
+      changed: () => {},
+      suspicionBegan: () => {}
+    })
+    const calls: string[] = []
+    const slowPeer = {
+      silentMilliseconds: 1_000,
+      heartbeat: async () => {
+        calls.push('heartbeat')
+        if (calls.length === 1) return { leaving: false }
+        await delay(150)
+        throw new Error('no answer')
+      },
+      freshHeartbeat: async () => {
+        calls.push('check')
+        throw new Error('no answer')
+      }
+    }
+    await slow.start(lifeCycle)
+    while (slow.suspected.size === 0) await delay(5)
+    // The check is due 300 ms after the first heartbeat and decides after 450 ms; the third heartbeat is sent after 400 ms.
+    expect(calls).to.deep.equal(['heartbeat', 'heartbeat', 'check', 'heartbeat'])
+  })
+
   it('does not count frames from before the check (a lost VM that is suspected later under traffic)', async () => {
     peer.silentMilliseconds = 250
     peer.freshMilliseconds = 60
--- a/packages/daemon/src/coordinator/endpoint-session.ts
+++ b/packages/daemon/src/coordinator/endpoint-session.ts
@@ -15,6 +15,7 @@
 import { RunningWork } from './running-work.js'
 import { serviceClassOf } from './service-class.js'
 import { SessionLoad } from './session-load.js'
+import { latestWorkEnd } from './work-limit.js'
 import type { SessionState } from './session-state.js'
 
 const logger = new Logger('session')
@@ -29,8 +30,8 @@
   abstract handedOver (): readonly HandedOverBucket[]
   /** The bucket of the endpoint's pool. */
   abstract bucket (bucket: number): BucketState | undefined
-  /** False while a former coordinator of an endpoint that does not check may still act. */
-  abstract takeoverEffective (): boolean
+  /** Local time until which a former coordinator of an endpoint that does not check may still act; undefined when not known. */
+  abstract takeoverAt (): number | undefined
 }
 
 /** What a session reports to the control loops. */
@@ -63,6 +64,8 @@
   readonly poolRunner: () => PoolRunner | undefined
   readonly policy: QueuePolicy
   readonly longDurations: LongDurations
+  /** Longest time in milliseconds that a request of the pool may run. */
+  readonly longestDeadline: (pool: string) => number
   readonly admission: boolean
   readonly maximumQueued: number
   readonly maximumConnections: number
@@ -108,7 +111,7 @@
     })
     this.queue = new EndpointQueue({ slots: 1, maximumQueued: options.maximumQueued, clock: options.clock, random: options.random, policy: options.policy, admission: options.admission })
     this.grants = new GrantKeeper({ ...options, client: this.#client, owner: this })
-    this.#sender = new RequestSender({ client: this.#client, grants: this.grants, clock: options.clock, coordinatorName: options.coordinatorName })
+    this.#sender = new RequestSender({ client: this.#client, grants: this.grants, clock: options.clock, coordinatorName: options.coordinatorName, latestEnd: () => this.#latestWorkEnd() })
     lifeCycle.own('connections', async () => await this.#client.destroy())
   }
 
@@ -159,7 +162,7 @@
   }
 
   override takeoverEffective (): boolean {
-    return this.#options.view.takeoverEffective()
+    return this.#options.clock.now() >= (this.#options.view.takeoverAt() ?? Infinity)
   }
 
   override bucketsToGrant (formerly: readonly BucketGrant[]): readonly BucketGrant[] {
@@ -292,6 +295,13 @@
     return job
   }
 
+  /** An endpoint that checks refuses the effects of work that outlasts its grant. */
+  #latestWorkEnd (): number {
+    const { rights, longestDeadline } = this.#options
+    const { id, pool, checks } = this.description
+    return checks ? Infinity : latestWorkEnd(rights.rightUntil(id), longestDeadline(pool))
+  }
+
   #reportWait (forward: Forward, milliseconds: number): void {
     const serviceClass = serviceClassOf(forward.serviceClass)
     if (serviceClass !== 'long') this.#options.observer.waitedBehindLong(this, serviceClass, milliseconds)
@@ -317,7 +327,7 @@
   async #waitUntilActive (deadlineAt: number, signal: AbortSignal): Promise<boolean> {
     const { state } = this.grants
     if (state === 'active') return true
-    if (state !== 'offering' || this.#activeWaiters.length >= this.#options.maximumQueued) return false
+    if (!this.#activatesBefore(deadlineAt) || this.#activeWaiters.length >= this.#options.maximumQueued) return false
     await new Promise<void>(resolve => {
       const finish = (): void => {
         clearTimeout(timer)
@@ -331,12 +341,22 @@
     return this.grants.state === 'active' && !signal.aborted
   }
 
+  /** A takeover is worth waiting for when its end is known, near and before the deadline. */
+  #activatesBefore (deadlineAt: number): boolean {
+    const { state } = this.grants
+    if (state !== 'waiting') return state === 'offering'
+    const takeoverAt = this.#options.view.takeoverAt() ?? Infinity
+    return takeoverAt < deadlineAt && takeoverAt - this.#options.clock.now() < maximumTakeoverWaitMilliseconds
+  }
+
   #complete (answer: Answer): Answer {
     return { ...answer, outstanding: this.queue.outstanding }
   }
 }
 
 const maximumActivationWaitMilliseconds = 1000
+/** Requests of a longer time would all begin at once and hold up the first answers. */
+const maximumTakeoverWaitMilliseconds = 250
 const movedRetryMilliseconds = 50
 
 function describeJob (forward: Forward, deadlineAt: number, signal: AbortSignal): JobDescription {
