--- a/packages/router/src/control/grant-renewal.ts
+++ b/packages/router/src/control/grant-renewal.ts
@@ -36,17 +36,22 @@
   readonly state: SegmentState
 }
 
+/** Renewals that share a number of places. */
+interface Lane {
+  readonly mostInFlight: number
+  inFlight: number
+  /** Those that wait for a place, the one that has been due the longest last. */
+  due: DueRenewal[]
+}
+
 /** Renews the grants of settled segments and finds endpoints that cannot be reached. */
 export class GrantRenewal {
   readonly #options: GrantRenewalOptions
   readonly #segments = new Map<string, SegmentState>()
   readonly #failing = new Map<string, { readonly since: number, failures: number }>()
   readonly #disconnected = new Set<string>()
-  /** Renewals that wait for a place, the one that has been due the longest last. */
-  #due: DueRenewal[] = []
-  #dueToFailing: DueRenewal[] = []
-  #inFlight = 0
-  #inFlightToFailing = 0
+  readonly #lane: Lane = { mostInFlight, inFlight: 0, due: [] }
+  readonly #laneToFailing: Lane = { mostInFlight: mostInFlightToFailing, inFlight: 0, due: [] }
 
   constructor (options: GrantRenewalOptions) {
     this.#options = options
@@ -68,8 +73,8 @@
     this.#segments.clear()
     this.#failing.clear()
     this.#disconnected.clear()
-    this.#due = []
-    this.#dueToFailing = []
+    this.#lane.due = []
+    this.#laneToFailing.due = []
   }
 
   /** Returns the endpoints whose connection was lost since the last call; their segments need new tokens. */
@@ -122,28 +127,21 @@
     }
     for (const key of this.#segments.keys()) if (!present.has(key)) this.#segments.delete(key)
     due.sort((one, other) => other.state.dueAt - one.state.dueAt)
-    this.#due = due.filter(({ segment }) => !this.#failing.has(segment.owner.endpoint))
-    this.#dueToFailing = due.filter(({ segment }) => this.#failing.has(segment.owner.endpoint))
-    this.#sendDue()
+    const isFailing = ({ segment }: DueRenewal): boolean => this.#failing.has(segment.owner.endpoint)
+    this.#lane.due = due.filter(renewal => !isFailing(renewal))
+    this.#laneToFailing.due = due.filter(isFailing)
+    this.#sendDue(this.#lane)
+    this.#sendDue(this.#laneToFailing)
   }
 
-  #sendDue (): void {
-    while (this.#inFlight < mostInFlight) {
-      const renewal = this.#due.pop()
-      if (renewal === undefined) break
-      this.#inFlight++
-      void this.#renew(renewal).finally(() => {
-        this.#inFlight--
-        this.#sendDue()
-      })
-    }
-    while (this.#inFlightToFailing < mostInFlightToFailing) {
-      const renewal = this.#dueToFailing.pop()
-      if (renewal === undefined) break
-      this.#inFlightToFailing++
+  #sendDue (lane: Lane): void {
+    while (lane.inFlight < lane.mostInFlight) {
+      const renewal = lane.due.pop()
+      if (renewal === undefined) return
+      lane.inFlight++
       void this.#renew(renewal).finally(() => {
-        this.#inFlightToFailing--
-        this.#sendDue()
+        lane.inFlight--
+        this.#sendDue(lane)
       })
     }
   }
--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -210,11 +210,15 @@
     return planSpread(planned, pool, members.map(member => this.#rested(member) && member.keepsKeys !== true ? member : { ...member, accepting: false, busySlots: 0, keys: [] }))
   }
 
-  /** After a takeover, keys of an owner that may still take a former leader's grants could be served nowhere for as long as such a grant lasts. */
-  #awaitsAcknowledgement (pool: string, { id, life }: EndpointEntry): boolean {
-    if (this.#renewal.isUnreachable(id)) return false
-    const segments = this.#map.pools[pool]?.filter(({ owner, moving }) => !moving && owner.endpoint === id && owner.life === life) ?? []
-    return segments.some(segment => !this.#ledger.refusesFormerLeaders(holderKey(segment.owner), segment))
+  /**
+   * Owners that may still take grants of a former leader on some of their keys. After a move, nobody could serve these keys for
+   * as long as such a grant lasts.
+   */
+  #ownersOpenToFormerLeaders (pool: string): ReadonlySet<string> {
+    const segments = this.#map.pools[pool]?.filter(({ moving }) => !moving) ?? []
+    return new Set(segments.map(segment => ({ segment, holder: holderKey(segment.owner) }))
+      .filter(({ segment, holder }) => !this.#ledger.refusesFormerLeaders(holder, segment))
+      .map(({ holder }) => holder))
   }
 
   /** Collects the demand now and then; the tick after that plans with it. */
@@ -233,10 +237,13 @@
 
   #membersOf (pool: string): MemberDemand[] {
     const members: MemberDemand[] = []
+    const open = this.#ownersOpenToFormerLeaders(pool)
     for (const entry of this.#options.directory.current?.state.values() ?? []) {
       if (entry.pool !== pool) continue
       const demand = this.#demand.get(entry.id) ?? { busySlots: 0, serviceMilliseconds: 0, keys: [] }
-      members.push({ ...memberOf(entry), ...demand, accepting: !entry.leaving && !this.#renewal.isUnreachable(entry.id), keepsKeys: this.#awaitsAcknowledgement(pool, entry) })
+      const member = memberOf(entry)
+      const reachable = !this.#renewal.isUnreachable(entry.id)
+      members.push({ ...member, ...demand, accepting: member.accepting && reachable, keepsKeys: reachable && open.has(holderKey(member)) })
     }
     return members.sort((one, other) => one.endpoint < other.endpoint ? -1 : 1)
   }
