--- a/packages/daemon/src/coordinator/coordinator.ts
+++ b/packages/daemon/src/coordinator/coordinator.ts
@@ -14,7 +14,6 @@
 import { LongDurations } from './long-work.js'
 import type { RightSource } from './right-source.js'
 import { StateEndpointView } from './state-endpoint-view.js'
-import { formerWorkEnd } from './work-limit.js'
 
 const logger = new Logger('coordinator')
 
@@ -227,8 +226,7 @@
 
   #planTakeover (coordinated: Coordinated, end: number | undefined): void {
     if (end === undefined) return
-    const { settings, longestDeadline } = this.#options
-    coordinated.takeoverAt = formerWorkEnd(end, longestDeadline(coordinated.session.description.pool), settings.timing.clockMarginPercent / 100)
+    coordinated.takeoverAt = end + this.#options.longestDeadline(coordinated.session.description.pool)
     const milliseconds = Math.round(coordinated.takeoverAt - this.#options.clock.now())
     logger.info('takeover waits for the former coordinator', { endpoint: coordinated.session.description.id, milliseconds })
   }
--- a/packages/daemon/src/coordinator/endpoint-session.test.ts
+++ b/packages/daemon/src/coordinator/endpoint-session.test.ts
@@ -98,7 +98,6 @@
       poolRunner: () => undefined,
       policy: new ClassPolicy(),
       longDurations: new LongDurations(() => 1),
-      longestDeadline: () => 60_000,
       admission: true,
       maximumQueued: 10,
       maximumConnections: 5,
--- a/packages/daemon/src/coordinator/endpoint-session.ts
+++ b/packages/daemon/src/coordinator/endpoint-session.ts
@@ -15,7 +15,6 @@
 import { RunningWork } from './running-work.js'
 import { serviceClassOf } from './service-class.js'
 import { SessionLoad } from './session-load.js'
-import { latestWorkEnd } from './work-limit.js'
 import type { SessionState } from './session-state.js'
 
 const logger = new Logger('session')
@@ -64,8 +63,6 @@
   readonly poolRunner: () => PoolRunner | undefined
   readonly policy: QueuePolicy
   readonly longDurations: LongDurations
-  /** Longest time in milliseconds that a request of the pool may run. */
-  readonly longestDeadline: (pool: string) => number
   readonly admission: boolean
   readonly maximumQueued: number
   readonly maximumConnections: number
@@ -111,7 +108,7 @@
     })
     this.queue = new EndpointQueue({ slots: 1, maximumQueued: options.maximumQueued, clock: options.clock, random: options.random, policy: options.policy, admission: options.admission })
     this.grants = new GrantKeeper({ ...options, client: this.#client, owner: this })
-    this.#sender = new RequestSender({ client: this.#client, grants: this.grants, clock: options.clock, coordinatorName: options.coordinatorName, latestEnd: () => this.#latestWorkEnd() })
+    this.#sender = new RequestSender({ client: this.#client, grants: this.grants, clock: options.clock, coordinatorName: options.coordinatorName })
     lifeCycle.own('connections', async () => await this.#client.destroy())
   }
 
@@ -295,13 +292,6 @@
     return job
   }
 
-  /** An endpoint that checks refuses the effects of work that outlasts its grant. */
-  #latestWorkEnd (): number {
-    const { rights, longestDeadline } = this.#options
-    const { id, pool, checks } = this.description
-    return checks ? Infinity : latestWorkEnd(rights.rightUntil(id), longestDeadline(pool))
-  }
-
   #reportWait (forward: Forward, milliseconds: number): void {
     const serviceClass = serviceClassOf(forward.serviceClass)
     if (serviceClass !== 'long') this.#options.observer.waitedBehindLong(this, serviceClass, milliseconds)
--- a/packages/daemon/src/coordinator/request-sender.test.ts
+++ b/packages/daemon/src/coordinator/request-sender.test.ts
@@ -14,9 +14,6 @@
   let server: Server
   let client: EndpointClient
   let received = 0
-  let latestEnd = Infinity
-
-  beforeEach(() => { latestEnd = Infinity })
 
   async function start (headers: Readonly<Record<string, string>>, milliseconds = 0): Promise<RequestSender> {
     received = 0
@@ -29,7 +26,7 @@
     await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
     const { port } = server.address() as AddressInfo
     client = new EndpointClient({ id: 'e1', pool: 'dispatch', dataCentre: 'a', host: '127.0.0.1', port, checks: true }, { coordinatorName: 'vm1', maximumConnections: 20, maximumAnswerBytes: 1_000 })
-    return new RequestSender({ client, grants, clock: new MonotonicClock(), coordinatorName: 'vm1', latestEnd: () => latestEnd })
+    return new RequestSender({ client, grants, clock: new MonotonicClock(), coordinatorName: 'vm1' })
   }
 
   afterEach(async () => {
@@ -67,15 +64,6 @@
     for (const answer of answers) expect(await answer).to.include({ outcome: Outcome.OUTCOME_ANSWERED, status: 200 })
   })
 
-  it('ends a request when a successor may begin, before its own deadline (two VMs side by side)', async () => {
-    const sender = await start({}, 1_000)
-    latestEnd = performance.now() + 100
-    const forward = Forward.create({ requestId: 'r', method: 'POST', target: '/dispatches', bucket: -1 })
-    const answer = await sender.send(forward, -1, performance.now() + 2_000, new AbortController().signal)
-    expect(answer).to.include({ outcome: Outcome.OUTCOME_UNKNOWN, reason: 'deadline_passed' })
-    expect(performance.now()).to.be.below(latestEnd + 800)
-  })
-
   it('gives up at the deadline, also while the answer is being read (callers that hang)', async () => {
     const sender = await start({ 'content-length': '5' })
     const forward = Forward.create({ requestId: 'r', method: 'POST', target: '/dispatches', bucket: -1 })
--- a/packages/daemon/src/coordinator/request-sender.ts
+++ b/packages/daemon/src/coordinator/request-sender.ts
@@ -26,30 +26,20 @@
   readonly #grants: GrantKeeper
   readonly #clock: Clock
   readonly #coordinatorName: string
-  readonly #latestEnd: () => number
   readonly #pending = new Set<PendingAttempt>()
 
-  constructor (options: {
-    readonly client: EndpointClient
-    readonly grants: GrantKeeper
-    readonly clock: Clock
-    readonly coordinatorName: string
-    /** Local time at which a request that is sent now has to end, whatever its deadline. */
-    readonly latestEnd: () => number
-  }) {
+  constructor (options: { readonly client: EndpointClient, readonly grants: GrantKeeper, readonly clock: Clock, readonly coordinatorName: string }) {
     this.#client = options.client
     this.#grants = options.grants
     this.#clock = options.clock
     this.#coordinatorName = options.coordinatorName
-    this.#latestEnd = options.latestEnd
   }
 
   /** `bucketToken` is the token of the bucket's assignment, or -1 without a bucket. Always resolves. */
-  async send (forward: Forward, bucketToken: number, requestedEnd: number, signal: AbortSignal): Promise<Answer> {
+  async send (forward: Forward, bucketToken: number, deadlineAt: number, signal: AbortSignal): Promise<Answer> {
     for (let attempt = 1; ; attempt++) {
       // A process that was paused looks at the clock before it writes: the right may have expired meanwhile.
       if (!this.#grants.holds(forward.bucket, bucketToken)) return notRun('right_expired', refusalRetryMilliseconds)
-      const deadlineAt = Math.min(requestedEnd, this.#latestEnd())
       const remaining = deadlineAt - this.#clock.now()
       if (remaining <= 0) return notRun('expired_in_queue')
       const answer = await this.#attempt(forward, bucketToken, deadlineAt, remaining, signal)
