Add up the demand for a key that two VMs report, and repair key maps with an empty range

Change: demand is summed by key at the collector and in the planner; service times of several reports are weighted by the slots that they kept busy (a third report of an idle VM replaced the mean). assignRange rejects an empty range; a leader writes no map in which a key is in no segment or in two. A map that an older version wrote is repaired while it is read: an empty range is dropped, doubtful keys become moving ones under a new token with everyone who may hold them as former holder, and the next leader writes it under new tokens. `repairs` in the state dump and in the log names what was wrong.

--- a/packages/key-ranges/src/codec.ts
+++ b/packages/key-ranges/src/codec.ts
@@ -1,5 +1,7 @@
 import { z } from 'zod'
+import { BriarsaddleError } from '@briarsaddle/common'
 import { keyMapSchema, type Holder, type KeyMap, type Segment } from './key-map.js'
+import { checkLayout, repairLayout } from './layout.js'
 
 const segmentRowSchema = z.tuple([
   z.int().describe('first key'),
@@ -21,8 +23,12 @@
 
 type SegmentRow = z.infer<typeof segmentRowSchema>
 
-/** Encodes a key map as JSON. Each holder is written once and referenced by index, because the size of a log record is limited. */
+/**
+ * Encodes a key map as JSON. Each holder is written once and referenced by index, because the size of a log record is limited.
+ * Throws `key_map_invalid` if a pool does not have every key in exactly one segment.
+ */
 export function encodeKeyMap (map: KeyMap): string {
+  checkLayout(map)
   const holders = new HolderTable()
   const row = ({ from, to, owner, fence, moving, open, former, handover }: Segment): SegmentRow =>
     [from, to, holders.indexOf(owner), fence, moving ? (open === true ? 2 : 1) : 0, former.map(holder => holders.indexOf(holder)), handover]
@@ -30,16 +36,21 @@
   return JSON.stringify({ fence: map.fence, author: map.author, vms: map.vms, holders: holders.rows, pools })
 }
 
-/** Decodes a key map that was encoded by `encodeKeyMap`. Throws if the text is not valid. */
+/**
+ * Decodes a key map that was encoded by `encodeKeyMap`. Earlier versions wrote maps with empty ranges; an invalid layout is
+ * repaired, see `repairLayout`. Throws if the text is no key map.
+ */
 export function decodeKeyMap (text: string): KeyMap {
   const { fence, author, vms, holders, pools } = encodedSchema.parse(JSON.parse(text))
   const holder = (index: number): Holder => {
-    const [endpoint, life, address] = holders[index] ?? ['', 0, '']
+    const row = holders[index]
+    if (row === undefined) throw new BriarsaddleError(`invalid key map: holder ${index} is not in the list of holders`, { code: 'key_map_invalid', step: 'decode key map' })
+    const [endpoint, life, address] = row
     return { endpoint, life, address }
   }
   const segment = ([from, to, owner, token, moving, former, handover]: SegmentRow): Segment =>
     ({ from, to, owner: holder(owner), fence: token, moving: moving > 0, ...(moving === 2 ? { open: true } : {}), former: former.map(holder), handover })
-  return keyMapSchema.parse({ fence, author, vms, pools: Object.fromEntries(Object.entries(pools).map(([pool, rows]) => [pool, rows.map(segment)])) })
+  return repairLayout(keyMapSchema.parse({ fence, author, vms, pools: Object.fromEntries(Object.entries(pools).map(([pool, rows]) => [pool, rows.map(segment)])) }))
 }
 
 class HolderTable {
--- a/packages/key-ranges/src/edit.ts
+++ b/packages/key-ranges/src/edit.ts
@@ -1,4 +1,4 @@
-import type { Holder, KeyMap, KeyRange, Segment, VmEntry } from './key-map.js'
+import { rangeText, type Holder, type KeyMap, type KeyRange, type Segment, type VmEntry } from './key-map.js'
 
 /** An assignment of keys to another owner. */
 export interface RangeMove extends KeyRange {
@@ -8,8 +8,12 @@
   readonly ownerMayHold: boolean
 }
 
-/** Begins to move keys to another owner under a new fencing token. The keys are moving until `settleRange` is called. */
+/**
+ * Begins to move keys to another owner under a new fencing token. The keys are moving until `settleRange` is called. Throws a
+ * RangeError if the range is empty.
+ */
 export function assignRange (map: KeyMap, move: RangeMove): KeyMap {
+  if (move.to < move.from) throw new RangeError(`the range ${rangeText(move)} of the move to ${move.owner.endpoint} is empty`)
   const fence = map.fence + 1
   const before = map.pools[move.pool] ?? []
   const after = before.length === 0
--- a/packages/key-ranges/src/key-map.ts
+++ b/packages/key-ranges/src/key-map.ts
@@ -46,7 +46,9 @@
   author: z.string(),
   vms: z.array(vmSchema).readonly(),
   /** Segments of each pool, in the order of their keys and without gaps. */
-  pools: z.record(z.string(), z.array(segmentSchema).readonly()).readonly()
+  pools: z.record(z.string(), z.array(segmentSchema).readonly()).readonly(),
+  /** What was wrong with the layout of the map as it was read, see `repairLayout`; absent if it was valid. Never written. */
+  repairs: z.array(z.string()).readonly().optional()
 }).readonly()
 
 /** Keys from `from` to `to`, both inclusive. */
--- a/packages/key-ranges/src/spread-plan.ts
+++ b/packages/key-ranges/src/spread-plan.ts
@@ -16,6 +16,13 @@
   readonly keys: readonly KeyDemand[]
 }
 
+/** Adds up the demand for keys that stand in the list more than once, for example because two VMs reported them. */
+export function mergeKeyDemand (keys: readonly KeyDemand[]): readonly KeyDemand[] {
+  const busySlots = new Map<number, number>()
+  for (const demand of keys) busySlots.set(demand.key, (busySlots.get(demand.key) ?? 0) + demand.busySlots)
+  return busySlots.size === keys.length ? keys : [...busySlots].map(([key, busy]) => ({ key, busySlots: busy }))
+}
+
 /** Thresholds of `planSpread`, in busy slots per slot of the endpoint unless stated otherwise. */
 export interface SpreadSettings {
   /** An endpoint with more demand than this is overloaded and gives keys away. */
@@ -50,10 +57,11 @@
   let moves = 0
   for (const member of overloaded) {
     let excess = member.busySlots - settings.relievedDemand * member.slots
+    const keys = mergeKeyDemand(member.keys)
     while (excess > settings.minimumMoveSlots && moves < settings.maximumMoves) {
       const target = targets.mostFree(member)
       if (target === undefined) return result
-      const piece = largestPiece(result, pool, member, Math.min(excess, target.freeSlots))
+      const piece = largestPiece(result, pool, { ...member, keys }, Math.min(excess, target.freeSlots))
       if (piece === undefined) break
       result = assignRange(result, { ...piece, pool, owner: holderOf(target.member), ownerMayHold: true })
       targets.reserve(target.member, piece.busySlots * target.costRatio)
--- a/packages/router/src/control/key-leader.test.ts
+++ b/packages/router/src/control/key-leader.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { BriarsaddleError, delay, LifeCycle, MonotonicClock } from '@briarsaddle/common'
-import { emptyKeyMap, raiseFences, type Holder, type KeyMap, type VmEntry } from '@briarsaddle/key-ranges'
+import { emptyKeyMap, raiseFences, type Holder, type KeyMap, type Segment, type VmEntry } from '@briarsaddle/key-ranges'
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
 import { EndpointTransport, type EndpointReply, type Grant, type GrantReply, type ReleaseReply } from '../endpoint-transport.js'
 import { RouterMetrics } from '../router-metrics.js'
@@ -240,6 +240,18 @@
     expect(transport.grants.filter(({ endpoint }) => endpoint === 'c')).to.deep.equal([])
   })
 
+  // An older version wrote empty ranges. Reading such a map repairs it, but the keys stay without service until a leader writes it.
+  it('writes a key map that was repaired while it was read under new tokens', async () => {
+    const { position, state } = topic.newest
+    const [first, ...rest] = state.pools.ponds as readonly Segment[]
+    const doubtful: Segment = { ...first as Segment, moving: true, open: true, former: rest.map(({ owner }) => owner).slice(0, 1) }
+    topic.newest = { position: position + 1, state: { ...state, author: other.id, pools: { ponds: [doubtful, ...rest] }, repairs: ['pool ponds: segment 5-4 is empty'] } }
+    map.offer(topic.newest)
+    while (topic.newest.state.author !== self.id) await delay(10)
+    expect(topic.newest.state).not.to.have.property('repairs')
+    for (const { fence } of topic.newest.state.pools.ponds ?? []) expect(fence).to.be.greaterThan(state.fence)
+  })
+
   it('counts the leaderships that began and ended, with the reason', async () => {
     map.offer({ position: topic.newest.position + 1, state: mapOfOther() })
     const page = await metrics.text()
--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -1,6 +1,6 @@
 import { BriarsaddleError, describeError, errorCode, Logger, withTimeLimit, type Clock, type LifeCycle } from '@briarsaddle/common'
 import {
-  emptyKeyMap, GrantLedger, joinSegments, markOpenMoves, planMembership, planSpread, raiseFences, raiseFencesOf, rangeText, segmentsIn, settleRange, withVms,
+  checkLayout, emptyKeyMap, GrantLedger, joinSegments, markOpenMoves, planMembership, planSpread, raiseFences, raiseFencesOf, rangeText, segmentsIn, settleRange, withVms,
   type KeyMap, type MemberDemand, type PoolMember, type Segment, type VmEntry
 } from '@briarsaddle/key-ranges'
 import { addressOf, type Directory, type EndpointEntry } from '../endpoint-entry.js'
@@ -287,8 +287,10 @@
     }
   }
 
-  async #write (map: KeyMap, purpose: string, signal: AbortSignal): Promise<void> {
+  async #write ({ repairs, ...map }: KeyMap, purpose: string, signal: AbortSignal): Promise<void> {
     const { topic, map: follower, timing } = this.#options
+    checkLayout(map)
+    if (repairs !== undefined) logger.warning('writes a repaired key map', { purpose, repairs: repairs.join('; ') })
     const position = follower.current?.position ?? 0
     const attempt = { position, state: map }
     this.#unansweredWrites = [...this.#inDoubtWrites, attempt]
--- a/packages/router/src/control/peer-demand.test.ts
+++ b/packages/router/src/control/peer-demand.test.ts
@@ -49,6 +49,16 @@
     expect(peers.mostAsked).to.be.at.most(12)
   })
 
+  // A key in two reports stood twice in the demand, and the plan cut an empty range in front of it.
+  it('adds up the reports of two VMs on one endpoint, key by key', async () => {
+    const load = (busySlots: number, serviceMilliseconds: number, keys: EndpointKeyLoad['keys']): EndpointKeyLoad => ({ endpoint: 'e', busySlots, queued: 0, serviceMilliseconds, keys })
+    const reports = [load(1, 100, [{ key: 5, busySlots: 0.5 }, { key: 6, busySlots: 0.5 }]), load(3, 200, [{ key: 5, busySlots: 1.5 }]), load(0, 0, [])]
+    const both: DemandPeers = { vms: ['vm-1', 'vm-2'], get: vm => ({ fetchKeyLoads: async () => ({ ...report(vm), endpoints: [reports[vm === 'vm-1' ? 1 : 2] as EndpointKeyLoad] }) }) }
+    const self = { fetchKeyLoads: async () => ({ ...report('self'), endpoints: [reports[0] as EndpointKeyLoad] }) }
+    const collected = await new PeerDemand(both, self, readPositions).collect()
+    expect(collected.get('e')).to.deep.equal({ busySlots: 4, serviceMilliseconds: 175, keys: [{ key: 5, busySlots: 2 }, { key: 6, busySlots: 0.5 }] })
+  })
+
   it('collects the demand of the other VMs when some do not answer', async () => {
     for (const vm of peers.vms.slice(0, 20)) peers.silent.add(vm)
     expect((await demand.collect()).size).to.equal(peers.vms.length + 1 - 20)
--- a/packages/router/src/control/peer-demand.ts
+++ b/packages/router/src/control/peer-demand.ts
@@ -1,4 +1,5 @@
 import { describeError, Logger } from '@briarsaddle/common'
+import { mergeKeyDemand } from '@briarsaddle/key-ranges'
 import type { EndpointKeyLoad, PeerClient } from '@briarsaddle/protocol'
 import type { RangeControlHandler } from '../request/inner-handlers.js'
 import type { ReadPositionMonitor } from './read-position-monitor.js'
@@ -54,12 +55,22 @@
   }
 }
 
-/** Adds up the reports on one endpoint: two VMs may both have sent to it, for example while its coordinator changed. */
+/**
+ * Adds up the reports on one endpoint: two VMs may both have sent to it, for example while its coordinator changed. Service times
+ * are weighted by the slots that they kept busy; 0 means not known.
+ */
 function addReport (before: MeasuredDemand | undefined, { busySlots, serviceMilliseconds, keys }: EndpointKeyLoad): MeasuredDemand {
-  if (before === undefined) return { busySlots, serviceMilliseconds, keys }
+  if (before === undefined) return { busySlots, serviceMilliseconds, keys: mergeKeyDemand(keys) }
   return {
     busySlots: before.busySlots + busySlots,
-    serviceMilliseconds: before.busySlots > busySlots ? before.serviceMilliseconds : serviceMilliseconds,
-    keys: [...before.keys, ...keys]
+    serviceMilliseconds: weightedMean([before, { busySlots, serviceMilliseconds }]),
+    keys: mergeKeyDemand([...before.keys, ...keys])
   }
 }
+
+function weightedMean (reports: ReadonlyArray<Pick<MeasuredDemand, 'busySlots' | 'serviceMilliseconds'>>): number {
+  const known = reports.filter(report => report.serviceMilliseconds > 0)
+  const weight = known.reduce((sum, report) => sum + report.busySlots, 0)
+  if (weight === 0) return known[0]?.serviceMilliseconds ?? 0
+  return known.reduce((sum, report) => sum + report.serviceMilliseconds * report.busySlots, 0) / weight
+}
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -229,7 +229,8 @@
     this.#routing.onChange(table => this.#useRouting(table))
   }
 
-  #logKeyMap ({ author, fence, vms, pools }: KeyMap): void {
+  #logKeyMap ({ author, fence, vms, pools, repairs }: KeyMap): void {
+    if (repairs !== undefined) logger.error('the key map was written with an invalid layout; the keys concerned get no requests until a leader writes it anew', { position: this.#map.current?.position, author, repairs: repairs.join('; ') })
     const segments = Object.values(pools).flat()
     logger.info('key map in force', { position: this.#map.current?.position, author, fence, vms: vms.length, ranges: segments.length, moving: segments.filter(segment => segment.moving).length })
   }
