Bound the memory of answers that callers do not read

Cause: the entry wrote a whole answer to the connection at once, however slowly its caller read, and nothing bounded the memory of all such answers or ended a connection that was not read at all. With downloads of up to 540 KB, callers that stop reading could fill a VM of 250 MB. A closed connection ends before the announced length, so no caller takes the part for the whole. Before, the entry had no such limit (the options of the tests did not exist).

--- a/packages/entry/src/entry-server.test.ts
+++ b/packages/entry/src/entry-server.test.ts
@@ -49,6 +49,57 @@
   })
 })
 
+describe('EntryServer, with callers that do not read their answers', () => {
+  const bodyBytes = 4 * 1024 * 1024
+  let handler: SlowHandler
+  let server: EntryServer<CallerRequest> | undefined
+
+  async function request (limits: { readonly maximumUnreadBytes?: number, readonly unreadMilliseconds?: number }, callers: number): Promise<Socket[]> {
+    handler = new SlowHandler()
+    handler.answer = { status: 200, headers: [{ name: 'Content-Length', value: String(bodyBytes) }], body: Buffer.alloc(bodyBytes) }
+    server = new EntryServer({ host: '127.0.0.1', port: 0, maximumHeaderBytes: 8_192, maximumBodyBytes: 1_000, maximumCallerConnections: 50, clock: new MonotonicClock(), ...limits }, handler)
+    const port = await server.listen()
+    return await Promise.all(Array.from({ length: callers }, async () => {
+      const socket = connect(port, '127.0.0.1')
+      socket.on('error', () => {})
+      socket.pause()
+      socket.write('GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n')
+      return socket
+    }))
+  }
+
+  afterEach(async () => await server?.stop(0))
+
+  it('closes the connections of those that read nothing for longest when their answers exceed the limit (memory that slow callers hold)', async () => {
+    const sockets = await request({ maximumUnreadBytes: 3 * bodyBytes }, 12)
+    await delay(600)
+    expect(server?.unreadBytes).to.be.within(1, 3 * bodyBytes)
+    for (const socket of sockets) socket.destroy()
+  })
+
+  it('closes a connection whose caller reads nothing for the stated time, and the part is not taken for the whole answer', async () => {
+    const [socket] = await request({ unreadMilliseconds: 500 }, 1) as [Socket]
+    await delay(2_800)
+    expect(server?.unreadBytes).to.equal(0)
+    let received = 0
+    socket.on('data', data => { received += data.length }).resume()
+    await once(socket, 'close')
+    expect(received).to.be.within(1, bodyBytes - 1)
+  })
+
+  it('lets a caller that reads slowly finish', async () => {
+    const [socket] = await request({ unreadMilliseconds: 1_500 }, 1) as [Socket]
+    let received = 0
+    socket.on('data', data => {
+      received += data.length
+      socket.pause()
+      setTimeout(() => socket.resume(), 25)
+    }).resume()
+    await once(socket, 'end')
+    expect(received).to.be.at.least(bodyBytes)
+  })
+})
+
 describe('EntryServer, with a body that exceeds the limit', () => {
   it('closes the connection after the refusal, also when the whole body arrived before the request was handled', async () => {
     const handler = new SlowHandler()
--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -3,6 +3,7 @@
 import polka from 'polka'
 import { BriarsaddleError, delay, processTurnQueue, Logger, describeError, errorCode, type Clock, type LoopDelay } from '@briarsaddle/common'
 import { hasBody, readBody } from './body.js'
+import { UnreadAnswers } from './unread-answers.js'
 import { originForm, type CallerAnswer, type CallerRequest, type CallerRequestHandler } from './request-handler.js'
 
 const logger = new Logger('entry')
@@ -17,6 +18,10 @@
   readonly maximumCallerConnections: number
   /** Maximum memory for request bodies, in bytes. Default 256 MiB. */
   readonly maximumBufferedBytes?: number
+  /** Maximum memory for answers that callers have not read yet, in bytes. Default 256 MiB. */
+  readonly maximumUnreadBytes?: number
+  /** A connection whose caller reads nothing of an answer for this long is closed. Default 10 s. */
+  readonly unreadMilliseconds?: number
   /** Timeout for receiving the headers of a request. Default 10 s. */
   readonly headersMilliseconds?: number
   /** Timeout for receiving a complete request. Default 30 s. */
@@ -38,6 +43,8 @@
 }
 
 const defaultMaximumBufferedBytes = 256 * 1024 * 1024
+const defaultMaximumUnreadBytes = 256 * 1024 * 1024
+const defaultUnreadMilliseconds = 10_000
 const defaultHeadersMilliseconds = 10_000
 const defaultRequestMilliseconds = 30_000
 const defaultKeepAliveMilliseconds = 65_000
@@ -67,6 +74,8 @@
   readonly #handler: CallerRequestHandler<Accepted>
   readonly #server: Server
   readonly #exchanges = new Set<Exchange<Accepted>>()
+  readonly #unread: UnreadAnswers
+  #unreadCheck: NodeJS.Timeout | undefined
   #maximumBodyBytes: number
   #bufferedBytes = 0
   #stopping: Promise<void> | undefined
@@ -77,6 +86,8 @@
     this.#options = options
     this.#handler = handler
     this.#maximumBodyBytes = options.maximumBodyBytes
+    const { maximumUnreadBytes = defaultMaximumUnreadBytes, unreadMilliseconds = defaultUnreadMilliseconds, clock } = options
+    this.#unread = new UnreadAnswers({ maximumBytes: maximumUnreadBytes, silenceMilliseconds: unreadMilliseconds }, clock)
     this.#server = createServer({
       maxHeaderSize: options.maximumHeaderBytes,
       headersTimeout: options.headersMilliseconds ?? defaultHeadersMilliseconds,
@@ -106,6 +117,11 @@
     return this.#refusedConnections
   }
 
+  /** Total length of the answers that callers have not read completely, in bytes. */
+  get unreadBytes (): number {
+    return this.#unread.bytes
+  }
+
   /** True while the server is listening and its shutdown has not begun. */
   get serving (): boolean {
     return this.#server.listening && this.#stopping === undefined
@@ -125,6 +141,7 @@
       this.#server.once('error', error => reject(new BriarsaddleError(`cannot listen for callers on ${host}:${port}: ${error.message}`, {
         code: 'listen_failed', step: 'listen for callers', cause: error
       })))
+      this.#unreadCheck = setInterval(() => this.#unread.closeSilent(), connectionCheckMilliseconds)
       this.#server.listen(port, host, () => resolve((this.#server.address() as AddressInfo).port))
     })
   }
@@ -147,6 +164,7 @@
     await this.#waitUntilIdle(graceMilliseconds)
     for (const exchange of this.#exchanges) exchange.controller.abort()
     await this.#waitUntilIdle(lastAnswersMilliseconds)
+    clearInterval(this.#unreadCheck)
     this.#server.closeAllConnections()
     await closed
   }
@@ -248,6 +266,7 @@
     } else {
       response.end(answer.body)
     }
+    this.#unread.add(response, answer.body.length)
   }
 
   // Only the last answer may close the connection: Node.js drops the answers to pipelined requests that follow.
--- a/packages/router/src/node-settings.ts
+++ b/packages/router/src/node-settings.ts
@@ -19,7 +19,10 @@
   }
   readonly limits: {
     readonly maximumCallerConnections: number
+    /** Maximum memory for request bodies, in bytes. */
     readonly maximumBufferedBytes: number
+    /** Maximum memory for answers that callers have not read yet, in bytes. */
+    readonly maximumUnreadBytes: number
   }
   readonly timing: ControlTiming
   readonly retries: RetryBudgetLimit
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -285,6 +285,7 @@
       endpoints: this.#endpoints.size,
       callersInFlight: this.#entry.inFlight,
       refusedConnections: this.#entry.refusedConnections,
+      unreadBytes: this.#entry.unreadBytes,
       movesUnderWay: this.#leader.movesUnderWay,
       movingRanges: moving,
       keyMapAgeSeconds: secondsOf(keyMapAgeMilliseconds),
