--- a/packages/key-ranges/src/index.ts
+++ b/packages/key-ranges/src/index.ts
@@ -1,8 +1,9 @@
 export {
-  emptyKeyMap, firstKey, keyMapSchema, lastKey, rangeText, sizeOf,
+  emptyKeyMap, firstKey, lastKey, rangeText, sizeOf,
   type Holder, type KeyMap, type KeyRange, type Segment, type VmEntry
 } from './key-map.js'
 export { decodeKeyMap, encodeKeyMap } from './codec.js'
+export { applyKeyMapDelta, encodeKeyMapDelta, sameVmList } from './delta.js'
 export { checkLayout, layoutProblems } from './layout.js'
 export { segmentAt, segmentsIn, holdersOf } from './lookup.js'
 export { assignRange, joinSegments, markOpenMoves, raiseFences, raiseFencesOf, settleRange, withVms, type RangeMove } from './edit.js'
--- a/packages/key-ranges/src/key-map.ts
+++ b/packages/key-ranges/src/key-map.ts
@@ -5,67 +5,68 @@
 /** Highest key. Keys are numbers of 16 bits. */
 export const lastKey = 65_535
 
-const keySchema = z.int().min(firstKey).max(lastKey)
+/** A key. */
+export const keySchema = z.int().min(firstKey).max(lastKey)
+
+/** One VM. */
+export const vmSchema = z.object({
+  id: z.string(),
+  host: z.string(),
+  port: z.int(),
+  dataCentre: z.string(),
+  /** Processor time of the VM, in cores; absent if it is not known. */
+  weight: z.number().positive().optional()
+}).readonly()
+
+/** One VM of the deployment, with the address of its protocol between VMs. */
+export type VmEntry = z.infer<typeof vmSchema>
+
+/** Keys from `from` to `to`, both inclusive. */
+export interface KeyRange {
+  readonly from: number
+  readonly to: number
+}
 
 /** One process of an endpoint. A restarted endpoint keeps its id but is another holder, without the state of the former process. */
-const holderSchema = z.object({
-  endpoint: z.string(),
+export interface Holder {
+  readonly endpoint: string
   /** Start time of the process in milliseconds since 1970; tells the processes of one endpoint apart. */
-  life: z.int(),
+  readonly life: number
   /** `host:port`; kept here because the endpoint may leave the directory before it has released its keys. */
-  address: z.string()
-}).readonly()
+  readonly address: string
+}
 
-const segmentSchema = z.object({
-  from: keySchema,
-  /** Inclusive. */
-  to: keySchema,
-  owner: holderSchema,
+/** A contiguous range of keys with one owner. */
+export interface Segment extends KeyRange {
+  readonly owner: Holder
   /** Fencing token of the owner's grant. */
-  fence: z.int(),
+  readonly fence: number
   /** True until the owner has acknowledged its grant of the keys; until then no requests are sent to it. */
-  moving: z.boolean(),
+  readonly moving: boolean
   /** Former holders that may still hold the keys; empty unless the segment is moving. */
-  former: z.array(holderSchema).readonly().default([]),
+  readonly former: readonly Holder[]
   /**
    * True if, when the move began, a former holder might still have accepted grants from leaders before the one that began it,
    * because it had not acknowledged a fencing token of that leader. Set only on moving segments.
    */
-  open: z.boolean().optional(),
+  readonly open?: boolean
   /** Data that the last holder handed over for the new owner; empty if there is none. */
-  handover: z.string().default('')
-}).readonly()
-
-const vmSchema = z.object({ id: z.string(), host: z.string(), port: z.int(), dataCentre: z.string() }).readonly()
+  readonly handover: string
+}
 
 /** The control state: the owner of every key of each pool, and the list of VMs. */
-export const keyMapSchema = z.object({
+export interface KeyMap {
   /** Highest fencing token that has been used. */
-  fence: z.int(),
+  readonly fence: number
   /** Id of the VM that wrote the map. */
-  author: z.string(),
-  vms: z.array(vmSchema).readonly(),
+  readonly author: string
+  readonly vms: readonly VmEntry[]
   /** Segments of each pool, in the order of their keys and without gaps. */
-  pools: z.record(z.string(), z.array(segmentSchema).readonly()).readonly(),
+  readonly pools: Readonly<Record<string, readonly Segment[]>>
   /** What was wrong with the layout of the map as it was read, see `repairLayout`; absent if it was valid. Never written. */
-  repairs: z.array(z.string()).readonly().optional()
-}).readonly()
-
-/** Keys from `from` to `to`, both inclusive. */
-export interface KeyRange {
-  readonly from: number
-  readonly to: number
+  readonly repairs?: readonly string[]
 }
 
-/** One process of an endpoint. */
-export type Holder = z.infer<typeof holderSchema>
-/** A contiguous range of keys with one owner. */
-export type Segment = z.infer<typeof segmentSchema>
-/** One VM of the deployment, with the address of its protocol between VMs. */
-export type VmEntry = z.infer<typeof vmSchema>
-/** The control state, as described by `keyMapSchema`. */
-export type KeyMap = z.infer<typeof keyMapSchema>
-
 /** The map before the first assignment. */
 export const emptyKeyMap: KeyMap = { fence: 0, author: '', vms: [], pools: {} }
 
--- a/packages/key-ranges/src/layout.test.ts
+++ b/packages/key-ranges/src/layout.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import fastCheck from 'fast-check'
 import { decodeKeyMap, encodeKeyMap } from './codec.js'
+import { applyKeyMapDelta, encodeKeyMapDelta } from './delta.js'
 import { assignRange, joinSegments, raiseFences, raiseFencesOf, settleRange } from './edit.js'
 import { emptyKeyMap, firstKey, lastKey, type Holder, type KeyMap, type Segment } from './key-map.js'
 import { layoutProblems } from './layout.js'
@@ -78,6 +79,7 @@
         expect(layoutProblems(map)).to.deep.equal([])
         checkTokens(before, map)
         expect(decodeKeyMap(encodeKeyMap(map))).to.deep.equal(map)
+        expect(applyKeyMapDelta(before, encodeKeyMapDelta(before, map) as string)).to.deep.equal(map)
       }
     }), { numRuns: 300, seed: 19 })
   })
@@ -92,6 +94,27 @@
   })
 })
 
+describe('Changes of key maps', () => {
+  it('contain only the segments that changed, and keep the identity of the others', () => {
+    const before = settledMap('a', 'b', 'c', 'd')
+    const after = assignRange(before, { pool, from: 0, to: 99, owner: holder('d'), ownerMayHold: true })
+    const change = encodeKeyMapDelta(before, after) as string
+    expect(change.length).to.be.below(encodeKeyMap(after).length / 1.5)
+    const applied = applyKeyMapDelta(before, change)
+    expect(applied).to.deep.equal(after)
+    expect(segmentAt(applied, pool, lastKey)).to.equal(segmentAt(before, pool, lastKey))
+    expect(applied.vms).to.equal(before.vms)
+  })
+
+  it('are refused by a map that they do not belong to (a change that was lost or came twice)', () => {
+    const before = settledMap('a', 'b')
+    const first = assignRange(before, { pool, from: 100, to: 20_000, owner: holder('b'), ownerMayHold: true })
+    const second = assignRange(first, { pool, from: 15_000, to: 30_000, owner: holder('a'), ownerMayHold: true })
+    expect(() => applyKeyMapDelta(before, encodeKeyMapDelta(first, second) as string)).to.throw(/invalid key map/)
+    expect(() => applyKeyMapDelta(second, encodeKeyMapDelta(before, first) as string)).to.throw(/lowers the token/)
+  })
+})
+
 describe('Key maps that another version wrote without a valid layout', () => {
   const half = 32_768
   const decode = (...segments: Segment[]): KeyMap => decodeKeyMap(encodeUnchecked({ ...emptyKeyMap, fence: 9, author: 'vm-1', pools: { [pool]: segments } }))
--- a/packages/protocol/src/exchange.test.ts
+++ b/packages/protocol/src/exchange.test.ts
@@ -277,6 +277,20 @@
     expect(error).to.have.property('message').that.contains('no state yet')
   })
 
+  it('connects to a peer when it is first used and closes the connection when it is idle (a connection of every VM to every other)', async () => {
+    const lifeCycle = new LifeCycle('test')
+    const pool = new PeerPool(lifeCycle, { idleMilliseconds: 200 })
+    pool.update([{ vm: 'a', host: '127.0.0.1', port: relayPort }, { vm: 'b', host: '127.0.0.1', port: relayPort }])
+    expect(pool.clients).to.equal(0)
+    const running = pool.forward('a', forward({ key: 'slow', target: '500' }), lifeCycle.signal)
+    await waitUntil(() => frames.started === 1)
+    expect(pool.clients).to.equal(1)
+    expect((await running).body.toString(), 'a request that takes longer than the idle time').to.equal('slow')
+    await waitUntil(() => pool.clients === 0)
+    expect((await pool.forward('a', forward({ key: 'again' }), lifeCycle.signal)).body.toString()).to.equal('again')
+    await lifeCycle.close()
+  })
+
   it('finishes requests to a peer that was removed from the list (requests lost on a list change)', async () => {
     const lifeCycle = new LifeCycle('test')
     const pool = new PeerPool(lifeCycle)
--- a/packages/protocol/src/handlers.ts
+++ b/packages/protocol/src/handlers.ts
@@ -1,4 +1,5 @@
 import { BriarsaddleError } from '@briarsaddle/common'
+import type { ControlWatcher } from './control-watch.js'
 import type { Answer, ConfirmRequest, ConfirmResponse, FetchJournalRequest, FetchJournalResponse, FetchControlRequest, FetchControlResponse, FetchKeyLoadsRequest, FetchKeyLoadsResponse, FetchLoadsRequest, FetchLoadsResponse, FetchStateResponse, Forward, HeartbeatRequest, HeartbeatResponse, Journal, JournalAcknowledgement } from './generated/inner.js'
 
 /** Handles the frames of peers. The server sets the ids of answers and acknowledgements. */
@@ -21,6 +22,8 @@
   async fetchKeyLoads (_request: FetchKeyLoadsRequest): Promise<FetchKeyLoadsResponse> { throw unsupported('fetch key loads') }
   /** Rejects unless this VM assigns keys in ranges. */
   async fetchControl (_request: FetchControlRequest): Promise<FetchControlResponse> { throw unsupported('fetch control') }
+  /** Sends the control state and its changes to the watcher. Throws unless this VM assigns keys in ranges. */
+  watchControl (_watcher: ControlWatcher): void { throw unsupported('watch control') }
 }
 
 /** Creates the error of a call that this kind of VM does not serve; code `unsupported`. */
--- a/packages/protocol/src/inner-server.ts
+++ b/packages/protocol/src/inner-server.ts
@@ -1,6 +1,7 @@
-import { Server, ServerCredentials, status, type ServerDuplexStream, type handleUnaryCall } from '@grpc/grpc-js'
+import { Server, ServerCredentials, status, type ServerDuplexStream, type ServerWritableStream, type handleUnaryCall } from '@grpc/grpc-js'
 import { BriarsaddleError, describeError } from '@briarsaddle/common'
-import { InnerService, type Frame, type InnerServer as InnerServiceImplementation } from './generated/inner.js'
+import { StreamWatcher } from './control-watch.js'
+import { InnerService, type ControlUpdate, type Frame, type InnerServer as InnerServiceImplementation, type WatchControlRequest } from './generated/inner.js'
 import type { ControlHandler, FrameHandler } from './handlers.js'
 import { channelOptions, defaultMaximumMessageBytes, formatAddress, type ConnectionOptions } from './options.js'
 import { ServerStream } from './server-stream.js'
@@ -101,11 +102,20 @@
       fetchJournal: unary(async request => await control.fetchJournal(request)),
       fetchLoads: unary(async request => await control.fetchLoads(request)),
       fetchKeyLoads: unary(async request => await control.fetchKeyLoads(request)),
-      fetchControl: unary(async request => await control.fetchControl(request))
+      fetchControl: unary(async request => await control.fetchControl(request)),
+      watchControl: call => watchControl(control, call)
     }
   }
 }
 
+function watchControl (control: ControlHandler, call: ServerWritableStream<WatchControlRequest, ControlUpdate>): void {
+  try {
+    control.watchControl(new StreamWatcher(call))
+  } catch (error) {
+    call.emit('error', { code: status.FAILED_PRECONDITION, details: describeError(error) })
+  }
+}
+
 function unary<Request, Response> (run: (request: Request) => Promise<Response>): handleUnaryCall<Request, Response> {
   return (call, callback) => {
     run(call.request).then(
--- a/packages/protocol/src/peer-client.ts
+++ b/packages/protocol/src/peer-client.ts
@@ -2,8 +2,9 @@
 import { Metadata, credentials, status, type ServiceError } from '@grpc/grpc-js'
 import { BriarsaddleError, MonotonicClock, Random, type Clock } from '@briarsaddle/common'
 import { forwardBytes, notRunAnswer, peerReasons, unknownAnswer } from './answers.js'
-import type { FetchControlRequest, FetchControlResponse, FetchKeyLoadsRequest, FetchKeyLoadsResponse, FetchLoadsRequest, FetchLoadsResponse, Answer, ConfirmRequest, ConfirmResponse, FetchJournalRequest, FetchJournalResponse, FetchStateResponse, Forward, HeartbeatRequest, HeartbeatResponse, Journal, JournalAcknowledgement } from './generated/inner.js'
+import type { FetchControlRequest, FetchControlResponse, FetchKeyLoadsRequest, FetchKeyLoadsResponse, FetchLoadsRequest, FetchLoadsResponse, Answer, ConfirmRequest, ConfirmResponse, FetchJournalRequest, FetchJournalResponse, FetchStateResponse, Forward, HeartbeatRequest, HeartbeatResponse, Journal, JournalAcknowledgement, WatchControlRequest } from './generated/inner.js'
 import { InnerClient } from './generated/inner.js'
+import { ControlWatch, type ControlWatchEvents } from './control-watch.js'
 import { channelOptions, defaultMaximumMessageBytes, type ConnectionOptions } from './options.js'
 import { PeerLink, type LinkOptions, type LinkReply } from './peer-link.js'
 
@@ -54,6 +55,7 @@
   readonly #clock: Clock
   readonly #random: Random
   readonly #leavingLinks = new Set<PeerLink>()
+  readonly #watches = new Set<ControlWatch>()
   #link: PeerLink | undefined
   #backoffTimer: NodeJS.Timeout | undefined
   /** The link whose stream left a heartbeat unanswered, and the time until which heartbeats are sent as calls. */
@@ -173,6 +175,30 @@
     return await this.#unary('fetch control', timeoutMilliseconds, (client, deadline, callback) => client.fetchControl(request, new Metadata(), { deadline }, callback))
   }
 
+  /** Watches the peer's control state. Returns undefined when there is no connection. */
+  watchControl (request: WatchControlRequest, events: ControlWatchEvents): ControlWatch | undefined {
+    const link = this.#link
+    if (link === undefined) return undefined
+    const watch: ControlWatch = new ControlWatch(link.client.watchControl(request), {
+      onUpdate: update => {
+        link.noteAlive()
+        events.onUpdate(update)
+      },
+      onEnded: reason => {
+        this.#watches.delete(watch)
+        events.onEnded(reason)
+      }
+    })
+    this.#watches.add(watch)
+    return watch
+  }
+
+  /** True while requests or watches are open, so that the connection is not idle. */
+  get busy (): boolean {
+    for (const watch of this.#watches) if (watch.closed) this.#watches.delete(watch)
+    return this.inFlight > 0 || this.#watches.size > 0
+  }
+
   /** Refuses new requests and closes when all requests in flight have ended. */
   finish (): void {
     if (this.#closed) return
--- a/packages/router/src/control/control-relay.test.ts
+++ b/packages/router/src/control/control-relay.test.ts
@@ -47,7 +47,7 @@
     while (!map.connected || !routing.connected) await delay(5)
     const fetchControl = async (): Promise<unknown> => ({ keyMapPosition: 2, keyMap: encodeKeyMap({ ...emptyKeyMap, author: 'vm-2' }), routingVersion: 1, routingTable: '' })
     const peers = { vms: ['vm-2'], get: () => ({ connected: true, fetchControl }) } as unknown as PeerPool
-    new ControlRelay({ peers, map, routing, random: new Random(1) }).start(lifeCycle)
+    new ControlRelay({ peers, map, routing, random: new Random(1), isFed: () => false }).start(lifeCycle)
     map.observePeerPosition(2)
     await delay(1_500)
     expect(map.current).to.deep.include({ position: 2 })
@@ -61,7 +61,7 @@
     const peers = { vms: ['vm-2'], get: () => peer } as unknown as PeerPool
     const map = follow<KeyMap>('key map', new AbsentTopic())
     const routing = follow<RoutingTable>('routing table', new AbsentTopic())
-    new ControlRelay({ peers, map, routing, random: new Random(1) }).start(lifeCycle)
+    new ControlRelay({ peers, map, routing, random: new Random(1), isFed: () => false }).start(lifeCycle)
     while (map.current === undefined) await new Promise(resolve => setTimeout(resolve, 10))
     expect(log.lines[0]).to.include({ peer: 'vm-2', position: 3 })
     expect(log.lines[0]).not.to.have.property('vm')
--- a/packages/router/src/control/control-relay.ts
+++ b/packages/router/src/control/control-relay.ts
@@ -12,6 +12,8 @@
   readonly map: TopicFollower<KeyMap>
   readonly routing: TopicFollower<RoutingTable>
   readonly random: Random
+  /** Whether this VM receives the control state from another one. */
+  readonly isFed: () => boolean
 }
 
 const fetchIntervalMilliseconds = 400
@@ -31,10 +33,11 @@
   }
 
   async #fetchFromPeer (): Promise<void> {
-    const { map, routing, peers, random } = this.#options
+    const { map, routing, peers, random, isFed } = this.#options
+    if (isFed()) return
     // A read without an answer fails only after a long timeout; a higher position of another VM is known before that.
     if (map.connected && !map.behind && routing.connected) return
-    const vms = peers.vms.filter(vm => peers.get(vm)?.connected === true)
+    const { vms } = peers
     if (vms.length === 0) return
     const vm = random.pick(vms)
     try {
--- a/packages/router/src/control/group-member.ts
+++ b/packages/router/src/control/group-member.ts
@@ -11,11 +11,16 @@
   readonly clock: Clock
   readonly confirmEveryMilliseconds: number
   readonly callMilliseconds: number
+  /** Whether this VM stands for election; otherwise it leaves the group. */
+  readonly isCandidate: () => boolean
   /** Called when the membership service answers again after a failure. */
   readonly onRegained: () => void
 }
 
-/** Membership of this VM in the group of VMs: confirms it periodically and knows whether this VM is the elected leader. */
+/**
+ * Membership of this VM in the group of candidates for leadership: confirms it periodically while this VM is a candidate, and knows
+ * whether this VM is the elected leader.
+ */
 export class GroupMember {
   readonly #options: MemberOptions
   #report: MembershipReport | undefined
@@ -43,11 +48,18 @@
   /** Leaves the group, so that another VM can be elected at once instead of after the membership expires. */
   async leave (): Promise<void> {
     this.#leaving = true
+    await this.#withdraw()
+  }
+
+  async #withdraw (): Promise<void> {
+    if (this.#report === undefined) return
+    const { generation, leads } = this.#report
+    this.#report = undefined
     try {
       await withTimeLimit(this.#options.callMilliseconds, undefined, async limited => await this.#options.service.leave(this.#options.self, limited))
-      logger.info('left the group of VMs', { generation: this.#report?.generation, led: this.#report?.leads })
+      logger.info('left the group of candidates', { generation, led: leads })
     } catch (error) {
-      logger.warning('could not leave the group of VMs; the membership will expire', { code: errorCode(error), error: describeError(error) })
+      logger.warning('could not leave the group of candidates; the membership will expire', { code: errorCode(error), error: describeError(error) })
     }
   }
 
@@ -58,6 +70,7 @@
 
   async #confirm (signal: AbortSignal): Promise<void> {
     if (this.#leaving) return
+    if (!this.#options.isCandidate()) return await this.#withdraw()
     const startedAt = this.#options.clock.now()
     const report = await withTimeLimit(this.#options.callMilliseconds, signal, async limited => await this.#options.service.join(this.#options.self, limited))
     if (this.#leaving) return
--- a/packages/router/src/control/key-leader.test.ts
+++ b/packages/router/src/control/key-leader.test.ts
@@ -11,6 +11,7 @@
 import { StateTopic, WritableTopic, type TopicState } from './state-topic.js'
 import { defaultControlTiming } from './timing.js'
 import { TopicFollower } from './topic-follower.js'
+import { VmRoster } from './vm-roster.js'
 
 const self: VmEntry = { id: 'vm-1', host: '127.0.0.1', port: 1, dataCentre: 'a' }
 const other: VmEntry = { ...self, id: 'vm-2', port: 2 }
@@ -116,8 +117,8 @@
     map = follow('key map', topic)
     directory = follow('directory', new FixedTopic(directoryState))
     const routing = follow('routing table', new FixedTopic(table))
-    const member = new GroupMember({ self, service: new LeadingService(), clock, confirmEveryMilliseconds: timing.confirmMilliseconds, callMilliseconds: 100, onRegained: () => {} })
-    leader = new KeyLeader({ self, clock, timing, member, topic, map, directory, routing, transport, demand: new NoDemand(), metrics })
+    const member = new GroupMember({ self, service: new LeadingService(), clock, confirmEveryMilliseconds: timing.confirmMilliseconds, callMilliseconds: 100, isCandidate: () => true, onRegained: () => {} })
+    leader = new KeyLeader({ self, clock, timing, member, topic, map, directory, routing, transport, demand: new NoDemand(), roster: new VmRoster(self, clock), metrics })
     for (const follower of [map, directory, routing]) follower.start(lifeCycle)
     member.start(lifeCycle)
     leader.start(lifeCycle)
--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -1,6 +1,6 @@
 import { BriarsaddleError, describeError, errorCode, Logger, withTimeLimit, type Clock, type LifeCycle } from '@briarsaddle/common'
 import {
-  checkLayout, emptyKeyMap, GrantLedger, joinSegments, markOpenMoves, planMembership, planSpread, raiseFences, raiseFencesOf, rangeText, segmentsIn, settleRange, withVms,
+  checkLayout, emptyKeyMap, GrantLedger, joinSegments, markOpenMoves, planMembership, planSpread, raiseFences, raiseFencesOf, rangeText, sameVmList, segmentsIn, settleRange, withVms,
   type KeyMap, type MemberDemand, type PoolMember, type Segment, type VmEntry
 } from '@briarsaddle/key-ranges'
 import { addressOf, type Directory, type EndpointEntry } from '../endpoint-entry.js'
@@ -13,6 +13,7 @@
 import type { TopicState, WritableTopic } from './state-topic.js'
 import type { ControlTiming } from './timing.js'
 import type { TopicFollower } from './topic-follower.js'
+import type { VmRoster } from './vm-roster.js'
 
 const logger = new Logger('leader')
 
@@ -37,6 +38,7 @@
   readonly routing: TopicFollower<RoutingTable>
   readonly transport: EndpointTransport
   readonly demand: DemandSource
+  readonly roster: VmRoster
   readonly metrics: RouterMetrics
 }
 
@@ -61,9 +63,9 @@
    */
   #unansweredWrites: ReadonlyArray<TopicState<KeyMap>> = []
   #leading = false
-  /** Generation of the membership to which `#vms` belongs. */
+  /** Generation of the membership whose members are on the roster. */
   #generation: number | undefined
-  #vms: readonly VmEntry[] = []
+  #otherCandidates = false
   #demand: ReadonlyMap<string, MeasuredDemand> = new Map()
   #demandIsFresh = false
   #nextCollectionAt = 0
@@ -86,6 +88,11 @@
 
   /** True while this VM acts as the leader. */
   get leading (): boolean { return this.#leading }
+  /** Whether another candidate could take over and no move is under way, so that a change of leader costs little. */
+  get mayHandOver (): boolean {
+    return this.movesUnderWay === 0 && this.#otherCandidates
+  }
+
   /** Number of moves that are not completed yet. */
   get movesUnderWay (): number { return this.#handovers.size - this.#grantedMoves.size }
 
@@ -99,7 +106,7 @@
 
   /** Returns the state as plain data for the state dump. */
   snapshot (): Readonly<Record<string, unknown>> {
-    return { leading: this.#leading, handovers: [...this.#handovers.keys()], unreachable: this.#renewal.unreachable, vms: this.#vms }
+    return { leading: this.#leading, handovers: [...this.#handovers.keys()], unreachable: this.#renewal.unreachable, vms: this.#options.roster.vms }
   }
 
   async #tick (signal: AbortSignal): Promise<void> {
@@ -141,6 +148,7 @@
     if (directory.current === undefined || routing.current === undefined) return
     await withTimeLimit(this.#options.timing.logCallMilliseconds, signal, async limited => await map.refresh(limited))
     this.#generation = undefined
+    this.#options.roster.reset(this.#map.vms)
     await this.#refreshMembers()
     const raised = raiseFences({ ...this.#map, author: self.id })
     await this.#write(joinSegments(raised), 'take over', signal)
@@ -174,10 +182,12 @@
     const generation = member.report?.generation
     if (generation === this.#generation) return
     try {
-      this.#vms = [...await member.members()].sort((one, other) => one.id < other.id ? -1 : 1)
+      const members = await member.members()
+      this.#options.roster.addMembers(members)
+      this.#otherCandidates = members.some(({ id }) => id !== this.#options.self.id)
       this.#generation = generation
     } catch (error) {
-      logger.warning('members could not be listed', { code: errorCode(error), error: describeError(error), known: this.#vms.length })
+      logger.warning('members could not be listed', { code: errorCode(error), error: describeError(error), known: this.#options.roster.vms.length })
     }
   }
 
@@ -195,7 +205,8 @@
       next = markOpenMoves(next, settledOnly.fence, segment => segment.former.some(former => !this.#ledger.refusesFormerLeaders(holderKey(former), segment)))
       this.#recordMoves(settledOnly, next)
     }
-    if (!sameVms(this.#vms, next.vms) && this.#vms.length > 0) next = withVms(next, this.#vms)
+    const { vms } = this.#options.roster
+    if (!sameVmList(vms, next.vms)) next = withVms(next, vms)
     if (next === before) return
     const settled = [...this.#grantedMoves.keys()]
     await this.#write(joinSegments(next), 'assign keys', signal)
@@ -360,7 +371,3 @@
 export function poolMemberOf (entry: EndpointEntry): PoolMember {
   return { endpoint: entry.id, life: entry.life, address: addressOf(entry), slots: entry.slots, accepting: !entry.leaving, busySlots: 0 }
 }
-
-function sameVms (one: readonly VmEntry[], other: readonly VmEntry[]): boolean {
-  return one.length === other.length && one.every((vm, index) => vm.id === other[index]?.id && vm.host === other[index]?.host && vm.port === other[index]?.port)
-}
--- a/packages/router/src/control/leader-succession.test.ts
+++ b/packages/router/src/control/leader-succession.test.ts
@@ -11,6 +11,7 @@
 import { StateTopic, WritableTopic, type TopicState } from './state-topic.js'
 import { defaultControlTiming } from './timing.js'
 import { TopicFollower } from './topic-follower.js'
+import { VmRoster } from './vm-roster.js'
 
 const timing = { ...defaultControlTiming, settleMilliseconds: 50, confirmMilliseconds: 50, renewMilliseconds: 60, holdMilliseconds: 400, grantCallMilliseconds: 50, logCallMilliseconds: 100, staleLeaderMilliseconds: 2_000 }
 const clock = new MonotonicClock()
@@ -146,9 +147,9 @@
     this.map = follow('key map', this.topic)
     this.directory = follow<Directory>('directory', new FixedTopic(new Map([['a', entry('a')], ['b', entry('b')]])))
     const routing = follow('routing table', new FixedTopic(table))
-    const member = new GroupMember({ self, service: this.membership, clock, confirmEveryMilliseconds: timing.confirmMilliseconds, callMilliseconds: 100, onRegained: () => {} })
+    const member = new GroupMember({ self, service: this.membership, clock, confirmEveryMilliseconds: timing.confirmMilliseconds, callMilliseconds: 100, isCandidate: () => true, onRegained: () => {} })
     this.path = new PathOfVm(endpoints)
-    this.leader = new KeyLeader({ self, clock, timing, member, topic: this.topic, map: this.map, directory: this.directory, routing, transport: this.path, demand: new NoDemand(), metrics: new RouterMetrics() })
+    this.leader = new KeyLeader({ self, clock, timing, member, topic: this.topic, map: this.map, directory: this.directory, routing, transport: this.path, demand: new NoDemand(), roster: new VmRoster(self, clock), metrics: new RouterMetrics() })
     for (const follower of [this.map, this.directory, routing]) follower.start(lifeCycle)
     member.start(lifeCycle)
     this.leader.start(lifeCycle)
--- a/packages/router/src/control/peer-demand.ts
+++ b/packages/router/src/control/peer-demand.ts
@@ -1,9 +1,10 @@
 import { describeError, Logger } from '@briarsaddle/common'
-import { mergeKeyDemand } from '@briarsaddle/key-ranges'
-import type { EndpointKeyLoad, PeerClient } from '@briarsaddle/protocol'
+import { mergeKeyDemand, type VmEntry } from '@briarsaddle/key-ranges'
+import type { EndpointKeyLoad, FetchKeyLoadsResponse, PeerClient, VmRecord } from '@briarsaddle/protocol'
 import type { RangeControlHandler } from '../request/inner-handlers.js'
 import type { ReadPositionMonitor } from './read-position-monitor.js'
 import { DemandSource, type MeasuredDemand } from './key-leader.js'
+import type { RosterReport, VmRoster } from './vm-roster.js'
 
 const logger = new Logger('demand')
 const callMilliseconds = 400
@@ -17,44 +18,59 @@
   get (vm: string): Pick<PeerClient, 'fetchKeyLoads'> | undefined
 }
 
-/** Collects the demand from all VMs that coordinate endpoints, including this VM. */
+/** Collects the demand from all VMs that coordinate endpoints, including this VM, and tells the roster which VMs answered. */
 export class PeerDemand extends DemandSource {
   readonly #peers: DemandPeers
   readonly #own: Pick<RangeControlHandler, 'fetchKeyLoads'>
   readonly #readPositions: Pick<ReadPositionMonitor, 'own' | 'observePeer'>
+  readonly #roster: Pick<VmRoster, 'applyRound'>
 
-  constructor (peers: DemandPeers, own: Pick<RangeControlHandler, 'fetchKeyLoads'>, readPositions: Pick<ReadPositionMonitor, 'own' | 'observePeer'>) {
+  constructor (peers: DemandPeers, own: Pick<RangeControlHandler, 'fetchKeyLoads'>, readPositions: Pick<ReadPositionMonitor, 'own' | 'observePeer'>, roster: Pick<VmRoster, 'applyRound'>) {
     super()
+    this.#roster = roster
     this.#readPositions = readPositions
     this.#peers = peers
     this.#own = own
   }
 
   override async collect (): Promise<ReadonlyMap<string, MeasuredDemand>> {
-    const reports = [...(await this.#own.fetchKeyLoads(this.#readPositions.own)).endpoints]
+    const own = await this.#own.fetchKeyLoads(this.#readPositions.own)
+    const answers = new Map<string, FetchKeyLoadsResponse | undefined>()
     const vms = [...this.#peers.vms]
     const askRemaining = async (): Promise<void> => {
-      for (let vm = vms.pop(); vm !== undefined; vm = vms.pop()) reports.push(...await this.#ask(vm))
+      for (let vm = vms.pop(); vm !== undefined; vm = vms.pop()) answers.set(vm, await this.#ask(vm))
     }
     await Promise.all(Array.from({ length: maximumConcurrentCalls }, askRemaining))
+    this.#roster.applyRound(new Map([...answers].map(([vm, answer]) => [vm, answer === undefined ? undefined : rosterReport(answer)])), rosterReport(own))
     const demand = new Map<string, MeasuredDemand>()
-    for (const report of reports) demand.set(report.endpoint, addReport(demand.get(report.endpoint), report))
+    for (const report of [own, ...answers.values()].flatMap(answer => answer?.endpoints ?? [])) demand.set(report.endpoint, addReport(demand.get(report.endpoint), report))
     return demand
   }
 
-  async #ask (vm: string): Promise<readonly EndpointKeyLoad[]> {
+  /** Returns the report of a VM, or undefined when it does not answer. */
+  async #ask (vm: string): Promise<FetchKeyLoadsResponse | undefined> {
     try {
       const response = await this.#peers.get(vm)?.fetchKeyLoads(this.#readPositions.own, callMilliseconds)
-      if (response === undefined) return []
-      this.#readPositions.observePeer(response)
-      return response.endpoints
+      if (response !== undefined) this.#readPositions.observePeer(response)
+      return response
     } catch (error) {
       logger.info('a VM did not report its demand', { peer: vm, error: describeError(error) })
-      return []
+      return undefined
     }
   }
 }
 
+function rosterReport ({ watchers, leaving }: FetchKeyLoadsResponse): RosterReport {
+  return {
+    leaving,
+    watchers: watchers.flatMap(({ vm, openMilliseconds }) => vm === undefined ? [] : { vm: vmEntry(vm), openMilliseconds })
+  }
+}
+
+function vmEntry ({ id, host, port, dataCentre, weight }: VmRecord): VmEntry {
+  return { id, host, port, dataCentre, ...(weight > 0 ? { weight } : {}) }
+}
+
 /**
  * Adds up the reports on one endpoint: two VMs may both have sent to it, for example while its coordinator changed. Service times
  * are weighted by the slots that they kept busy; 0 means not known.
--- a/packages/router/src/control/simulation/ownership-simulation.ts
+++ b/packages/router/src/control/simulation/ownership-simulation.ts
@@ -8,6 +8,7 @@
 import type { StateTopic } from '../state-topic.js'
 import { defaultControlTiming, type ControlTiming } from '../timing.js'
 import { TopicFollower, type TopicFollowerOptions } from '../topic-follower.js'
+import { VmRoster } from '../vm-roster.js'
 import { SimulatedEndpoints, SimulatedLinks } from './simulated-endpoints.js'
 import { LogAccess, SharedGroup, SharedTopic, SimulatedMembership, SimulatedTopic, type LogMode } from './simulated-log.js'
 
@@ -210,10 +211,11 @@
       clock: this.#clock,
       confirmEveryMilliseconds: simulatedTiming.confirmMilliseconds,
       callMilliseconds: simulatedTiming.logCallMilliseconds,
+      isCandidate: () => true,
       onRegained: () => map.interrupt()
     })
     const demand = new RandomDemand(this.#random, () => map.current?.state)
-    const leader = new KeyLeader({ self, clock: this.#clock, timing: simulatedTiming, member, topic: new SimulatedTopic(this.#keyMap, access), map, directory, routing, transport: links, demand, metrics: new RouterMetrics() })
+    const leader = new KeyLeader({ self, clock: this.#clock, timing: simulatedTiming, member, topic: new SimulatedTopic(this.#keyMap, access), map, directory, routing, transport: links, demand, roster: new VmRoster(self, this.#clock), metrics: new RouterMetrics() })
     for (const follower of [map, directory, routing]) follower.start(lifeCycle)
     member.start(lifeCycle)
     leader.start(lifeCycle)
--- a/packages/router/src/control/topic-follower.ts
+++ b/packages/router/src/control/topic-follower.ts
@@ -15,6 +15,8 @@
   readonly pauseMilliseconds: number
   /** Whether `one` replaces `other`, so that a state that arrives late does not replace a newer one. */
   readonly isNewer: (one: TopicState<State>, other: TopicState<State>) => boolean
+  /** Resolves when this VM has to read the topic itself, because it does not receive the state from another VM. Absent: always. */
+  readonly untilNeeded?: (signal: AbortSignal) => Promise<void>
 }
 
 const firstBackoffMilliseconds = 100
@@ -27,6 +29,7 @@
   readonly #listeners: Array<(state: State) => void> = []
   #current: TopicState<State> | undefined
   #confirmedAt = -Infinity
+  #confirmedByPeerAt = -Infinity
   #failures = 0
   #readController = new AbortController()
   #failingSince = -Infinity
@@ -41,6 +44,8 @@
   get current (): TopicState<State> | undefined { return this.#current }
   /** When the last successful read was started, in clock milliseconds; -Infinity before the first. */
   get confirmedAt (): number { return this.#confirmedAt }
+  /** When the state that another VM sent was last confirmed at the log, in clock milliseconds; -Infinity before the first. */
+  get confirmedByPeerAt (): number { return this.#confirmedByPeerAt }
   /** False before the first read and while reads fail. */
   get connected (): boolean { return this.#failures === 0 && this.#current !== undefined }
 
@@ -68,6 +73,11 @@
     if (changed) for (const listener of this.#listeners) listener(state.state)
   }
 
+  /** Records when another VM, whose state was offered, last confirmed it at the log. */
+  confirmByPeer (at: number): void {
+    this.#confirmedByPeerAt = Math.max(this.#confirmedByPeerAt, at)
+  }
+
   /** Records how far another VM has read, and starts a new read when this VM is behind. */
   observePeerPosition (position: number): void {
     if (position <= (this.#current?.position ?? 0)) return
@@ -96,6 +106,8 @@
       const end = (): void => reading.abort()
       signal.addEventListener('abort', end)
       try {
+        await this.#options.untilNeeded?.(reading.signal)
+        if (reading.signal.aborted) continue
         await this.#read(reading.signal)
         if (this.#failures > 0) logger.info('dependency regained', { topic: this.#options.name, failures: this.#failures, lostMilliseconds: Math.round(this.#options.clock.now() - this.#failingSince), position: this.#current?.position })
         this.#failures = 0
--- /dev/null
+++ b/packages/router/src/control/vm-ranks.ts
@@ -0,0 +1,58 @@
+import { createHash } from 'node:crypto'
+import { sameVmList, type VmEntry } from '@briarsaddle/key-ranges'
+
+const candidateCount = 3
+const relaysOfDataCentre = 2
+
+/** Order of the VMs by capacity, which decides who relays the control state and who may lead. VMs with the same list agree on it. */
+export class VmRanks {
+  #vms: readonly VmEntry[] = []
+  #ranked: readonly VmEntry[] = []
+  #candidates: readonly string[] = []
+
+  /** Replaces the list of VMs. */
+  update (vms: readonly VmEntry[]): void {
+    if (sameVmList(vms, this.#vms)) return
+    this.#vms = vms
+    // The hash spreads the relays of VMs with the same weight over the list.
+    const ordered = vms.map(vm => ({ vm, hash: createHash('sha256').update(vm.id).digest('hex') }))
+    ordered.sort((one, other) => weightOf(other.vm) - weightOf(one.vm) || (one.hash < other.hash ? -1 : 1))
+    this.#ranked = ordered.map(({ vm }) => vm)
+    this.#candidates = candidatesOf(this.#ranked)
+  }
+
+  /** True while no VM is known. */
+  get empty (): boolean { return this.#ranked.length === 0 }
+
+  /** Whether the VM is on the list. */
+  includes (vm: string): boolean {
+    return this.#ranked.some(({ id }) => id === vm)
+  }
+
+  /** Whether the VM is one of those that stand for election; they are in different data centres if there are several. */
+  isCandidate (vm: string): boolean {
+    return this.#candidates.includes(vm)
+  }
+
+  /**
+   * Returns the VMs from which a VM may receive the control state, the best first: the relays of its data centre, the leader, the
+   * candidates. The first relay receives it from the leader, so that changes cross to another data centre once.
+   */
+  sourcesOf ({ id, dataCentre }: Pick<VmEntry, 'id' | 'dataCentre'>, leader: string): readonly string[] {
+    const relays = this.#ranked.filter(vm => vm.dataCentre === dataCentre).slice(0, relaysOfDataCentre).map(vm => vm.id)
+    const rank = relays.indexOf(id)
+    const nearer = rank === -1 ? relays : relays.slice(0, rank)
+    const known = new Set(this.#ranked.map(vm => vm.id))
+    return [...new Set([...nearer, leader, ...this.#candidates])].filter(source => source !== id && known.has(source))
+  }
+}
+
+function weightOf ({ weight = 1 }: VmEntry): number {
+  return weight
+}
+
+/** Returns the first VM of each data centre, then others, as long as there are fewer than `candidateCount`. */
+function candidatesOf (ranked: readonly VmEntry[]): readonly string[] {
+  const firsts = ranked.filter((vm, index) => ranked.findIndex(other => other.dataCentre === vm.dataCentre) === index)
+  return [...new Set([...firsts, ...ranked])].slice(0, candidateCount).map(vm => vm.id)
+}
--- /dev/null
+++ b/packages/router/src/control/vm-roster.test.ts
@@ -0,0 +1,90 @@
+import { expect } from 'chai'
+import { ManualClock } from '@briarsaddle/common'
+import type { VmEntry } from '@briarsaddle/key-ranges'
+import { VmRanks } from './vm-ranks.js'
+import { VmRoster, type RosterReport } from './vm-roster.js'
+
+const vm = (id: string, fields: Partial<VmEntry> = {}): VmEntry => ({ id, host: '127.0.0.1', port: 1, dataCentre: 'a', weight: 0.27, ...fields })
+const quiet: RosterReport = { watchers: [], leaving: false }
+const watchedBy = (...ids: string[]): RosterReport => ({ leaving: false, watchers: ids.map(id => ({ vm: vm(id), openMilliseconds: 100 })) })
+
+describe('VmRoster', () => {
+  let clock: ManualClock
+  let roster: VmRoster
+  const ids = (): readonly string[] => roster.vms.map(({ id }) => id)
+
+  beforeEach(() => {
+    clock = new ManualClock()
+    roster = new VmRoster(vm('leader'), clock)
+  })
+
+  it('lists a whole fleet that watches a few VMs, whatever the number of partitions of the group', () => {
+    const fleet = Array.from({ length: 654 }, (_, index) => `vm-${index}`)
+    roster.applyRound(new Map([['vm-1', watchedBy(...fleet.slice(300))]]), watchedBy(...fleet.slice(0, 300)))
+    expect(roster.vms.length).to.equal(655)
+  })
+
+  it('removes a VM that does not answer twice in a row, and one that is stopping at once', () => {
+    roster.reset([vm('a'), vm('b'), vm('c')])
+    roster.applyRound(new Map([['a', undefined], ['b', { ...quiet, leaving: true }], ['c', quiet]]), quiet)
+    expect(ids()).to.deep.equal(['a', 'c', 'leader'])
+    roster.applyRound(new Map([['a', undefined], ['c', quiet]]), quiet)
+    expect(ids()).to.deep.equal(['c', 'leader'])
+  })
+
+  it('keeps a VM that answers in between', () => {
+    roster.reset([vm('a'), vm('b'), vm('c')])
+    for (const answer of [undefined, quiet, undefined]) roster.applyRound(new Map([['a', answer], ['b', quiet], ['c', quiet]]), quiet)
+    expect(ids()).to.include('a')
+  })
+
+  it('removes nobody when most VMs are silent, since the leader itself is then cut off or was held up', () => {
+    roster.reset([vm('a'), vm('b'), vm('c')])
+    for (let round = 0; round < 5; round++) roster.applyRound(new Map([['a', undefined], ['b', undefined], ['c', quiet]]), quiet)
+    expect(ids()).to.deep.equal(['a', 'b', 'c', 'leader'])
+  })
+
+  // A VM that was lost without a reset stays a watcher of others until the keepalive of its stream fails.
+  it('does not add a removed VM again for a stream that is older than its removal, but for a later one', () => {
+    roster.reset([vm('a'), vm('b'), vm('c')])
+    for (let round = 0; round < 2; round++) roster.applyRound(new Map([['a', undefined], ['b', watchedBy('a')], ['c', quiet]]), quiet)
+    expect(ids()).not.to.include('a')
+    clock.advance(1_000)
+    roster.applyRound(new Map([['b', { leaving: false, watchers: [{ vm: vm('a'), openMilliseconds: 5_000 }] }]]), quiet)
+    expect(ids()).not.to.include('a')
+    roster.applyRound(new Map([['b', { leaving: false, watchers: [{ vm: vm('a'), openMilliseconds: 300 }] }]]), quiet)
+    expect(ids()).to.include('a')
+  })
+
+  it('keeps the same list object until something changes, so that nobody computes anew', () => {
+    roster.reset([vm('a')])
+    const before = roster.vms
+    roster.addMembers([vm('a')])
+    roster.applyRound(new Map([['a', quiet]]), watchedBy('a'))
+    expect(roster.vms).to.equal(before)
+  })
+})
+
+describe('VmRanks', () => {
+  const fleet = ['x', 'y', 'z'].flatMap(dataCentre => Array.from({ length: 13 }, (_, index) => vm(`${dataCentre}-${index}`, { dataCentre, weight: index === 4 ? 0.675 : 0.27 })))
+  const ranks = new VmRanks()
+
+  before(() => ranks.update(fleet))
+
+  it('takes the largest VM of each data centre as candidates and relays', () => {
+    expect(fleet.filter(({ id }) => ranks.isCandidate(id)).map(({ id }) => id)).to.have.members(['x-4', 'y-4', 'z-4'])
+    for (const { id, dataCentre } of fleet) {
+      if (!id.endsWith('-4')) expect(ranks.sourcesOf({ id, dataCentre }, 'y-4').slice(0, 1)).to.deep.equal([`${dataCentre}-4`])
+    }
+  })
+
+  it('lets one VM of each data centre watch the leader, so that a change crosses to a data centre once', () => {
+    const crossing = fleet.filter(({ id, dataCentre }) => dataCentre !== 'y' && ranks.sourcesOf({ id, dataCentre }, 'y-4')[0]?.startsWith('y') === true)
+    expect(crossing.map(({ id }) => id)).to.deep.equal(['x-4', 'z-4'])
+  })
+
+  it('names no VM as its own source, and none that is not on the list', () => {
+    for (const { id, dataCentre } of fleet) expect(ranks.sourcesOf({ id, dataCentre }, 'gone')).not.to.include.members([id])
+    expect(ranks.sourcesOf({ id: 'x-4', dataCentre: 'x' }, 'gone')).to.have.members(['y-4', 'z-4'])
+  })
+})
--- /dev/null
+++ b/packages/router/src/control/vm-roster.ts
@@ -0,0 +1,108 @@
+import type { VmEntry } from '@briarsaddle/key-ranges'
+import { Logger, type Clock } from '@briarsaddle/common'
+
+const logger = new Logger('roster')
+
+/** A VM that receives the control state from another one. */
+export interface WatchingVm {
+  readonly vm: VmEntry
+  /** How long its stream has been open, in milliseconds. */
+  readonly openMilliseconds: number
+}
+
+/** What a VM reported when the leader asked it. */
+export interface RosterReport {
+  readonly watchers: readonly WatchingVm[]
+  readonly leaving: boolean
+}
+
+// A single call may fail because a VM was short of processor time.
+const silentRounds = 2
+// If this share of the VMs is silent in one round, the leader itself is probably cut off or was held up.
+const ownFaultShare = 0.5
+// A VM that others still hear is added again after this time. The stream of a lost VM stays open for up to 12 s (keepalive).
+const readmitMilliseconds = 15_000
+
+/**
+ * The leader's list of VMs. VMs are added when they are members of the group of candidates or when another VM reports that
+ * they watch it, and removed when they stop or do not answer the leader.
+ */
+export class VmRoster {
+  readonly #self: VmEntry
+  readonly #clock: Clock
+  readonly #silent = new Map<string, number>()
+  readonly #removedAt = new Map<string, number>()
+  #vms = new Map<string, VmEntry>()
+  #sorted: readonly VmEntry[] | undefined
+
+  constructor (self: VmEntry, clock: Clock) {
+    this.#self = self
+    this.#clock = clock
+    this.reset([])
+  }
+
+  /** The VMs by id, in the order of their ids. The same object is returned until the list changes. */
+  get vms (): readonly VmEntry[] {
+    this.#sorted ??= [...this.#vms.values()].sort((one, other) => one.id < other.id ? -1 : 1)
+    return this.#sorted
+  }
+
+  /** Begins anew with a list, at the start of a leadership. */
+  reset (vms: readonly VmEntry[]): void {
+    this.#vms = new Map([...vms, this.#self].map(vm => [vm.id, vm]))
+    this.#silent.clear()
+    this.#removedAt.clear()
+    this.#sorted = undefined
+  }
+
+  /** Adds the members of the group of candidates, whose membership has just been confirmed at the log. */
+  addMembers (members: readonly VmEntry[]): void {
+    for (const vm of members) this.#add(vm, 'member')
+  }
+
+  /** Applies the results of one round of calls, undefined for a call without an answer, and the report of this VM. */
+  applyRound (reports: ReadonlyMap<string, RosterReport | undefined>, own: RosterReport): void {
+    const now = this.#clock.now()
+    for (const [vm, at] of this.#removedAt) if (now - at > readmitMilliseconds) this.#removedAt.delete(vm)
+    const silent = [...reports].filter(([, report]) => report === undefined)
+    const ownFault = silent.length > 1 && silent.length > ownFaultShare * reports.size
+    for (const [vm, report] of reports) {
+      if (report === undefined) {
+        if (!ownFault) this.#missed(vm)
+        continue
+      }
+      this.#silent.delete(vm)
+      if (report.leaving) this.#remove(vm, 'stopping')
+    }
+    for (const report of [own, ...reports.values()]) {
+      for (const { vm, openMilliseconds } of report?.watchers ?? []) {
+        // The stream of a VM that was removed may stay open for a while; only a later stream shows that the VM is back.
+        if (now - openMilliseconds > (this.#removedAt.get(vm.id) ?? -Infinity)) this.#add(vm, 'watches')
+      }
+    }
+  }
+
+  #missed (vm: string): void {
+    const rounds = (this.#silent.get(vm) ?? 0) + 1
+    this.#silent.set(vm, rounds)
+    if (rounds >= silentRounds) this.#remove(vm, 'no answer')
+  }
+
+  #add (vm: VmEntry, reason: string): void {
+    const known = this.#vms.get(vm.id)
+    if (known !== undefined && known.host === vm.host && known.port === vm.port && known.dataCentre === vm.dataCentre && known.weight === vm.weight) return
+    this.#vms.set(vm.id, vm)
+    this.#silent.delete(vm.id)
+    this.#removedAt.delete(vm.id)
+    this.#sorted = undefined
+    logger.info('VM added to the list', { peer: vm.id, dataCentre: vm.dataCentre, reason, vms: this.#vms.size })
+  }
+
+  #remove (vm: string, reason: string): void {
+    if (vm === this.#self.id || !this.#vms.delete(vm)) return
+    this.#silent.delete(vm)
+    this.#removedAt.set(vm, this.#clock.now())
+    this.#sorted = undefined
+    logger.info('VM removed from the list', { peer: vm, reason, vms: this.#vms.size })
+  }
+}
--- a/packages/router/src/node-settings.ts
+++ b/packages/router/src/node-settings.ts
@@ -9,7 +9,14 @@
 
 /** Settings of one VM; times in milliseconds. */
 export interface RangeNodeSettings {
-  readonly vm: { readonly id: string, readonly dataCentre: string }
+  readonly vm: {
+    readonly id: string
+    readonly dataCentre: string
+    /** Processor time, in cores; absent if it is not known. */
+    readonly weight?: number
+  }
+  /** Addresses of the inner protocol of some VMs, which other VMs ask for the control state when they start. */
+  readonly seeds: readonly ListenAddress[]
   readonly listen: {
     readonly callers: ListenAddress
     /** Address at which the platform's balancer checks whether this VM accepts new connections. */
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -4,6 +4,8 @@
 import type { KeyMap, VmEntry } from '@briarsaddle/key-ranges'
 import { InnerServer, PeerPool, type Answer, type Forward } from '@briarsaddle/protocol'
 import { stateAges, type StateAges } from './control/state-ages.js'
+import { ControlFeed } from './control/control-feed.js'
+import { ControlPublisher } from './control/control-publisher.js'
 import { ControlRelay } from './control/control-relay.js'
 import { KeyLeader } from './control/key-leader.js'
 import type { MembershipService } from './control/leadership.js'
@@ -12,10 +14,12 @@
 import { PeerDemand } from './control/peer-demand.js'
 import type { StateTopic, WritableTopic } from './control/state-topic.js'
 import { TopicFollower } from './control/topic-follower.js'
+import { VmRanks } from './control/vm-ranks.js'
+import { VmRoster } from './control/vm-roster.js'
 import type { Directory } from './endpoint-entry.js'
 import type { EndpointTransport } from './endpoint-transport.js'
 import { MeasuredTransport } from './measured-transport.js'
-import type { RangeNodeSettings } from './node-settings.js'
+import type { ListenAddress, RangeNodeSettings } from './node-settings.js'
 import type { CallerProtocol } from './request/caller-protocol.js'
 import { ChangeNotifier } from './request/change-notifier.js'
 import { Coordinators } from './request/coordinators.js'
@@ -51,6 +55,14 @@
 // Streams between VMs that fail are replaced before the usual deadline of a request passes.
 const peerConnectMilliseconds = 400
 const peerSilenceMilliseconds = 400
+// Opening a connection costs about as much as ten forwarded requests.
+const peerIdleMilliseconds = 20_000
+// A VM that is fed with older state than this reads the routing table itself, for which the platform states a time limit.
+const routingAgeLimitMilliseconds = 1_000
+// The same for key map and directory. A change of leader takes less, so that it does not make all VMs read the log.
+const stateAgeLimitMilliseconds = 2_500
+// A VM whose source is cut off from the log stands for election after this time. By then lost candidates have expired.
+const candidacyAgeMilliseconds = 1_200
 
 /** One VM of the router: accepts the requests of callers, coordinates endpoints and, when elected leader, assigns keys. */
 export class RangeNode {
@@ -70,6 +82,10 @@
   readonly #directory: TopicFollower<Directory>
   readonly #readPositions: ReadPositionMonitor
   readonly #member: GroupMember
+  readonly #ranks = new VmRanks()
+  readonly #roster: VmRoster
+  readonly #feed: ControlFeed
+  readonly #publisher: ControlPublisher
   readonly #peers: PeerPool
   readonly #dispatcher: Dispatcher
   readonly #router: RangeRouter
@@ -87,12 +103,13 @@
     const { timing, listen } = settings
     const clock = this.#clock
     this.#self = { ...settings.vm, host: listen.inner.host, port: listen.inner.port }
+    this.#roster = new VmRoster(this.#self, clock)
     const byPosition = (one: { readonly position: number }, other: { readonly position: number }): boolean => one.position > other.position
-    this.#map = new TopicFollower({ name: 'key map', topic: platform.keyMap, clock, waitMilliseconds: timing.logWaitMilliseconds, pauseMilliseconds: 0, isNewer: byPosition })
+    this.#map = new TopicFollower({ name: 'key map', topic: platform.keyMap, clock, waitMilliseconds: timing.logWaitMilliseconds, pauseMilliseconds: 0, isNewer: byPosition, untilNeeded: this.#untilOlderThan(stateAgeLimitMilliseconds) })
     this.#routing = new TopicFollower({
-      name: 'routing table', topic: platform.routing, clock, waitMilliseconds: timing.logWaitMilliseconds, pauseMilliseconds: 0, isNewer: (one, other) => one.state.version > other.state.version
+      name: 'routing table', topic: platform.routing, clock, waitMilliseconds: timing.logWaitMilliseconds, pauseMilliseconds: 0, isNewer: (one, other) => one.state.version > other.state.version, untilNeeded: this.#untilOlderThan(routingAgeLimitMilliseconds)
     })
-    this.#directory = new TopicFollower({ name: 'directory', topic: platform.directory, clock, waitMilliseconds: 0, pauseMilliseconds: timing.directoryMilliseconds, isNewer: byPosition })
+    this.#directory = new TopicFollower({ name: 'directory', topic: platform.directory, clock, waitMilliseconds: 0, pauseMilliseconds: timing.directoryMilliseconds, isNewer: byPosition, untilNeeded: this.#untilOlderThan(stateAgeLimitMilliseconds) })
     this.#readPositions = new ReadPositionMonitor(this.#map, this.#routing)
     this.#member = new GroupMember({
       self: this.#self,
@@ -100,13 +117,17 @@
       clock,
       confirmEveryMilliseconds: timing.confirmMilliseconds,
       callMilliseconds: timing.logCallMilliseconds,
+      isCandidate: () => this.#isCandidate,
       // Reads that have been waiting since before the outage may never be answered.
       onRegained: () => this.#followers.forEach(follower => follower.interrupt())
     })
-    this.#peers = new PeerPool(this.#lifeCycle, { connectTimeoutMilliseconds: peerConnectMilliseconds, silenceMilliseconds: peerSilenceMilliseconds, clock, random: this.#random })
+    this.#peers = new PeerPool(this.#lifeCycle, { connectTimeoutMilliseconds: peerConnectMilliseconds, silenceMilliseconds: peerSilenceMilliseconds, idleMilliseconds: peerIdleMilliseconds, clock, random: this.#random })
+    this.#updatePeers([])
+    this.#publisher = new ControlPublisher({ clock, map: this.#map, routing: this.#routing, directory: this.#directory, age: () => clock.now() - this.#confirmedAt, leaving: () => this.#stopping !== undefined })
+    this.#feed = new ControlFeed({ self: this.#self, clock, peers: this.#peers, map: this.#map, routing: this.#routing, directory: this.#directory, sources: () => this.#sources, onUpdate: () => this.#publisher.publishSoon() })
     this.#dispatcher = this.#createDispatcher()
     this.#router = this.#createRouter()
-    this.#control = new RangeControlHandler({ vm: settings.vm.id, dispatcher: this.#dispatcher, map: this.#map, routing: this.#routing, readPositions: this.#readPositions, leaving: () => this.#stopping !== undefined })
+    this.#control = new RangeControlHandler({ vm: settings.vm.id, dispatcher: this.#dispatcher, map: this.#map, routing: this.#routing, readPositions: this.#readPositions, publisher: this.#publisher, leaving: () => this.#stopping !== undefined })
     this.#leader = this.#createLeader()
     this.#inner = new InnerServer({ ...listen.inner }, new RangeFrameHandler(this.#dispatcher), this.#control)
     this.#entry = new EntryServer({ ...listen.callers, ...settings.limits, maximumHeaderBytes, maximumBodyBytes, clock, loopDelay: this.#loopDelay }, this.#router)
@@ -121,9 +142,11 @@
     await new StatusServer({ '/ready': async () => this.#readiness() }).listen(this.#settings.listen.readiness, this.#lifeCycle)
     await new StatusServer({ '/metrics': async () => await this.#metricsPage(), '/state': async () => this.#statePage() }).listen(this.#settings.listen.administration, this.#lifeCycle)
     for (const follower of this.#followers) follower.start(this.#lifeCycle)
+    this.#feed.start(this.#lifeCycle)
+    this.#publisher.start(this.#lifeCycle)
     this.#member.start(this.#lifeCycle)
     this.#leader.start(this.#lifeCycle)
-    new ControlRelay({ peers: this.#peers, map: this.#map, routing: this.#routing, random: this.#random }).start(this.#lifeCycle)
+    new ControlRelay({ peers: this.#peers, map: this.#map, routing: this.#routing, random: this.#random, isFed: () => this.#feed.source !== undefined }).start(this.#lifeCycle)
     this.#lifeCycle.every('state metrics', reportMilliseconds, () => this.#reportState(), error => logger.error('state metrics failed', { error: String(error) }))
     await this.#listenWhenPrepared()
     logger.info('started', { dataCentre: this.#self.dataCentre, inner: `${this.#self.host}:${this.#self.port}`, routingVersion: this.#router.version, ...this.#stateAges })
@@ -153,6 +176,7 @@
     logger.info('stopping', { inFlight: this.#entry.inFlight, leading: this.#leader.leading })
     const left = this.#member.leave()
     this.#changes.notify()
+    this.#publisher.publishSoon()
     if (this.#entry.serving) await this.#entry.stop(finishMilliseconds, lameDuckMilliseconds)
     await left
     await this.#inner.stop(lastPeerAnswersMilliseconds)
@@ -201,11 +225,48 @@
       directory: this.#directory,
       routing: this.#routing,
       transport: this.#transport,
-      demand: new PeerDemand(this.#peers, this.#control, this.#readPositions),
+      demand: new PeerDemand(this.#peers, this.#control, this.#readPositions, this.#roster),
+      roster: this.#roster,
       metrics: this.#metrics
     })
   }
 
+  /** Returns a function that waits until this VM has to read the log itself. */
+  #untilOlderThan (milliseconds: number): (signal: AbortSignal) => Promise<void> {
+    return async signal => await this.#feed.untilOlderThan(milliseconds, signal)
+  }
+
+  /** Ids of the VMs from which this VM may receive the control state; empty while it has to read the log itself. */
+  get #sources (): readonly string[] {
+    if (this.#member.leads || this.#leader.leading) return []
+    if (!this.#ranks.empty) return this.#ranks.sourcesOf(this.#self, this.#map.current?.state.author ?? '')
+    return this.#isSeed ? [] : this.#settings.seeds.map(seedId)
+  }
+
+  get #isSeed (): boolean {
+    return this.#settings.seeds.some(({ host, port }) => host === this.#self.host && port === this.#self.port)
+  }
+
+  /** Whether this VM stands for election: by its rank, or because no other VM sends it state that is confirmed at the log. */
+  get #isCandidate (): boolean {
+    // A VM that became the leader without the rank, for example at the first start, hands over once the candidates are there.
+    if (this.#leader.leading && !this.#leader.mayHandOver) return true
+    if (!this.#ranks.includes(this.#self.id) && (this.#isSeed || this.#settings.seeds.length === 0)) return true
+    return this.#ranks.isCandidate(this.#self.id) || this.#feed.ageMilliseconds > candidacyAgeMilliseconds
+  }
+
+  /** When the control state of this VM was last confirmed at the log, by itself or by the VM that it watches. */
+  get #confirmedAt (): number {
+    return Math.max(this.#feed.confirmedAt, this.#directory.confirmedAt, this.#leader.leading ? this.#member.confirmedAt : -Infinity)
+  }
+
+  /** Replaces the addresses of other VMs. The seeds are among them while no VM is known. */
+  #updatePeers (vms: readonly VmEntry[]): void {
+    const others = vms.filter(vm => vm.id !== this.#self.id).map(({ id, host, port }) => ({ vm: id, host, port }))
+    const seeds = vms.length > 0 || this.#isSeed ? [] : this.#settings.seeds.map(seed => ({ vm: seedId(seed), ...seed }))
+    this.#peers.update([...others, ...seeds])
+  }
+
   get #followers (): ReadonlyArray<TopicFollower<KeyMap> | TopicFollower<RoutingTable> | TopicFollower<Directory>> {
     return [this.#map, this.#routing, this.#directory]
   }
@@ -218,7 +279,8 @@
     this.#map.onChange(map => {
       this.#logKeyMap(map)
       this.#coordinators.update(map.vms)
-      this.#peers.update(map.vms.filter(vm => vm.id !== this.#self.id).map(({ id, host, port }) => ({ vm: id, host, port })))
+      this.#ranks.update(map.vms)
+      this.#updatePeers(map.vms)
       this.#changes.notify()
     })
     this.#directory.onChange(directory => {
@@ -267,6 +329,8 @@
       directory: [...this.#endpoints.values()],
       member: this.#member.report,
       leader: this.#leader.snapshot(),
+      feed: { source: this.#feed.source, ageMilliseconds: Math.round(this.#feed.ageMilliseconds), sources: this.#sources, watchers: this.#publisher.watchers.map(({ vm }) => vm?.id), candidate: this.#isCandidate },
+      connectedPeers: this.#peers.clients,
       router: this.#router.snapshot(),
       gates,
       entry: { serving: this.#entry.serving, inFlight: this.#entry.inFlight }
@@ -291,12 +355,21 @@
       keyMapAgeSeconds: secondsOf(keyMapAgeMilliseconds),
       routingAgeSeconds: secondsOf(routingAgeMilliseconds),
       directoryAgeSeconds: secondsOf(directoryAgeMilliseconds),
+      fed: Number(this.#feed.source !== undefined),
+      watchers: this.#publisher.watchers.length,
+      connectedPeers: this.#peers.clients,
+      vms: this.#map.current?.state.vms.length ?? 0,
       residentBytes: process.memoryUsage.rss(),
       processorSeconds: (user + system) / microsecondsPerSecond
     })
   }
 }
 
+/** Id of a VM of which only the address is known. */
+function seedId ({ host, port }: ListenAddress): string {
+  return `${host}:${port}`
+}
+
 const microsecondsPerSecond = 1_000_000
 
 /** Converts an age to seconds; NaN, which Prometheus accepts, while there is no age. */
--- a/packages/router/src/request/coordinators.ts
+++ b/packages/router/src/request/coordinators.ts
@@ -1,11 +1,12 @@
 import { createHash } from 'node:crypto'
-import type { VmEntry } from '@briarsaddle/key-ranges'
+import { sameVmList, type VmEntry } from '@briarsaddle/key-ranges'
 import type { EndpointEntry } from '../endpoint-entry.js'
 
 /**
  * Chooses the VM that queues the requests for an endpoint (its coordinator) by rendezvous hashing: VMs with the same list of
- * VMs choose the same coordinator, and the loss of a VM reassigns only the endpoints that it coordinated. VMs in the
- * endpoint's data centre are preferred, so that a request crosses between data centres at most once.
+ * VMs choose the same coordinator, and the loss of a VM reassigns only the endpoints that it coordinated. A VM coordinates
+ * endpoints in proportion to its weight. VMs in the endpoint's data centre are preferred, so that a request crosses between data
+ * centres at most once.
  */
 export class Coordinators {
   readonly #chosen = new Map<string, string | undefined>()
@@ -13,7 +14,7 @@
 
   /** Replaces the list of VMs. */
   update (vms: readonly VmEntry[]): void {
-    if (vms === this.#vms) return
+    if (sameVmList(vms, this.#vms)) return
     this.#vms = vms
     this.#chosen.clear()
   }
@@ -30,6 +31,11 @@
 }
 
 function highestScored (vms: readonly VmEntry[], endpoint: string): string | undefined {
-  const scored = vms.map(vm => ({ id: vm.id, score: createHash('sha256').update(`${vm.id} ${endpoint}`).digest('hex') }))
-  return scored.sort((one, other) => one.score < other.score ? 1 : -1)[0]?.id
+  const scored = vms.map(({ id, weight = 1 }) => ({ id, score: -weight / Math.log(fractionOf(`${id} ${endpoint}`)) }))
+  return scored.sort((one, other) => other.score - one.score)[0]?.id
+}
+
+/** Returns a number between 0 and 1, both excluded, that depends on the text only. */
+function fractionOf (text: string): number {
+  return (createHash('sha256').update(text).digest().readUIntBE(0, 6) + 0.5) / 2 ** 48
 }
--- a/packages/router/src/request/inner-handlers.ts
+++ b/packages/router/src/request/inner-handlers.ts
@@ -1,9 +1,10 @@
 import {
   ControlHandler, FrameHandler, unsupported,
-  type Answer, type ConfirmResponse, type EndpointKeyLoad, type FetchControlRequest, type FetchControlResponse, type FetchJournalResponse, type FetchKeyLoadsRequest, type FetchKeyLoadsResponse, type FetchLoadsResponse,
+  type Answer, type ConfirmResponse, type ControlWatcher, type EndpointKeyLoad, type FetchControlRequest, type FetchControlResponse, type FetchJournalResponse, type FetchKeyLoadsRequest, type FetchKeyLoadsResponse, type FetchLoadsResponse,
   type FetchStateResponse, type Forward, type HeartbeatResponse, type JournalAcknowledgement
 } from '@briarsaddle/protocol'
 import { encodeKeyMap, segmentAt, type KeyMap } from '@briarsaddle/key-ranges'
+import type { ControlPublisher } from '../control/control-publisher.js'
 import type { ReadPositionMonitor } from '../control/read-position-monitor.js'
 import type { TopicFollower } from '../control/topic-follower.js'
 import type { RoutingTable } from '../routing-table.js'
@@ -37,6 +38,7 @@
   readonly map: TopicFollower<KeyMap>
   readonly routing: TopicFollower<RoutingTable>
   readonly readPositions: ReadPositionMonitor
+  readonly publisher: ControlPublisher
   readonly leaving: () => boolean
 }
 
@@ -55,7 +57,8 @@
 
   override async fetchKeyLoads (request: FetchKeyLoadsRequest): Promise<FetchKeyLoadsResponse> {
     this.#options.readPositions.observePeer(request)
-    return { ...this.#options.readPositions.own, endpoints: [...this.#options.dispatcher.gates].map(([endpoint, gate]) => this.#keyLoad(endpoint, gate)) }
+    const { publisher, leaving } = this.#options
+    return { ...this.#options.readPositions.own, watchers: [...publisher.watchers], leaving: leaving(), endpoints: [...this.#options.dispatcher.gates].map(([endpoint, gate]) => this.#keyLoad(endpoint, gate)) }
   }
 
   override async fetchControl ({ keyMapPosition, routingVersion }: FetchControlRequest): Promise<FetchControlResponse> {
@@ -70,6 +73,10 @@
     }
   }
 
+  override watchControl (watcher: ControlWatcher): void {
+    this.#options.publisher.add(watcher)
+  }
+
   /** Reports the demand at an endpoint, without that of keys that have moved away since they were requested. */
   #keyLoad (endpoint: string, gate: EndpointGate): EndpointKeyLoad {
     const map = this.#options.map.current?.state
