Do not use old control state on a VM that has just started

Cause: a VM that started while its only source was cut off from the store took the source's state, and its age counted from the VM's own start: for up to 2.5 s it could use an endpoint that had left. Change: a VM without state of its own ignores state that was confirmed too long ago and reads the store at once; when the store does not answer, the old state is used.

--- a/packages/router/src/control/control-feed.test.ts
+++ b/packages/router/src/control/control-feed.test.ts
@@ -229,6 +229,30 @@
     expect(leader.routing.current?.state.version).to.equal(1)
   })
 
+  it('is not used by a VM that starts while its source has old state only, so that an endpoint that has left is not in use again', async () => {
+    const leader = fleet.add('leader')
+    await until(() => leader.directory.current !== undefined, 500)
+    leader.cutOff = true
+    fleet.directory.put(new Map([['b', entry('b')]]))
+    await delay(1_700)
+    const vm = fleet.add('vm', 'leader')
+    const used = new Set<string>()
+    vm.directory.onChange(directory => { for (const id of directory.keys()) used.add(id) })
+    await until(() => vm.directory.current !== undefined, 500)
+    expect([...used]).to.deep.equal(['b'])
+  })
+
+  it('is used also when it is old if the log does not answer, so that a VM that restarts in an outage serves requests', async () => {
+    const leader = fleet.add('leader')
+    await until(() => leader.directory.current !== undefined, 500)
+    leader.cutOff = true
+    await delay(1_700)
+    const vm = new Vm('vm', fleet, ['leader'])
+    vm.cutOff = true
+    fleet.vms.set('vm', vm.start())
+    await until(() => vm.directory.current?.state.has('a') === true && vm.map.current !== undefined, 4_000)
+  })
+
   it('begins anew with the whole state when a change was lost', async () => {
     const leader = fleet.add('leader')
     const vm = fleet.add('vm', 'leader')
--- a/packages/router/src/control/control-feed.ts
+++ b/packages/router/src/control/control-feed.ts
@@ -45,6 +45,7 @@
   /** When the state of the last update was confirmed at the log, by this VM's clock. */
   confirmedAt: number
   map: KeyMap | undefined
+  routing: RoutingTable | undefined
   directory: Directory | undefined
 }
 
@@ -61,6 +62,7 @@
   /** A source that replaces the present one when its first update arrives. */
   #next: Source | undefined
   #confirmedAt = -Infinity
+  #refusedOldState = false
 
   constructor (options: ControlFeedOptions) {
     this.#options = options
@@ -73,9 +75,13 @@
   /** When the received state was last confirmed at the log, by this VM's clock; -Infinity while nothing was received. */
   get confirmedAt (): number { return this.#confirmedAt }
 
-  /** Time since the received state was confirmed at the log, in milliseconds; since the start of this VM while nothing was received. */
+  /**
+   * Time since the received state was confirmed at the log, in milliseconds. While nothing was received, it is the time since the
+   * start of this VM, and Infinity once another VM has offered old state only.
+   */
   get ageMilliseconds (): number {
-    return this.#options.clock.now() - Math.max(this.#confirmedAt, this.#startedAt)
+    if (this.#confirmedAt === -Infinity) return this.#refusedOldState ? Infinity : this.#options.clock.now() - this.#startedAt
+    return this.#options.clock.now() - this.#confirmedAt
   }
 
   /** Starts to watch other VMs, until the life cycle closes. */
@@ -124,7 +130,7 @@
 
   #watch (vm: string): Source | undefined {
     const { clock, peers, self } = this.#options
-    const source: Source = { vm, openedAt: clock.now(), close: () => {}, heardAt: undefined, confirmedAt: -Infinity, map: undefined, directory: undefined }
+    const source: Source = { vm, openedAt: clock.now(), close: () => {}, heardAt: undefined, confirmedAt: -Infinity, map: undefined, routing: undefined, directory: undefined }
     const events: ControlWatchEvents = {
       onUpdate: update => this.#receive(source, update),
       onEnded: reason => this.#drop(source, reason)
@@ -142,32 +148,48 @@
   #receive (source: Source, update: ControlUpdate): void {
     const now = this.#options.clock.now()
     try {
-      this.#apply(source, update)
+      decode(source, update)
     } catch (error) {
       // The next stream begins with the whole state.
-      logger.warning('update of the control state could not be applied', { peer: source.vm, code: errorCode(error), error: describeError(error) })
-      return this.#drop(source, 'update not applied')
+      logger.warning('update of the control state could not be decoded', { peer: source.vm, code: errorCode(error), error: describeError(error) })
+      return this.#drop(source, 'update not decoded')
     }
     source.heardAt = now
     source.confirmedAt = now - update.ageMilliseconds
+    const old = update.ageMilliseconds > staleMilliseconds
     if (source === this.#next) {
-      if (this.#current !== undefined && now - source.confirmedAt > staleMilliseconds) return this.#drop(source, 'old state')
+      if (old && this.#current !== undefined) return this.#drop(source, 'old state')
       this.#use(source)
     }
-    this.#confirmedAt = Math.max(this.#confirmedAt, source.confirmedAt)
-    for (const follower of [this.#options.map, this.#options.routing, this.#options.directory]) follower.confirmByPeer(source.confirmedAt)
+    if (old && !this.#mayUseOldState) {
+      if (source.directory !== undefined && !this.#refusedOldState) {
+        this.#refusedOldState = true
+        this.#changes.notify()
+      }
+    } else {
+      this.#offer(source, update)
+    }
     if (update.leaving) this.#drop(source, 'stopping')
     this.#options.onUpdate()
   }
 
-  #apply (source: Source, update: ControlUpdate): void {
+  /**
+   * Whether old state is better than what this VM has. A VM that has just started reads the log instead, so that endpoints that
+   * have left are not used again; only when the log does not answer, old state is all there is.
+   */
+  get #mayUseOldState (): boolean {
+    const { map, directory } = this.#options
+    return (map.current !== undefined && directory.current !== undefined) || map.failing
+  }
+
+  #offer (source: Source, update: ControlUpdate): void {
     const { map, routing, directory } = this.#options
-    if (update.keyMap !== '') source.map = update.keyMapWhole || source.map === undefined ? decodeKeyMap(update.keyMap) : applyKeyMapDelta(source.map, update.keyMap)
-    if (update.directory !== '') source.directory = applyDirectoryChange(update.directoryWhole || source.directory === undefined ? new Map() : source.directory, update.directory)
+    this.#confirmedAt = Math.max(this.#confirmedAt, source.confirmedAt)
     // Positions advance without changes too. A VM that begins to read the log itself does so from its position.
     if (source.map !== undefined) map.offer({ position: update.keyMapPosition, state: source.map })
     if (source.directory !== undefined) directory.offer({ position: update.directoryPosition, state: source.directory })
-    if (update.routingTable !== '') routing.offer({ position: routing.current?.position ?? 0, state: routingTableSchema.parse(JSON.parse(update.routingTable)) })
+    if (source.routing !== undefined) routing.offer({ position: routing.current?.position ?? 0, state: source.routing })
+    for (const follower of [map, routing, directory]) follower.confirmByPeer(source.confirmedAt)
   }
 
   #use (source: Source): void {
@@ -193,3 +215,10 @@
     this.#changes.notify()
   }
 }
+
+/** Applies the changes of an update to the state of its source. Throws if they do not belong to it. */
+function decode (source: Source, update: ControlUpdate): void {
+  if (update.keyMap !== '') source.map = update.keyMapWhole || source.map === undefined ? decodeKeyMap(update.keyMap) : applyKeyMapDelta(source.map, update.keyMap)
+  if (update.directory !== '') source.directory = applyDirectoryChange(update.directoryWhole || source.directory === undefined ? new Map() : source.directory, update.directory)
+  if (update.routingTable !== '') source.routing = routingTableSchema.parse(JSON.parse(update.routingTable))
+}
--- a/packages/router/src/control/topic-follower.ts
+++ b/packages/router/src/control/topic-follower.ts
@@ -49,6 +49,9 @@
   /** False before the first read and while reads fail. */
   get connected (): boolean { return this.#failures === 0 && this.#current !== undefined }
 
+  /** True while reads fail. */
+  get failing (): boolean { return this.#failures > 0 }
+
   /** True when another VM has reported a higher position and no read that started after the report has succeeded. */
   get behind (): boolean { return this.#peerPosition > (this.#current?.position ?? 0) && this.#confirmedAt < this.#peerPositionAt }
 
