Do not take control state from a VM that has it from this one

Cause: after a takeover the new leader was not on the list of VMs in its own first key map, so VMs could not watch it and took each other as sources. Change: updates name the VMs over which they came, and a VM drops a source whose state came from itself. The leader writes the members of the group with its takeover. Own reads confirm the state only while all three topics are read.

--- a/packages/router/src/control/control-feed.test.ts
+++ b/packages/router/src/control/control-feed.test.ts
@@ -47,7 +47,8 @@
 
   override send (update: ControlUpdate): boolean {
     const change = this.link.change
-    queueMicrotask(() => { if (this.open && !this.link.silent) this.events.onUpdate(change(update)) })
+    this.link.sent()
+    void delay(1).then(() => { if (this.open && !this.link.silent) this.events.onUpdate(change(update)) })
     return true
   }
 
@@ -67,6 +68,8 @@
   silent: boolean
   /** Changes updates on their way. */
   change: (update: ControlUpdate) => ControlUpdate
+  /** Called for each update. */
+  readonly sent: () => void
 }
 
 class Vm {
@@ -78,7 +81,7 @@
   readonly publisher: ControlPublisher
   readonly feed: ControlFeed
   readonly watchers: LocalWatcher[] = []
-  readonly link: Link = { silent: false, change: update => update }
+  readonly link: Link = { silent: false, change: update => update, sent: () => { this.fleet.updates++ } }
   sources: readonly string[]
   /** True while the VM cannot reach the log, although other VMs can be reached. */
   cutOff = false
@@ -93,8 +96,8 @@
     this.map = follow('key map', fleet.map, byPosition)
     this.routing = follow('routing table', fleet.routing, (one, other) => one.state.version > other.state.version)
     this.directory = follow('directory', fleet.directory, byPosition)
-    const age = (): number => clock.now() - Math.max(this.feed.confirmedAt, this.directory.confirmedAt)
-    this.publisher = new ControlPublisher({ clock, map: this.map, routing: this.routing, directory: this.directory, age, leaving: () => this.leaving })
+    const age = (): number => clock.now() - this.feed.stateConfirmedAt
+    this.publisher = new ControlPublisher({ clock, map: this.map, routing: this.routing, directory: this.directory, age, leaving: () => this.leaving, path: () => [...this.feed.path, id] })
     const peers: WatchablePeers = { get: vm => ({ watchControl: (request, events) => fleet.watch(vm, request, events) }) }
     this.feed = new ControlFeed({ self: this.self, clock, peers, map: this.map, routing: this.routing, directory: this.directory, sources: () => this.sources, onUpdate: () => this.publisher.publishSoon() })
   }
@@ -132,6 +135,7 @@
   readonly routing = new CountedTopic<RoutingTable>({ version: 1, routes: [], pools: [] })
   readonly directory = new CountedTopic<Directory>(new Map([['a', entry('a')]]))
   readonly vms = new Map<string, Vm>()
+  updates = 0
 
   add (id: string, ...sources: string[]): Vm {
     const vm = new Vm(id, this, sources).start()
@@ -273,6 +277,21 @@
     await until(() => vm.map.current !== undefined && vm.routing.current !== undefined && vm.directory.current !== undefined, 900)
   })
 
+  // Two VMs that watched each other answered every update with one, and each took the other's state for newly confirmed: their key
+  // map stayed as it was when traffic began, and their messages filled the link between their data centres.
+  it('does not come from a VM that has it from this one', async () => {
+    const vms = [fleet.add('one', 'two'), fleet.add('two', 'one')]
+    await delay(900)
+    for (let version = 2; version < 6; version++) {
+      fleet.routing.put({ version, routes: [], pools: [] })
+      fleet.map.put({ ...fleet.map.newest.state, fence: version })
+      await until(() => vms.every(vm => vm.routing.current?.state.version === version && vm.map.current?.state.fence === version), 1_500)
+    }
+    const before = fleet.updates
+    await delay(500)
+    expect(fleet.updates - before).to.be.below(10)
+  })
+
   it('does not look confirmed when two VMs watch each other and neither reads the log', async () => {
     const one = fleet.add('one', 'two')
     const two = fleet.add('two', 'one')
--- a/packages/router/src/control/control-feed.ts
+++ b/packages/router/src/control/control-feed.ts
@@ -40,6 +40,8 @@
   readonly vm: string
   readonly openedAt: number
   close: () => void
+  /** VMs over which the state of the last update came. */
+  path: readonly string[]
   /** When the last update arrived; undefined before the first. */
   heardAt: number | undefined
   /** When the state of the last update was confirmed at the log, by this VM's clock. */
@@ -72,9 +74,22 @@
   /** Id of the VM that this one watches; undefined without one. */
   get source (): string | undefined { return this.#current?.vm }
 
+  /** Ids of the VMs over which the state came, beginning with the one that read the log; empty without a source. */
+  get path (): readonly string[] { return this.#current?.path ?? [] }
+
   /** When the received state was last confirmed at the log, by this VM's clock; -Infinity while nothing was received. */
   get confirmedAt (): number { return this.#confirmedAt }
 
+  /**
+   * When the state that this VM holds was last confirmed at the log, by itself or by its source. Reads of the directory count only
+   * while the other topics are read too: they wait for changes, and are confirmed by the reads of the directory.
+   */
+  get stateConfirmedAt (): number {
+    const { map, routing, directory } = this.#options
+    const readsAll = [map, routing, directory].every(follower => follower.reading)
+    return Math.max(this.#confirmedAt, readsAll ? directory.confirmedAt : -Infinity)
+  }
+
   /**
    * Time since the received state was confirmed at the log, in milliseconds. While nothing was received, it is the time since the
    * start of this VM, and Infinity once another VM has offered old state only.
@@ -130,7 +145,7 @@
 
   #watch (vm: string): Source | undefined {
     const { clock, peers, self } = this.#options
-    const source: Source = { vm, openedAt: clock.now(), close: () => {}, heardAt: undefined, confirmedAt: -Infinity, map: undefined, routing: undefined, directory: undefined }
+    const source: Source = { vm, openedAt: clock.now(), close: () => {}, path: [], heardAt: undefined, confirmedAt: -Infinity, map: undefined, routing: undefined, directory: undefined }
     const events: ControlWatchEvents = {
       onUpdate: update => this.#receive(source, update),
       onEnded: reason => this.#drop(source, reason)
@@ -147,6 +162,9 @@
 
   #receive (source: Source, update: ControlUpdate): void {
     const now = this.#options.clock.now()
+    // VMs that watch each other would confirm each other's state, since its age does not include the time on the way.
+    if (update.path.includes(this.#options.self.id)) return this.#drop(source, 'its state came from this VM')
+    source.path = update.path
     try {
       decode(source, update)
     } catch (error) {
--- a/packages/router/src/control/control-publisher.ts
+++ b/packages/router/src/control/control-publisher.ts
@@ -17,6 +17,8 @@
   /** Time since the control state of this VM was last confirmed at the log, in milliseconds. */
   readonly age: () => number
   readonly leaving: () => boolean
+  /** Ids of the VMs over which the control state of this VM came, ending with this one. */
+  readonly path: () => readonly string[]
 }
 
 /** Interval of updates without a change, in milliseconds. Watchers notice by them how old the state is. */
@@ -87,10 +89,11 @@
   }
 
   #send (watch: Watch, encoded: Map<unknown, string>): void {
-    const { map, routing, directory, age, leaving } = this.#options
+    const { map, routing, directory, age, leaving, path } = this.#options
     const update = ControlUpdate.create({
       ageMilliseconds: Math.min(age(), longestAgeMilliseconds),
       leaving: leaving(),
+      path: [...path()],
       keyMapPosition: map.current?.position ?? 0,
       routingVersion: routing.current?.state.version ?? 0,
       directoryPosition: directory.current?.position ?? 0
--- a/packages/router/src/control/key-leader.test.ts
+++ b/packages/router/src/control/key-leader.test.ts
@@ -253,6 +253,15 @@
     for (const { fence } of topic.newest.state.pools.ponds ?? []) expect(fence).to.be.greaterThan(state.fence)
   })
 
+  // VMs that did not know the address of a new leader watched each other.
+  it('is on the list of VMs from the first key map that it writes', async () => {
+    topic.newest = { position: topic.newest.position + 1, state: { ...topic.newest.state, author: other.id, vms: [other] } }
+    map.offer(topic.newest)
+    const first = await new Promise<KeyMap>(resolve => { topic.afterWrite = () => resolve(topic.newest.state) })
+    expect(first.author).to.equal(self.id)
+    expect(first.vms.map(({ id }) => id)).to.deep.equal([self.id, other.id])
+  })
+
   it('counts the leaderships that began and ended, with the reason', async () => {
     map.offer({ position: topic.newest.position + 1, state: mapOfOther() })
     const page = await metrics.text()
--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -150,7 +150,7 @@
     this.#generation = undefined
     this.#options.roster.reset(this.#map.vms)
     await this.#refreshMembers()
-    const raised = raiseFences({ ...this.#map, author: self.id })
+    const raised = raiseFences({ ...this.#map, author: self.id, vms: this.#options.roster.vms })
     await this.#write(joinSegments(raised), 'take over', signal)
     // Former holders in moves that are not open (see `Segment.open`) refuse every leader before the previous one.
     const closedSegments = Object.values(raised.pools).flat().filter(segment => segment.open !== true)
--- a/packages/router/src/control/topic-follower.ts
+++ b/packages/router/src/control/topic-follower.ts
@@ -31,6 +31,7 @@
   #confirmedAt = -Infinity
   #confirmedByPeerAt = -Infinity
   #failures = 0
+  #onStandby = true
   #readController = new AbortController()
   #failingSince = -Infinity
   #peerPosition = 0
@@ -51,6 +52,8 @@
 
   /** True while reads fail. */
   get failing (): boolean { return this.#failures > 0 }
+  /** True while this VM reads the topic itself and reads succeed. */
+  get reading (): boolean { return !this.#onStandby && this.connected }
 
   /** True when another VM has reported a higher position and no read that started after the report has succeeded. */
   get behind (): boolean { return this.#peerPosition > (this.#current?.position ?? 0) && this.#confirmedAt < this.#peerPositionAt }
@@ -109,7 +112,9 @@
       const end = (): void => reading.abort()
       signal.addEventListener('abort', end)
       try {
+        this.#onStandby = true
         await this.#options.untilNeeded?.(reading.signal)
+        this.#onStandby = false
         if (reading.signal.aborted) continue
         await this.#read(reading.signal)
         if (this.#failures > 0) logger.info('dependency regained', { topic: this.#options.name, failures: this.#failures, lostMilliseconds: Math.round(this.#options.clock.now() - this.#failingSince), position: this.#current?.position })
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -123,7 +123,7 @@
     })
     this.#peers = new PeerPool(this.#lifeCycle, { connectTimeoutMilliseconds: peerConnectMilliseconds, silenceMilliseconds: peerSilenceMilliseconds, idleMilliseconds: peerIdleMilliseconds, clock, random: this.#random })
     this.#updatePeers([])
-    this.#publisher = new ControlPublisher({ clock, map: this.#map, routing: this.#routing, directory: this.#directory, age: () => clock.now() - this.#confirmedAt, leaving: () => this.#stopping !== undefined })
+    this.#publisher = new ControlPublisher({ clock, map: this.#map, routing: this.#routing, directory: this.#directory, age: () => clock.now() - this.#confirmedAt, leaving: () => this.#stopping !== undefined, path: () => [...this.#feed.path, this.#self.id] })
     this.#feed = new ControlFeed({ self: this.#self, clock, peers: this.#peers, map: this.#map, routing: this.#routing, directory: this.#directory, sources: () => this.#sources, onUpdate: () => this.#publisher.publishSoon() })
     this.#dispatcher = this.#createDispatcher()
     this.#router = this.#createRouter()
@@ -257,7 +257,7 @@
 
   /** When the control state of this VM was last confirmed at the log, by itself or by the VM that it watches. */
   get #confirmedAt (): number {
-    return Math.max(this.#feed.confirmedAt, this.#directory.confirmedAt, this.#leader.leading ? this.#member.confirmedAt : -Infinity)
+    return Math.max(this.#feed.stateConfirmedAt, this.#leader.leading ? this.#member.confirmedAt : -Infinity)
   }
 
   /** Replaces the addresses of other VMs. The seeds are among them while no VM is known. */
