Stand for election in the order of ranks, and read the store sooner after a start without seeds

Cause: when all VMs had restarted, each joined the group after 1.2 s without a source, before it knew its rank, and left it again soon after; joining and leaving VMs make another one the leader. Change: VMs that are not candidates by rank follow one after the other (150 ms a rank, at most 1.5 s) and leave only after 5 s with a source; a VM without any state waits 0.5 s for a seed, not 1 to 2.5 s, before it reads the store.

--- a/packages/router/src/control/control-feed.test.ts
+++ b/packages/router/src/control/control-feed.test.ts
@@ -91,7 +91,7 @@
     this.self = { id, host: '127.0.0.1', port: 1, dataCentre: 'a' }
     this.sources = sources
     const follow = <State>(name: string, topic: StateTopic<State>, isNewer: (one: TopicState<State>, other: TopicState<State>) => boolean): TopicFollower<State> =>
-      new TopicFollower({ name, topic: this.#guarded(topic), clock, waitMilliseconds: 50, pauseMilliseconds: 20, isNewer, untilNeeded: async signal => await this.feed.untilOlderThan(600, signal) })
+      new TopicFollower({ name, topic: this.#guarded(topic), clock, waitMilliseconds: 50, pauseMilliseconds: 20, isNewer, untilNeeded: async signal => await this.feed.untilOlderThan(() => 600, signal) })
     const byPosition = (one: { readonly position: number }, other: { readonly position: number }): boolean => one.position > other.position
     this.map = follow('key map', fleet.map, byPosition)
     this.routing = follow('routing table', fleet.routing, (one, other) => one.state.version > other.state.version)
--- a/packages/router/src/control/control-feed.ts
+++ b/packages/router/src/control/control-feed.ts
@@ -108,10 +108,10 @@
     })
   }
 
-  /** Resolves once the received state is older than the limit, or there is no other VM to receive it from. */
-  async untilOlderThan (milliseconds: number, signal: AbortSignal): Promise<void> {
+  /** Resolves once the received state is older than the limit, in milliseconds, or there is no other VM to receive it from. */
+  async untilOlderThan (limit: () => number, signal: AbortSignal): Promise<void> {
     while (!signal.aborted && this.#options.sources().length > 0) {
-      const left = milliseconds - this.ageMilliseconds
+      const left = limit() - this.ageMilliseconds
       if (left <= 0) return
       await this.#changes.waitForChange(left + 1, signal)
     }
--- a/packages/router/src/control/vm-ranks.ts
+++ b/packages/router/src/control/vm-ranks.ts
@@ -24,9 +24,10 @@
   /** True while no VM is known. */
   get empty (): boolean { return this.#ranked.length === 0 }
 
-  /** Whether the VM is on the list. */
-  includes (vm: string): boolean {
-    return this.#ranked.some(({ id }) => id === vm)
+  /** Returns the position of a VM in the order, from 0 on; undefined when it is not on the list. */
+  rankOf (vm: string): number | undefined {
+    const rank = this.#ranked.findIndex(({ id }) => id === vm)
+    return rank === -1 ? undefined : rank
   }
 
   /** Whether the VM is one of those that stand for election; they are in different data centres if there are several. */
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -61,8 +61,15 @@
 const routingAgeLimitMilliseconds = 1_000
 // The same for key map and directory. A change of leader takes less, so that it does not make all VMs read the log.
 const stateAgeLimitMilliseconds = 2_500
-// A VM whose source is cut off from the log stands for election after this time. By then lost candidates have expired.
+// A VM without any state waits this long for a seed before it reads the log. A seed answers within some 50 ms.
+const firstStateMilliseconds = 500
+// A VM that is not a candidate by its rank stands for election when it has had no source for this long: by then lost candidates
+// have expired. The others follow in the order of their ranks, since each VM that joins may make another one the leader.
 const candidacyAgeMilliseconds = 1_200
+const candidacyStepMilliseconds = 150
+const longestCandidacyDelayMilliseconds = 1_500
+// It leaves the group again when it has had a source for this long.
+const candidacyEndMilliseconds = 5_000
 
 /** One VM of the router: accepts the requests of callers, coordinates endpoints and, when elected leader, assigns keys. */
 export class RangeNode {
@@ -94,6 +101,8 @@
   readonly #inner: InnerServer
   readonly #entry: EntryServer<RoutedRequest>
   #stopping: Promise<void> | undefined
+  /** When this VM was last without a source for long enough to stand for election, in clock milliseconds. */
+  #withoutSourceAt = -Infinity
 
   constructor (settings: RangeNodeSettings, platform: RangeNodePlatform) {
     this.#settings = settings
@@ -117,7 +126,7 @@
       clock,
       confirmEveryMilliseconds: timing.confirmMilliseconds,
       callMilliseconds: timing.logCallMilliseconds,
-      isCandidate: () => this.#isCandidate,
+      isCandidate: () => this.#standsForElection(),
       // Reads that have been waiting since before the outage may never be answered.
       onRegained: () => this.#followers.forEach(follower => follower.interrupt())
     })
@@ -161,6 +170,10 @@
     this.#lifeCycle.own('entry', async () => await this.#entry.stop(0))
   }
 
+  get #hasState (): boolean {
+    return this.#routing.current !== undefined && this.#map.current !== undefined && this.#directory.current !== undefined
+  }
+
   get #prepared (): boolean {
     return (this.#routing.current?.state.version ?? 0) > 0 && this.#map.current !== undefined && this.#directory.current !== undefined
   }
@@ -233,7 +246,7 @@
 
   /** Returns a function that waits until this VM has to read the log itself. */
   #untilOlderThan (milliseconds: number): (signal: AbortSignal) => Promise<void> {
-    return async signal => await this.#feed.untilOlderThan(milliseconds, signal)
+    return async signal => await this.#feed.untilOlderThan(() => this.#hasState ? milliseconds : firstStateMilliseconds, signal)
   }
 
   /** Ids of the VMs from which this VM may receive the control state; empty while it has to read the log itself. */
@@ -248,11 +261,15 @@
   }
 
   /** Whether this VM stands for election: by its rank, or because no other VM sends it state that is confirmed at the log. */
-  get #isCandidate (): boolean {
+  #standsForElection (): boolean {
     // A VM that became the leader without the rank, for example at the first start, hands over once the candidates are there.
     if (this.#leader.leading && !this.#leader.mayHandOver) return true
-    if (!this.#ranks.includes(this.#self.id) && (this.#isSeed || this.#settings.seeds.length === 0)) return true
-    return this.#ranks.isCandidate(this.#self.id) || this.#feed.ageMilliseconds > candidacyAgeMilliseconds
+    const rank = this.#ranks.rankOf(this.#self.id)
+    if (rank === undefined ? this.#isSeed || this.#settings.seeds.length === 0 : this.#ranks.isCandidate(this.#self.id)) return true
+    const delayMilliseconds = Math.min(longestCandidacyDelayMilliseconds, (rank ?? Infinity) * candidacyStepMilliseconds)
+    const now = this.#clock.now()
+    if (this.#feed.ageMilliseconds > candidacyAgeMilliseconds + delayMilliseconds) this.#withoutSourceAt = now
+    return now - this.#withoutSourceAt < (this.#member.report === undefined ? 1 : candidacyEndMilliseconds)
   }
 
   /** When the control state of this VM was last confirmed at the log, by itself or by the VM that it watches. */
@@ -329,7 +346,7 @@
       directory: [...this.#endpoints.values()],
       member: this.#member.report,
       leader: this.#leader.snapshot(),
-      feed: { source: this.#feed.source, ageMilliseconds: Math.round(this.#feed.ageMilliseconds), sources: this.#sources, watchers: this.#publisher.watchers.map(({ vm }) => vm?.id), candidate: this.#isCandidate },
+      feed: { source: this.#feed.source, ageMilliseconds: Math.round(this.#feed.ageMilliseconds), sources: this.#sources, watchers: this.#publisher.watchers.map(({ vm }) => vm?.id), candidate: this.#member.report !== undefined },
       connectedPeers: this.#peers.clients,
       router: this.#router.snapshot(),
       gates,
