Remove VMs from the list when most of them are lost for good

Cause: found by reading: when more than half of the VMs were silent, the leader took itself for cut off and removed none of them, however long that lasted. Any number of VMs may be lost; the lost ones stayed coordinators and sources. Change: while most VMs are silent but some answer, five rounds without an answer remove a VM; while all are silent, none is removed.

--- a/packages/router/src/control/vm-roster.ts
+++ b/packages/router/src/control/vm-roster.ts
@@ -18,8 +18,9 @@
 
 // A single call may fail because a VM was short of processor time.
 const silentRounds = 2
-// If this share of the VMs is silent in one round, the leader itself is probably cut off or was held up.
+// If more than this share of the VMs is silent in one round, the leader itself may have been held up; it then waits for more rounds.
 const ownFaultShare = 0.5
+const silentRoundsAfterOwnFault = 5
 // A VM that others still hear is added again after this time. The stream of a lost VM stays open for up to 12 s (keepalive).
 const readmitMilliseconds = 15_000
 
@@ -66,9 +67,11 @@
     for (const [vm, at] of this.#removedAt) if (now - at > readmitMilliseconds) this.#removedAt.delete(vm)
     const silent = [...reports].filter(([, report]) => report === undefined)
     const ownFault = silent.length > 1 && silent.length > ownFaultShare * reports.size
+    // A leader that reaches nobody is cut off itself, however long that lasts.
+    const mostRounds = silent.length === reports.size ? Infinity : ownFault ? silentRoundsAfterOwnFault : silentRounds
     for (const [vm, report] of reports) {
       if (report === undefined) {
-        if (!ownFault) this.#missed(vm)
+        this.#missed(vm, reports.size === 1 ? silentRounds : mostRounds)
         continue
       }
       this.#silent.delete(vm)
@@ -82,10 +85,10 @@
     }
   }
 
-  #missed (vm: string): void {
+  #missed (vm: string, mostRounds: number): void {
     const rounds = (this.#silent.get(vm) ?? 0) + 1
     this.#silent.set(vm, rounds)
-    if (rounds >= silentRounds) this.#remove(vm, 'no answer')
+    if (rounds >= mostRounds) this.#remove(vm, 'no answer')
   }
 
   #add (vm: VmEntry, reason: string): void {
