--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -4,6 +4,7 @@
 import type { KeyMap, VmEntry } from '@briarsaddle/key-ranges'
 import { InnerServer, PeerPool, type Answer, type Forward } from '@briarsaddle/protocol'
 import { stateAges, type StateAges } from './control/state-ages.js'
+import { Candidacy } from './control/candidacy.js'
 import { ControlFeed } from './control/control-feed.js'
 import { ControlPublisher } from './control/control-publisher.js'
 import { ControlRelay } from './control/control-relay.js'
@@ -63,13 +64,6 @@
 const stateAgeLimitMilliseconds = 2_500
 // A VM without any state waits this long for a seed before it reads the log. A seed answers within some 50 ms.
 const firstStateMilliseconds = 500
-// A VM that is not a candidate by its rank stands for election when it has had no source for this long: by then lost candidates
-// have expired. The others follow in the order of their ranks, since each VM that joins may make another one the leader.
-const candidacyAgeMilliseconds = 1_200
-const candidacyStepMilliseconds = 150
-const longestCandidacyDelayMilliseconds = 1_500
-// It leaves the group again when it has had a source for this long.
-const candidacyEndMilliseconds = 5_000
 
 /** One VM of the router: accepts the requests of callers, coordinates endpoints and, when elected leader, assigns keys. */
 export class RangeNode {
@@ -91,6 +85,7 @@
   readonly #member: GroupMember
   readonly #ranks = new VmRanks()
   readonly #roster: VmRoster
+  readonly #candidacy: Candidacy
   readonly #feed: ControlFeed
   readonly #publisher: ControlPublisher
   readonly #peers: PeerPool
@@ -101,8 +96,6 @@
   readonly #inner: InnerServer
   readonly #entry: EntryServer<RoutedRequest>
   #stopping: Promise<void> | undefined
-  /** When this VM was last without a source for long enough to stand for election, in clock milliseconds. */
-  #withoutSourceAt = -Infinity
 
   constructor (settings: RangeNodeSettings, platform: RangeNodePlatform) {
     this.#settings = settings
@@ -113,6 +106,15 @@
     const clock = this.#clock
     this.#self = { ...settings.vm, host: listen.inner.host, port: listen.inner.port }
     this.#roster = new VmRoster(this.#self, clock)
+    this.#candidacy = new Candidacy({
+      vm: settings.vm.id,
+      clock,
+      ranks: this.#ranks,
+      mayBegin: this.#isSeed || settings.seeds.length === 0,
+      mustLead: () => this.#leader.leading && !this.#leader.mayHandOver,
+      isMember: () => this.#member.report !== undefined,
+      withoutSourceMilliseconds: () => this.#feed.ageMilliseconds
+    })
     const byPosition = (one: { readonly position: number }, other: { readonly position: number }): boolean => one.position > other.position
     this.#map = new TopicFollower({ name: 'key map', topic: platform.keyMap, clock, waitMilliseconds: timing.logWaitMilliseconds, pauseMilliseconds: 0, isNewer: byPosition, untilNeeded: this.#untilOlderThan(stateAgeLimitMilliseconds) })
     this.#routing = new TopicFollower({
@@ -126,7 +128,7 @@
       clock,
       confirmEveryMilliseconds: timing.confirmMilliseconds,
       callMilliseconds: timing.logCallMilliseconds,
-      isCandidate: () => this.#standsForElection(),
+      isCandidate: () => this.#candidacy.decide(),
       // Reads that have been waiting since before the outage may never be answered.
       onRegained: () => this.#followers.forEach(follower => follower.interrupt())
     })
@@ -260,18 +262,6 @@
     return this.#settings.seeds.some(({ host, port }) => host === this.#self.host && port === this.#self.port)
   }
 
-  /** Whether this VM stands for election: by its rank, or because no other VM sends it state that is confirmed at the log. */
-  #standsForElection (): boolean {
-    // A VM that became the leader without the rank, for example at the first start, hands over once the candidates are there.
-    if (this.#leader.leading && !this.#leader.mayHandOver) return true
-    const rank = this.#ranks.rankOf(this.#self.id)
-    if (rank === undefined ? this.#isSeed || this.#settings.seeds.length === 0 : this.#ranks.isCandidate(this.#self.id)) return true
-    const delayMilliseconds = Math.min(longestCandidacyDelayMilliseconds, (rank ?? Infinity) * candidacyStepMilliseconds)
-    const now = this.#clock.now()
-    if (this.#feed.ageMilliseconds > candidacyAgeMilliseconds + delayMilliseconds) this.#withoutSourceAt = now
-    return now - this.#withoutSourceAt < (this.#member.report === undefined ? 1 : candidacyEndMilliseconds)
-  }
-
   /** When the control state of this VM was last confirmed at the log, by itself or by the VM that it watches. */
   get #confirmedAt (): number {
     return Math.max(this.#feed.stateConfirmedAt, this.#leader.leading ? this.#member.confirmedAt : -Infinity)
