--- a/packages/router/src/control/control-publisher.ts
+++ b/packages/router/src/control/control-publisher.ts
@@ -22,8 +22,8 @@
   readonly path: () => readonly string[]
 }
 
-/** Interval of updates without a change, in milliseconds. Watchers notice by them how old the state is. */
-export const heartbeatMilliseconds = 250
+// Interval of updates without a change. Watchers notice by them how old the state is.
+const heartbeatMilliseconds = 250
 // An update that was sent this shortly before, because of a change, takes the place of a heartbeat.
 const heartbeatSlackMilliseconds = 50
 const noDirectory: Directory = new Map()
