--- a/packages/router/src/control/group-member.ts
+++ b/packages/router/src/control/group-member.ts
@@ -25,7 +25,6 @@
   readonly #options: MemberOptions
   #report: MembershipReport | undefined
   #confirmedAt = -Infinity
-  #joinedAt = Infinity
   #lost = false
   #leaving = false
 
@@ -37,8 +36,6 @@
   get report (): MembershipReport | undefined { return this.#report }
   /** When the last successful confirmation was sent, in clock milliseconds; -Infinity before the first. */
   get confirmedAt (): number { return this.#confirmedAt }
-  /** When this VM joined the group, in clock milliseconds; Infinity while it is no member. */
-  get joinedAt (): number { return this.#joinedAt }
   /** Whether this VM is the elected leader by the last report, and is not leaving. */
   get leads (): boolean { return this.#report?.leads === true && !this.#leaving }
 
@@ -58,7 +55,6 @@
     if (this.#report === undefined) return
     const { generation, leads } = this.#report
     this.#report = undefined
-    this.#joinedAt = Infinity
     try {
       await withTimeLimit(this.#options.callMilliseconds, undefined, async limited => await this.#options.service.leave(this.#options.self, limited))
       logger.info('left the group of candidates', { generation, led: leads })
@@ -82,7 +78,6 @@
     this.#confirmedAt = startedAt
     if (report.leads !== this.#report?.leads) logger.info(report.leads ? 'this VM leads' : 'this VM does not lead', { generation: report.generation })
     this.#report = report
-    this.#joinedAt = Math.min(this.#joinedAt, startedAt)
   }
 
   #regained (): void {
--- a/packages/router/src/control/key-leader.test.ts
+++ b/packages/router/src/control/key-leader.test.ts
@@ -15,7 +15,7 @@
 
 const self: VmEntry = { id: 'vm-1', host: '127.0.0.1', port: 1, dataCentre: 'a' }
 const other: VmEntry = { ...self, id: 'vm-2', port: 2 }
-const timing = { ...defaultControlTiming, settleMilliseconds: 50, electionSettleMilliseconds: 150, confirmMilliseconds: 50, renewMilliseconds: 60, holdMilliseconds: 400, grantCallMilliseconds: 50, logCallMilliseconds: 100 }
+const timing = { ...defaultControlTiming, settleMilliseconds: 50, confirmMilliseconds: 50, renewMilliseconds: 60, holdMilliseconds: 400, grantCallMilliseconds: 50, logCallMilliseconds: 100 }
 
 class LeadingService extends MembershipService {
   override async join (): Promise<MembershipReport> { return { generation: 1, leads: true } }
@@ -262,24 +262,6 @@
     expect(first.vms.map(({ id }) => id)).to.deep.equal([self.id, other.id])
   })
 
-  // After the loss of all VMs, one after the other joined the group and took over; moves of the first one waited for 13.5 s.
-  it('does not take over right after it has joined the group, while VMs that started with it still join', async () => {
-    const late = new LifeCycle('late')
-    const member = new GroupMember({ self, service: new LeadingService(), clock, confirmEveryMilliseconds: timing.confirmMilliseconds, callMilliseconds: 100, isCandidate: () => true, onRegained: () => {} })
-    const knownRouting = follow('routing table', new FixedTopic(table))
-    knownRouting.start(late)
-    const newcomer = new KeyLeader({ self, clock, timing, member, topic: new MapTopic(), map, directory, routing: knownRouting, transport, demand: new NoDemand(), roster: new VmRoster(self, clock), metrics })
-    member.start(late)
-    newcomer.start(late)
-    while (!member.leads) await delay(5)
-    expect(clock.now() - member.joinedAt).to.be.below(timing.electionSettleMilliseconds)
-    while (clock.now() - member.joinedAt < timing.electionSettleMilliseconds) {
-      expect(newcomer.leading).to.equal(false)
-      await delay(5)
-    }
-    await late.close()
-  })
-
   it('counts the leaderships that began and ended, with the reason', async () => {
     map.offer({ position: topic.newest.position + 1, state: mapOfOther() })
     const page = await metrics.text()
--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -134,8 +134,7 @@
 
   /** Takes over only while the membership is confirmed: otherwise another VM has been elected, whatever the last report said. */
   async #takeOverIfConfirmed (signal: AbortSignal): Promise<void> {
-    const { clock, member, timing } = this.#options
-    if (this.#isMembershipConfirmed && clock.now() - member.joinedAt >= timing.electionSettleMilliseconds) await this.#takeOver(signal)
+    if (this.#isMembershipConfirmed) await this.#takeOver(signal)
   }
 
   get #isMembershipConfirmed (): boolean {
--- a/packages/router/src/control/leader-succession.test.ts
+++ b/packages/router/src/control/leader-succession.test.ts
@@ -13,7 +13,7 @@
 import { TopicFollower } from './topic-follower.js'
 import { VmRoster } from './vm-roster.js'
 
-const timing = { ...defaultControlTiming, settleMilliseconds: 50, electionSettleMilliseconds: 0, confirmMilliseconds: 50, renewMilliseconds: 60, holdMilliseconds: 400, grantCallMilliseconds: 50, logCallMilliseconds: 100, staleLeaderMilliseconds: 2_000 }
+const timing = { ...defaultControlTiming, settleMilliseconds: 50, confirmMilliseconds: 50, renewMilliseconds: 60, holdMilliseconds: 400, grantCallMilliseconds: 50, logCallMilliseconds: 100, staleLeaderMilliseconds: 2_000 }
 const clock = new MonotonicClock()
 
 class Membership extends MembershipService {
--- a/packages/router/src/control/simulation/ownership-simulation.ts
+++ b/packages/router/src/control/simulation/ownership-simulation.ts
@@ -30,7 +30,6 @@
   suspectMilliseconds: 250,
   staleLeaderMilliseconds: 3_300,
   membershipMilliseconds: 400,
-  electionSettleMilliseconds: 300,
   confirmMilliseconds: 120,
   logCallMilliseconds: 230,
   logWaitMilliseconds: 1_000,
--- a/packages/router/src/control/timing.ts
+++ b/packages/router/src/control/timing.ts
@@ -17,11 +17,6 @@
   readonly staleLeaderMilliseconds: number
   /** A VM that has not confirmed its membership for this long is treated as lost. */
   readonly membershipMilliseconds: number
-  /**
-   * A VM that has joined the group waits this long before it takes over: each VM that joins after it may become the leader, and all
-   * VMs start at the same time after a loss of power.
-   */
-  readonly electionSettleMilliseconds: number
   /** Interval between confirmations of the membership. */
   readonly confirmMilliseconds: number
   /** Timeout of one call to the log, in addition to the time that the call asks the log to wait for a change. */
@@ -47,7 +42,6 @@
   suspectMilliseconds: 700,
   staleLeaderMilliseconds: 10_000,
   membershipMilliseconds: 1_200,
-  electionSettleMilliseconds: 1_000,
   confirmMilliseconds: 350,
   logCallMilliseconds: 700,
   logWaitMilliseconds: 10_000,
