Show how many connections a VM accepts, and why its readiness changes

Change: acceptedConnections and waitingRequests in briarsaddle_state; a log line with the inputs when the answer to the readiness check changes.

--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -80,6 +80,7 @@
   #bufferedBytes = 0
   #stopping: Promise<void> | undefined
   #onIdle: (() => void) | undefined
+  #acceptedConnections = 0
   #refusedConnections = 0
 
   constructor (options: EntryServerOptions, handler: CallerRequestHandler<Accepted>) {
@@ -97,6 +98,7 @@
       noDelay: true
     })
     this.#server.maxConnections = options.maximumCallerConnections
+    this.#server.on('connection', () => { this.#acceptedConnections++ })
     this.#server.on('drop', () => this.#onConnectionDropped())
     this.#server.on('clientError', (error, socket) => this.#onClientError(error, socket as Socket))
     const application = polka({ server: this.#server, onNoMatch: (request, response) => this.#handle(request, response) })
@@ -112,6 +114,11 @@
     return this.#exchanges.size
   }
 
+  /** Number of connections that were accepted since the start. */
+  get acceptedConnections (): number {
+    return this.#acceptedConnections
+  }
+
   /** Number of connections that were closed on arrival because too many were open. */
   get refusedConnections (): number {
     return this.#refusedConnections
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -1,5 +1,5 @@
 import { randomInt } from 'node:crypto'
-import { LifeCycle, Logger, LoopDelay, MonotonicClock, Random, type Clock } from '@briarsaddle/common'
+import { LifeCycle, Logger, LoopDelay, MonotonicClock, processTurnQueue, Random, type Clock } from '@briarsaddle/common'
 import { EntryServer } from '@briarsaddle/entry'
 import type { KeyMap, VmEntry } from '@briarsaddle/key-ranges'
 import { InnerServer, PeerPool, type Answer, type Forward } from '@briarsaddle/protocol'
@@ -96,6 +96,8 @@
   readonly #inner: InnerServer
   readonly #entry: EntryServer<RoutedRequest>
   #stopping: Promise<void> | undefined
+  /** Result of the last readiness check. */
+  #ready = false
 
   constructor (settings: RangeNodeSettings, platform: RangeNodePlatform) {
     this.#settings = settings
@@ -319,6 +321,8 @@
     const table = this.#routing.current?.state
     const keysAssigned = table?.pools.every(pool => !pool.keyed || this.#map.current?.state.pools[pool.name] !== undefined) === true
     const ready = this.#stopping === undefined && keysAssigned
+    if (ready !== this.#ready) logger.info('readiness changed', { ready, stopping: this.#stopping !== undefined, keysAssigned, directoryKnown: this.#directory.current !== undefined, acceptedConnections: this.#entry.acceptedConnections, waitingRequests: processTurnQueue.length })
+    this.#ready = ready
     return { status: ready ? 200 : 503, type: 'text/plain', text: ready ? 'ready\n' : 'not ready\n' }
   }
 
@@ -355,7 +359,9 @@
       keyMapPosition: this.#map.current?.position ?? 0,
       endpoints: this.#endpoints.size,
       callersInFlight: this.#entry.inFlight,
+      acceptedConnections: this.#entry.acceptedConnections,
       refusedConnections: this.#entry.refusedConnections,
+      waitingRequests: processTurnQueue.length,
       unreadBytes: this.#entry.unreadBytes,
       movesUnderWay: this.#leader.movesUnderWay,
       movingRanges: moving,
