--- a/packages/entry/src/entry-server.test.ts
+++ b/packages/entry/src/entry-server.test.ts
@@ -197,3 +197,46 @@
     expect(performance.now() - startedAt).to.be.lessThan(1_000)
   })
 })
+
+/** Refuses every request after the given processor time. */
+class BusyHandler extends SlowHandler {
+  readonly #milliseconds: number
+
+  constructor (milliseconds: number) {
+    super()
+    this.#milliseconds = milliseconds
+  }
+
+  override accept (request: CallerRequest): CallerRequest {
+    const until = performance.now() + this.#milliseconds
+    while (performance.now() < until) { /* The work of a request. */ }
+    return request
+  }
+}
+
+describe('EntryServer, with many connections that wait to be accepted', () => {
+  const waitingConnections = 400
+  const workMilliseconds = 10
+  // A VM that says ready takes a new connection within 3 s; the smallest VM has 0.27 of a core.
+  const processorMilliseconds = 3_000 * 0.27
+
+  // Guards against a VM that says ready and takes no new connection for seconds (RECOVER), because each connection before it waits
+  // for the work of two requests.
+  it('accepts the last one before the time in which a VM that says ready must take it', async function () {
+    this.timeout(20_000)
+    const server = new EntryServer({ host: '127.0.0.1', port: 0, maximumHeaderBytes: 8_192, maximumBodyBytes: 1_000, maximumCallerConnections: 1_000, clock: new MonotonicClock() }, new BusyHandler(workMilliseconds))
+    const port = await server.listen()
+    const sockets = Array.from({ length: waitingConnections }, () => {
+      const socket = connect(port, '127.0.0.1')
+      socket.on('error', () => {})
+      socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+      return socket
+    })
+    const startedAt = performance.now()
+    while (server.acceptedConnections < waitingConnections) await delay(1)
+    const milliseconds = performance.now() - startedAt
+    for (const socket of sockets) socket.destroy()
+    await server.stop(0)
+    expect(milliseconds).to.be.lessThan(processorMilliseconds)
+  })
+})
