Answer the readiness check with 200 only once callers can be served

Callers saw: connections that were refused by a VM that the balancer took for ready. Cause: readiness looked at the routing table and the key map alone. The port for callers opens when the directory of endpoints is known as well, or 2 s after the start, and on a VM with little processor time later. Change: ready needs the open port and the directory too.

--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -317,11 +317,14 @@
     this.#changes.notify()
   }
 
+  /** Ready once requests are accepted and can be routed: a VM that the balancer chooses before that turns callers away. */
   #readiness (): StatusPage {
     const table = this.#routing.current?.state
+    const listening = this.#entry.serving
     const keysAssigned = table?.pools.every(pool => !pool.keyed || this.#map.current?.state.pools[pool.name] !== undefined) === true
-    const ready = this.#stopping === undefined && keysAssigned
-    if (ready !== this.#ready) logger.info('readiness changed', { ready, stopping: this.#stopping !== undefined, keysAssigned, directoryKnown: this.#directory.current !== undefined, acceptedConnections: this.#entry.acceptedConnections, waitingRequests: processTurnQueue.length })
+    const directoryKnown = this.#directory.current !== undefined
+    const ready = this.#stopping === undefined && listening && keysAssigned && directoryKnown
+    if (ready !== this.#ready) logger.info('readiness changed', { ready, stopping: this.#stopping !== undefined, listening, keysAssigned, directoryKnown, acceptedConnections: this.#entry.acceptedConnections, waitingRequests: processTurnQueue.length })
     this.#ready = ready
     return { status: ready ? 200 : 503, type: 'text/plain', text: ready ? 'ready\n' : 'not ready\n' }
   }
