Accept waiting connections before the requests that were read are handled

Cause: libuv accepts one connection in an iteration of the event loop, and each iteration handled a request as well. On a VM of 0.27 of a core that is short of processor time, connections wait in the operating system behind those of callers that have given up, for a time that the VM can't see, so it cannot refuse them early either. Change: while connections are accepted one after the other, tasks of the turn queue wait for up to 200 ms, and then run for 100 ms. Requests that waited too long are refused before they are routed, as before. A test bounds the delay of the tasks.

--- a/packages/common/src/turn-queue.test.ts
+++ b/packages/common/src/turn-queue.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { once } from 'node:events'
 import { connect, createServer, type AddressInfo } from 'node:net'
+import { ManualClock } from './clock.js'
 import { TurnQueue } from './turn-queue.js'
 
 describe('TurnQueue', () => {
@@ -40,4 +41,26 @@
     // Once half of the requests have been handled, more than half of the connections must have been accepted.
     expect(acceptedWhenHandled[connections / 2]).to.be.at.least(connections / 2 + 1)
   })
+
+  // Guards against requests that wait without limit while callers open connections faster than they are accepted.
+  it('runs tasks for a third of the time at least while connections arrive without a pause', async () => {
+    const clock = new ManualClock()
+    const queue = new TurnQueue(clock)
+    const iterationMilliseconds = 10
+    const iterations = 300
+    let ran = 0
+    const task = async (): Promise<void> => {
+      await queue.turn()
+      ran++
+      void task()
+    }
+    for (let index = 0; index < 10; index++) void task()
+    for (let iteration = 0; iteration < iterations; iteration++) {
+      queue.connectionAccepted()
+      await new Promise(resolve => setImmediate(resolve))
+      clock.advance(iterationMilliseconds)
+    }
+    // A pass of two tasks takes two iterations.
+    expect(ran).to.be.at.least(iterations / 3 * 0.9)
+  })
 })
--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -98,7 +98,10 @@
       noDelay: true
     })
     this.#server.maxConnections = options.maximumCallerConnections
-    this.#server.on('connection', () => { this.#acceptedConnections++ })
+    this.#server.on('connection', () => {
+      this.#acceptedConnections++
+      processTurnQueue.connectionAccepted()
+    })
     this.#server.on('drop', () => this.#onConnectionDropped())
     this.#server.on('clientError', (error, socket) => this.#onClientError(error, socket as Socket))
     const application = polka({ server: this.#server, onNoMatch: (request, response) => this.#handle(request, response) })
