Keep the limit that an endpoint names in its answers

Cause: no code read the limit. An endpoint in need got whatever its keys and slots allowed. The coordinator of the endpoint starts requests at that rate (StartRate in EndpointQueue), refuses at once those that would start too late, and states the limit with its answers. A VM that knows a limit does not send by itself when it cannot reach the coordinator.

--- a/packages/router/src/endpoint-transport.ts
+++ b/packages/router/src/endpoint-transport.ts
@@ -21,11 +21,14 @@
   readonly waiting: number
 }
 
+/** Requests a second that an endpoint takes from all VMs together, as it names them with an answer; `unknown` when that cannot be read. */
+export type ReportedLimit = number | 'none' | 'unknown'
+
 /** Result of a request to an endpoint. */
 export type EndpointReply =
-  | { readonly kind: 'answered', readonly status: number, /** Headers that are passed on to the caller. */ readonly headers: readonly CallerHeader[], readonly body: Buffer, /** False when the answer had no Content-Length and its end was the close of the connection. */ readonly lengthKnown: boolean, readonly load: ReportedLoad | undefined }
+  | { readonly kind: 'answered', readonly status: number, /** Headers that are passed on to the caller. */ readonly headers: readonly CallerHeader[], readonly body: Buffer, /** False when the answer had no Content-Length and its end was the close of the connection. */ readonly lengthKnown: boolean, readonly load: ReportedLoad | undefined, readonly limit: ReportedLimit }
   /** The endpoint did not run the request: it has no free slot, does not hold the key, or another endpoint has its address. */
-  | { readonly kind: 'refused', readonly reason: 'endpoint_full' | 'not_owner', readonly load: ReportedLoad | undefined }
+  | { readonly kind: 'refused', readonly reason: 'endpoint_full' | 'not_owner', readonly load: ReportedLoad | undefined, readonly limit: ReportedLimit }
   /** Nothing was sent. */
   | { readonly kind: 'unreachable' }
   /** The request may have run. */
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -361,6 +361,7 @@
       routingVersion: this.#router.version ?? 0,
       keyMapPosition: this.#map.current?.position ?? 0,
       endpoints: this.#endpoints.size,
+      limitedEndpoints: [...this.#dispatcher.gates.values()].filter(gate => gate.isLimited).length,
       callersInFlight: this.#entry.inFlight,
       acceptedConnections: this.#entry.acceptedConnections,
       refusedConnections: this.#entry.refusedConnections,
--- a/packages/router/src/request/dispatcher.ts
+++ b/packages/router/src/request/dispatcher.ts
@@ -47,7 +47,14 @@
     const coordinator = this.#options.coordinators.of(endpoint)
     if (coordinator === undefined || coordinator === this.#options.vm) return await this.#gate(endpoint).handle(forward, signal)
     const answer = await this.#options.peers.forward(coordinator, forward, signal)
+    this.#adoptLimit(endpoint, answer)
     if (answer.outcome !== Outcome.OUTCOME_NOT_RUN || !absentPeerReasons.has(answer.reason) || signal.aborted) return answer
+    const gate = this.#gates.get(endpoint.id)
+    if (gate?.isLimited === true) {
+      // Others may have lost the coordinator too, and would exceed the limit together.
+      logger.info('coordinator of an endpoint with a limit unavailable', { request: forward.requestId, endpoint: endpoint.id, coordinator, reason: answer.reason, requestsPerSecond: gate.limit })
+      return notRunAnswer('endpoint_limited')
+    }
     logger.info('coordinator unavailable, sending to the endpoint directly', { request: forward.requestId, endpoint: endpoint.id, coordinator, reason: answer.reason })
     return await this.#gate(endpoint).handle(forward, signal)
   }
@@ -79,6 +86,13 @@
     for (const gate of this.#gates.values()) gate.forgetRules()
   }
 
+  /** Takes over the limit that the coordinator states with an answer. */
+  #adoptLimit (endpoint: EndpointEntry, { requestsPerSecond }: Answer): void {
+    if (requestsPerSecond === undefined) return
+    if (requestsPerSecond < Infinity) this.#gate(endpoint).adoptLimit(requestsPerSecond)
+    else this.#gates.get(endpoint.id)?.adoptLimit(undefined)
+  }
+
   #gate (entry: EndpointEntry): EndpointGate {
     let gate = this.#gates.get(entry.id)
     if (gate === undefined) this.#gates.set(entry.id, gate = new EndpointGate({ ...this.#options, entry }))
--- a/packages/router/src/request/endpoint-gate.ts
+++ b/packages/router/src/request/endpoint-gate.ts
@@ -2,7 +2,7 @@
 import { Answer, notRunAnswer, Outcome, ServiceClass, unknownAnswer, type Forward } from '@briarsaddle/protocol'
 import { ClassPolicy, EndpointQueue, RefusalError, type ServiceClass as QueueClass } from '@briarsaddle/scheduling'
 import type { EndpointEntry } from '../endpoint-entry.js'
-import type { EndpointReply, EndpointTransport } from '../endpoint-transport.js'
+import type { EndpointReply, EndpointTransport, ReportedLimit } from '../endpoint-transport.js'
 import type { RouterMetrics } from '../router-metrics.js'
 import { KeyDemandMeter } from './key-demand.js'
 
@@ -20,6 +20,8 @@
 // Further requests would wait beyond their deadlines; admission control refuses most of them before this limit.
 const maximumQueued = 64
 const policy = new ClassPolicy()
+// A limit that was not named for this long is no reason to leave an endpoint to its coordinator.
+const limitKnownMilliseconds = 5_000
 
 const queueClasses: Readonly<Record<ServiceClass, QueueClass>> = {
   [ServiceClass.SERVICE_CLASS_NORMAL]: 'normal',
@@ -34,6 +36,9 @@
   /** Measures the demand at this endpoint. */
   readonly demand: KeyDemandMeter
   #entry: EndpointEntry
+  /** Requests a second that the endpoint takes from all VMs together; undefined when it names no limit. */
+  #limit: number | undefined
+  #limitNamedAt = -Infinity
 
   constructor (options: EndpointGateOptions) {
     this.#options = options
@@ -52,8 +57,14 @@
   /** Number of requests that wait. */
   get queued (): number { return this.#queue.queued }
 
+  /** Requests a second that the endpoint takes from all VMs together; undefined when it names no limit. */
+  get limit (): number | undefined { return this.#limit }
+  /** Whether the endpoint has named a limit recently. */
+  get isLimited (): boolean { return this.#limit !== undefined && this.#options.clock.now() - this.#limitNamedAt <= limitKnownMilliseconds }
+
   /** Applies a new directory entry of the endpoint. */
   update (entry: EndpointEntry): void {
+    if (entry.life !== this.#entry.life) this.#setLimit(undefined)
     this.#entry = entry
     if (entry.slots !== this.#queue.slots) this.#queue.setSlots(entry.slots)
   }
@@ -64,6 +75,12 @@
     this.demand.forgetRules()
   }
 
+  /** Applies the limit that another VM has from the endpoint; undefined when it names none. */
+  adoptLimit (requestsPerSecond: number | undefined): void {
+    if (requestsPerSecond !== undefined) this.#limitNamedAt = this.#options.clock.now()
+    this.#setLimit(requestsPerSecond)
+  }
+
   /** Queues a request, sends it to the endpoint and returns the answer. A refusal by the queue is an answer as well. */
   async handle (forward: Forward, signal: AbortSignal): Promise<Answer> {
     const { clock } = this.#options
@@ -80,7 +97,7 @@
         run: async runSignal => await this.#run(forward, { arrivedAt, deadlineAt }, runSignal),
         isRunningTimeSample: result => result.outcome === Outcome.OUTCOME_ANSWERED
       }))
-      return { ...answer, outstanding: this.outstanding }
+      return { ...answer, outstanding: this.outstanding, requestsPerSecond: this.#limit ?? Infinity }
     } catch (error) {
       if (!(error instanceof RefusalError)) throw error
       const fields = {
@@ -92,12 +109,13 @@
         outstanding: this.outstanding,
         queued: this.queued,
         slots: this.slots,
+        requestsPerSecond: this.#limit,
         waitedMilliseconds: Math.round(clock.now() - arrivedAt),
         remainingMilliseconds: Math.round(deadlineAt - clock.now()),
         retryAfterMilliseconds: Math.round(error.retryAfterMilliseconds)
       }
       logger.info('request refused by the queue', fields)
-      return notRunAnswer(error.code, { retryAfterMilliseconds: error.retryAfterMilliseconds, outstanding: this.outstanding })
+      return notRunAnswer(error.code, { retryAfterMilliseconds: error.retryAfterMilliseconds, outstanding: this.outstanding, requestsPerSecond: this.#limit ?? Infinity })
     }
   }
 
@@ -118,10 +136,26 @@
     const { requestId, bucket, method, target, headers, body } = forward
     const reply = await transport.send(this.#entry, { requestId, key: bucket < 0 ? undefined : bucket, method, target, headers, body, remainingMilliseconds: deadlineAt - startedAt }, signal)
     const milliseconds = clock.now() - startedAt
+    if ('limit' in reply) this.#observeLimit(reply.limit, startedAt, reply.kind === 'answered')
     if (reply.kind === 'answered') this.demand.recordServiceTime(forward.rule, milliseconds)
     else logger.info('endpoint did not answer', { request: requestId, endpoint: this.#entry.id, pool: this.pool, key: keyOf(forward), life: this.#entry.life, result: reply.kind, reason: 'reason' in reply ? reply.reason : reply.kind, waitedMilliseconds: Math.round(startedAt - arrivedAt), milliseconds: Math.round(milliseconds) })
     return answerOf(reply, milliseconds)
   }
+
+  /** Applies what the reply to a request says of the limit. */
+  #observeLimit (limit: ReportedLimit, sentAt: number, answered: boolean): void {
+    if (limit === 'unknown') return
+    if (limit !== 'none') this.adoptLimit(limit)
+    // A request that was sent earlier may have been answered before the endpoint named its limit.
+    else if (answered && sentAt > this.#limitNamedAt) this.#setLimit(undefined)
+  }
+
+  #setLimit (requestsPerSecond: number | undefined): void {
+    if (requestsPerSecond === this.#limit) return
+    logger.info('limit of an endpoint changed', { endpoint: this.#entry.id, pool: this.pool, life: this.#entry.life, requestsPerSecond, before: this.#limit, queued: this.queued })
+    this.#limit = requestsPerSecond
+    this.#queue.setStartRate(requestsPerSecond)
+  }
 }
 
 /** Reason of an answer without a Content-Length, whose end was the close of its connection. */
--- a/packages/router/src/request/refusals.test.ts
+++ b/packages/router/src/request/refusals.test.ts
@@ -138,7 +138,7 @@
 
   it('writes no line for a request that an endpoint answers', async () => {
     router.use(table)
-    endpoint.reply = { kind: 'answered', status: 200, headers: [], body: Buffer.from('ok'), lengthKnown: true, load: undefined }
+    endpoint.reply = { kind: 'answered', status: 200, headers: [], body: Buffer.from('ok'), lengthKnown: true, load: undefined, limit: 'none' }
     const accepted = router.accept(request({ host: 'a', key: '7' }))
     if ('status' in accepted) throw new Error('the request was refused')
     expect(await router.route(accepted, Buffer.alloc(0), new AbortController().signal)).to.include({ status: 200 })
--- a/packages/scheduling/src/endpoint-queue.test.ts
+++ b/packages/scheduling/src/endpoint-queue.test.ts
@@ -306,4 +306,27 @@
     await delay(0)
     expect(harness.order).to.deep.equal(['next'])
   })
+
+  // Guards against an endpoint that gets more requests than the limit that it has named (LIMIT), and against requests that wait for a
+  // start that comes after their deadline.
+  it('starts jobs no faster than the start rate, and refuses at once those that would start too late', async () => {
+    const harness = new QueueHarness({ slots: 4 })
+    harness.queue.setStartRate(2)
+    const submissions = ['a', 'b', 'c', 'd'].map(name => harness.submit(name, 'normal', 1, 1_800))
+    expect(harness.order).to.deep.equal([])
+    expect(await codeOf(submissions[3] as Submission)).to.equal('deadline_unreachable')
+    for (const expected of [['a'], ['a', 'b'], ['a', 'b', 'c']]) {
+      harness.clock.advance(500)
+      await delay(600)
+      expect(harness.order).to.deep.equal(expected)
+    }
+  })
+
+  it('starts all queued jobs when the start rate is lifted', () => {
+    const harness = new QueueHarness({ slots: 4 })
+    harness.queue.setStartRate(1)
+    for (const name of ['a', 'b', 'c']) harness.submit(name)
+    harness.queue.setStartRate(undefined)
+    expect(harness.order).to.deep.equal(['a', 'b', 'c'])
+  })
 })
--- a/packages/scheduling/src/endpoint-queue.ts
+++ b/packages/scheduling/src/endpoint-queue.ts
@@ -6,6 +6,7 @@
 import { RunningTimes } from './running-times.js'
 import { serviceClasses, zeroPerClass, type PerClass, type ServiceClass } from './service-class.js'
 import { startDelay } from './start-delay.js'
+import { StartRate } from './start-rate.js'
 
 /** Options of `EndpointQueue`. */
 export interface EndpointQueueOptions {
@@ -43,6 +44,8 @@
 export interface EndpointQueueSnapshot {
   readonly slots: number
   readonly foreignRunning: number
+  /** Jobs that may start in a second; undefined without a limit. */
+  readonly startsPerSecond: number | undefined
   readonly maximumQueued: number
   readonly draining: boolean
   readonly running: PerClass<number>
@@ -98,13 +101,14 @@
   #sweepTimer: NodeJS.Timeout | undefined
   #sweepAt = Infinity
   #longJobsTimer: NodeJS.Timeout | undefined
+  #startTimer: NodeJS.Timeout | undefined
 
   constructor ({ slots, maximumQueued, clock, random, policy, admission = true }: EndpointQueueOptions) {
     this.#clock = clock
     this.#random = random
     this.#policy = policy
     this.#admission = admission
-    this.#limits = { slots, foreignRunning: 0, maximumQueued, longJobsDelayedUntil: -Infinity }
+    this.#limits = { slots, foreignRunning: 0, maximumQueued, longJobsDelayedUntil: -Infinity, startRate: new StartRate(clock) }
     const lanes = new LaneQueue(policy, this.#limits, entry => this.#refuseRemoved(entry as Entry, 'expired_in_queue'), () => clock.now())
     this.#laneQueue = lanes
     // p-queue constructs its queue class without arguments; this constructor returns the existing queue instead.
@@ -135,6 +139,7 @@
       if (entry.state !== 'queued') return
       job.signal.addEventListener('abort', cancel)
       this.#scheduleSweep(entry.startBy)
+      this.#scheduleStart()
     })
   }
 
@@ -175,6 +180,15 @@
     this.#applyLimits()
   }
 
+  /** Sets how many jobs may start in a second; undefined removes the limit. */
+  setStartRate (perSecond: number | undefined): void {
+    this.#limits.startRate.set(perSecond)
+    clearTimeout(this.#startTimer)
+    this.#startTimer = undefined
+    this.#applyLimits()
+    this.#scheduleStart()
+  }
+
   /** Sets whether new jobs are refused. Queued jobs still run. */
   setDraining (draining: boolean): void {
     this.#draining = draining
@@ -213,6 +227,7 @@
     return {
       slots,
       foreignRunning,
+      startsPerSecond: this.#limits.startRate.perSecond,
       maximumQueued,
       draining: this.#draining,
       running: { ...running },
@@ -230,7 +245,7 @@
 
   #startsAtOnce (lane: ServiceClass): boolean {
     const lanes = this.#laneQueue
-    if (lanes.freeSlots <= 0) return false
+    if (lanes.freeSlots <= 0 || this.#limits.startRate.delayOf(1) > 0) return false
     const queued = { ...zeroPerClass(), [lane]: 1 }
     const { slots, foreignRunning, maximumQueued, running, overtaken, longJobsDelayed } = lanes
     // While a slot is free, queued jobs are there only because the policy delays them, so only jobs of the same lane can be ahead.
@@ -265,6 +280,7 @@
   async #run<Result> (entry: Entry, job: QueueJob<Result>, resolve: (result: Result) => void): Promise<void> {
     entry.stopListening()
     this.#started++
+    this.#scheduleStart()
     try {
       const result = await job.run(job.signal)
       this.#measure(entry, !job.signal.aborted && job.isRunningTimeSample?.(result) !== false ? 'complete' : 'unusable', job.signal)
@@ -287,7 +303,7 @@
   #expectedWait (lane: ServiceClass, now: number): number {
     const { slots } = this.#limits
     const work = this.#policy.lanesBefore(lane).reduce((sum, other) => sum + this.#laneQueue.queuedWork(other), 0)
-    const wait = startDelay(this.#remaining(now, undefined), slots, work)
+    const wait = Math.max(startDelay(this.#remaining(now, undefined), slots, work), this.#limits.startRate.delayOf(this.#queuedBefore(lane) + 1))
     const laneSlots = this.#policy.slotsOf(lane, slots)
     const delay = lane === 'long' ? Math.max(0, this.#limits.longJobsDelayedUntil - now) : 0
     if (laneSlots === slots) return delay + wait
@@ -296,8 +312,12 @@
 
   /** Margin by which a wait in the lane may exceed the expected wait; deviations of the preceding jobs partly cancel out. */
   #waitMargin (lane: ServiceClass, spread: number): number {
-    const before = this.#policy.lanesBefore(lane).reduce((sum, other) => sum + this.#laneQueue.queued[other], 0)
-    return waitingSpreads * spread * Math.sqrt(before) / Math.max(1, this.#policy.slotsOf(lane, this.#limits.slots))
+    return waitingSpreads * spread * Math.sqrt(this.#queuedBefore(lane)) / Math.max(1, this.#policy.slotsOf(lane, this.#limits.slots))
+  }
+
+  /** Number of queued jobs that start before a new job of the lane. */
+  #queuedBefore (lane: ServiceClass): number {
+    return this.#policy.lanesBefore(lane).reduce((sum, other) => sum + this.#laneQueue.queued[other], 0)
   }
 
   /** Expected remaining times of the running jobs of one lane, or of all running jobs including those of a former coordinator. */
@@ -313,7 +333,7 @@
   #expectedDrain (): number {
     const queuedWork = serviceClasses.reduce((sum, lane) => sum + this.#laneQueue.queuedWork(lane), 0)
     const remaining = this.#remaining(this.#clock.now(), undefined).reduce((sum, time) => sum + time, 0)
-    return (queuedWork + remaining) / Math.max(1, this.#limits.slots)
+    return Math.max((queuedWork + remaining) / Math.max(1, this.#limits.slots), this.#limits.startRate.delayOf(this.queued + 1))
   }
 
   #refusal (code: RefusalCode): Refusal {
@@ -344,6 +364,18 @@
     this.#queue.concurrency = Math.max(1, slots - foreignRunning)
   }
 
+  /** Sets a timer for the time at which the start rate lets the next queued job start. */
+  #scheduleStart (): void {
+    const wait = this.#limits.startRate.delayOf(1)
+    if (wait === 0 || this.queued === 0 || this.#startTimer !== undefined) return
+    this.#startTimer = setTimeout(() => {
+      this.#startTimer = undefined
+      this.#applyLimits()
+      this.#scheduleStart()
+    }, Math.ceil(wait))
+    this.#startTimer.unref()
+  }
+
   #scheduleSweep (time: number): void {
     if (time >= this.#sweepAt) return
     clearTimeout(this.#sweepTimer)
--- a/packages/scheduling/src/lane-queue.ts
+++ b/packages/scheduling/src/lane-queue.ts
@@ -2,6 +2,7 @@
 import { Lane, type LaneNode } from './lane.js'
 import type { QueuePolicy, QueueView } from './queue-policy.js'
 import { serviceClasses, zeroPerClass, type ServiceClass } from './service-class.js'
+import type { StartRate } from './start-rate.js'
 
 type RunFunction = () => Promise<unknown>
 
@@ -33,6 +34,7 @@
   maximumQueued: number
   /** Time before which no long job starts, in clock milliseconds. */
   longJobsDelayedUntil: number
+  readonly startRate: StartRate
 }
 
 /**
@@ -65,7 +67,7 @@
   get freeSlots (): number { return this.slots - this.foreignRunning - this.runningTotal }
 
   get size (): number {
-    return this.freeSlots > 0 && this.policy.select(this) !== undefined ? this.queuedTotal : 0
+    return this.freeSlots > 0 && this.limits.startRate.delayOf(1) === 0 && this.policy.select(this) !== undefined ? this.queuedTotal : 0
   }
 
   enqueue (run: RunFunction, options?: Partial<EntryOptions>): void {
@@ -129,6 +131,7 @@
       if (this.queued[other] > 0) this.overtaken[other]++
     }
     this.overtaken[lane] = 0
+    this.limits.startRate.take()
     entry.state = 'running'
     entry.startedAt = this.now()
     this.running[lane]++
