Send requests to another endpoint of the pool instead of waiting for one with a limit

Callers saw: requests of a pool without keys wait up to 1 s for a token of an endpoint that had named a limit, while others had free slots. Cause: the queue of an endpoint with a limit let every request wait that could still meet its deadline. The choice among endpoints does not know the tokens of a coordinator. Change: the coordinator refuses such a request at once; the VM of the caller sends it elsewhere.

--- a/packages/daemon/src/coordinator/answers.ts
+++ b/packages/daemon/src/coordinator/answers.ts
@@ -5,7 +5,7 @@
 /** Reason codes of answers whose outcome is not ANSWERED. */
 export type Reason =
   | 'not_coordinator' | 'not_owner' | 'endpoint_unavailable' | 'endpoint_lost' | 'endpoint_shed' | 'endpoint_refused'
-  | 'effect_refused' | 'queue_full' | 'deadline_unreachable' | 'expired_in_queue' | 'cancelled_in_queue' | 'draining'
+  | 'effect_refused' | 'queue_full' | 'deadline_unreachable' | 'expired_in_queue' | 'cancelled_in_queue' | 'draining' | 'start_rate_exceeded'
   | 'right_expired' | 'journal_unavailable' | 'journal_full' | 'idempotency_key_reused' | 'repeat_in_progress' | 'repeat_unknown' | 'journal_incomplete'
   | 'deadline_passed' | 'connection_broken' | 'answer_too_large' | 'cancelled'
 
--- a/packages/router/src/request/endpoint-gate.ts
+++ b/packages/router/src/request/endpoint-gate.ts
@@ -94,6 +94,7 @@
         rule: forward.rule,
         deadlineAt,
         signal: limited,
+        isPortable: forward.anyEndpoint,
         run: async runSignal => await this.#run(forward, { arrivedAt, deadlineAt }, runSignal),
         isRunningTimeSample: result => result.outcome === Outcome.OUTCOME_ANSWERED
       }))
--- a/packages/router/src/request/range-router.ts
+++ b/packages/router/src/request/range-router.ts
@@ -233,7 +233,7 @@
       headers: endToEndHeaders(headerPairs(request.rawHeaders)).filter(header => this.#isForwarded(header)),
       body,
       position: 0,
-      anyEndpoint: false,
+      anyEndpoint: !pool.keyed,
       objectiveMilliseconds
     }
   }
--- a/packages/scheduling/src/endpoint-queue.test.ts
+++ b/packages/scheduling/src/endpoint-queue.test.ts
@@ -322,6 +322,17 @@
     }
   })
 
+  // Guards against requests that wait for an endpoint with a limit although others of its pool have free slots.
+  it('refuses a job at once that another queue can run, when the start rate does not let it start now', async () => {
+    const harness = new QueueHarness({ slots: 4 })
+    const description = { serviceClass: 'normal', rule: 1, deadlineAt: 60_000, signal: new AbortController().signal } as const
+    harness.queue.setStartRate(2)
+    expect(harness.queue.refusalFor({ ...description, isPortable: true })?.code).to.equal('start_rate_exceeded')
+    expect(harness.queue.refusalFor(description)).to.equal(undefined)
+    harness.clock.advance(500)
+    expect(harness.queue.refusalFor({ ...description, isPortable: true })).to.equal(undefined)
+  })
+
   it('starts all queued jobs when the start rate is lifted', () => {
     const harness = new QueueHarness({ slots: 4 })
     harness.queue.setStartRate(1)
--- a/packages/scheduling/src/endpoint-queue.ts
+++ b/packages/scheduling/src/endpoint-queue.ts
@@ -31,6 +31,8 @@
   readonly deadlineAt: number
   /** Cancels the job: removes it from the queue while it is queued; also passed to `run`. */
   readonly signal: AbortSignal
+  /** Whether another queue can run the job as well, so that it is refused instead of waiting for the start rate. Default false. */
+  readonly isPortable?: boolean
   /** Runs the job. The slot is busy until the promise settles. */
   readonly run: (signal: AbortSignal) => Promise<Result>
   /** Returns false for results that are not samples of the running time, such as a refusal by the endpoint. */
@@ -38,7 +40,7 @@
 }
 
 /** The properties of a job on which its admission depends. */
-export type JobDescription = Pick<QueueJob<unknown>, 'serviceClass' | 'rule' | 'deadlineAt' | 'signal'>
+export type JobDescription = Pick<QueueJob<unknown>, 'serviceClass' | 'rule' | 'deadlineAt' | 'signal' | 'isPortable'>
 
 /** State of an `EndpointQueue` for the state dump; times in milliseconds. */
 export interface EndpointQueueSnapshot {
@@ -94,7 +96,7 @@
   readonly #laneQueue: LaneQueue
   readonly #queue: PQueue<LaneQueue, EntryOptions>
   readonly #refused: Record<RefusalCode, number> =
-    { queue_full: 0, deadline_unreachable: 0, expired_in_queue: 0, cancelled_in_queue: 0, draining: 0 }
+    { queue_full: 0, deadline_unreachable: 0, expired_in_queue: 0, cancelled_in_queue: 0, draining: 0, start_rate_exceeded: 0 }
 
   #started = 0
   #draining = false
@@ -144,11 +146,12 @@
   }
 
   /** Returns the refusal that the job would get now, or undefined. Much cheaper than a rejection by `submit`. */
-  refusalFor ({ serviceClass, rule, deadlineAt, signal }: JobDescription): Refusal | undefined {
+  refusalFor ({ serviceClass, rule, deadlineAt, signal, isPortable = false }: JobDescription): Refusal | undefined {
     if (signal.aborted) return this.#refusal('cancelled_in_queue')
     if (this.#draining) return this.#refusal('draining')
     const now = this.#clock.now()
     if (deadlineAt <= now) return this.#refusal('deadline_unreachable')
+    if (isPortable && this.#limits.startRate.delayOf(this.queued + 1) > 0) return this.#refusal('start_rate_exceeded')
     const lane = this.#laneOf(serviceClass, rule)
     if (this.#startsAtOnce(lane)) return undefined
     if (!this.#policy.mayWait(lane, this.#laneQueue)) return this.#refusal('queue_full')
--- a/packages/scheduling/src/refusal.ts
+++ b/packages/scheduling/src/refusal.ts
@@ -1,7 +1,7 @@
 import { BriarsaddleError, type ErrorDetails } from '@briarsaddle/common'
 
 /** Why a job was refused or removed from the queue. With each of these codes the job has not run. */
-export type RefusalCode = 'queue_full' | 'deadline_unreachable' | 'expired_in_queue' | 'cancelled_in_queue' | 'draining'
+export type RefusalCode = 'queue_full' | 'deadline_unreachable' | 'expired_in_queue' | 'cancelled_in_queue' | 'draining' | 'start_rate_exceeded'
 
 /** A refusal as plain data, for callers that respond without creating an error. */
 export interface Refusal {
@@ -15,7 +15,8 @@
   deadline_unreachable: 'The endpoint cannot answer before the deadline of the request',
   expired_in_queue: 'The request expired in the queue: too little time is left before its deadline',
   cancelled_in_queue: 'The request was cancelled in the queue',
-  draining: 'The endpoint is draining and accepts no new requests'
+  draining: 'The endpoint is draining and accepts no new requests',
+  start_rate_exceeded: 'The endpoint takes no further request now, and another endpoint can run this one'
 }
 
 class DetailedRefusal extends BriarsaddleError {
