Move keys away from an endpoint whose limit is below their demand

Callers saw: 503 for as long as the owner of their keys named a limit, while other endpoints of the pool had free slots. Cause: the plan that spreads demand compares it with slots. Under a limit of one a second, an endpoint with two slots looks idle. Change: VMs report the slots that a recent limit leaves usable, and the plan takes these for the endpoint's slots.

--- a/packages/key-ranges/src/plans.test.ts
+++ b/packages/key-ranges/src/plans.test.ts
@@ -106,6 +106,18 @@
     expect(moved, 'keys that changed hands').to.be.below(2_000)
   })
 
+  it('moves most keys away from an endpoint whose limit leaves it a fraction of a slot, and gives it none', () => {
+    const map = assigned('a', 'b', 'c')
+    const keys = Array.from({ length: 20 }, (_, index) => ({ key: 100 + index, busySlots: 0.04 }))
+    const limited = demand('a', { slots: 0.2, busySlots: 0.8, keys })
+    const after = planSpread(map, pool, [limited, demand('b'), demand('c')])
+    const left = keys.filter(({ key }) => segmentAt(after, pool, key)?.owner.endpoint === 'a').length * 0.04
+    expect(left).to.be.at.most(0.2)
+    const hot = Array.from({ length: 20 }, (_, index) => ({ key: 30_000 + index, busySlots: 0.1 }))
+    const relieved = planSpread(map, pool, [demand('a', { slots: 0.2, busySlots: 0.1 }), demand('b', { busySlots: 2, keys: hot }), demand('c', { busySlots: 1.9 })])
+    expect(hot.every(({ key }) => segmentAt(relieved, pool, key)?.owner.endpoint !== 'a')).to.equal(true)
+  })
+
   it('does not move a key to an endpoint that could serve no more of it than its present owner', () => {
     const map = assigned('a', 'b')
     const keys = [{ key: 10, busySlots: 1.2 }, { key: 20, busySlots: 1.2 }]
--- a/packages/key-ranges/src/spread-plan.ts
+++ b/packages/key-ranges/src/spread-plan.ts
@@ -9,7 +9,7 @@
   readonly busySlots: number
 }
 
-/** Recent demand at one endpoint, including demand that exceeded its slots. */
+/** Recent demand at one endpoint, including demand that exceeded its slots. An endpoint with a limit may have a fraction of a slot. */
 export interface MemberDemand extends PoolMember {
   /** Time for which a request occupies a slot of the endpoint, in milliseconds; 0 when not known. */
   readonly serviceMilliseconds: number
@@ -102,8 +102,11 @@
   return servedAfter - served(member.busySlots) >= settings.minimumGainSlots ? { piece, target } : undefined
 }
 
+// An endpoint that takes nothing at all would otherwise be overloaded without limit.
+const minimumSlots = 0.01
+
 function demandPerSlot (member: MemberDemand): number {
-  return member.busySlots / Math.max(1, member.slots)
+  return member.busySlots / Math.max(minimumSlots, member.slots)
 }
 
 interface Target {
--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -18,7 +18,10 @@
 const logger = new Logger('leader')
 
 /** Demand at an endpoint, as the VMs that coordinate it measured it. */
-export type MeasuredDemand = Pick<MemberDemand, 'busySlots' | 'serviceMilliseconds' | 'keys'>
+export interface MeasuredDemand extends Pick<MemberDemand, 'busySlots' | 'serviceMilliseconds' | 'keys'> {
+  /** Slots that the limit of the endpoint allows to be busy; absent without a limit. */
+  readonly usableSlots?: number | undefined
+}
 
 /** Source of the demand at the endpoints. */
 export abstract class DemandSource {
@@ -227,7 +230,9 @@
     const planned = planMembership(map, pool, members)
     // Without a confirmed membership the write would probably fail, and would only suspend the grants of the keys that it moves.
     if (planned !== map || !this.#demandIsFresh || !this.#isMembershipConfirmed) return planned
-    return planSpread(planned, pool, members.map(member => this.#hasCurrentDemand(member) && member.keepsKeys !== true ? member : { ...member, accepting: false, busySlots: 0, keys: [] }))
+    return planSpread(planned, pool, members.map(member => this.#hasCurrentDemand(member) && member.keepsKeys !== true
+      ? { ...member, slots: this.#demand.get(member.endpoint)?.usableSlots ?? member.slots }
+      : { ...member, accepting: false, busySlots: 0, keys: [] }))
   }
 
   /**
--- a/packages/router/src/control/peer-demand.test.ts
+++ b/packages/router/src/control/peer-demand.test.ts
@@ -59,6 +59,13 @@
     expect(collected.get('e')).to.deep.equal({ busySlots: 4, serviceMilliseconds: 175, keys: [{ key: 5, busySlots: 2 }, { key: 6, busySlots: 0.5 }] })
   })
 
+  it('takes the lowest of the slots that a limit allows, when two VMs report on one endpoint', async () => {
+    const load = (usableSlots: number | undefined): EndpointKeyLoad => ({ endpoint: 'e', busySlots: 1, queued: 0, serviceMilliseconds: 100, keys: [], usableSlots })
+    const both: DemandPeers = { vms: ['vm-1', 'vm-2'], get: vm => ({ fetchKeyLoads: async () => ({ ...report(vm), endpoints: [load(vm === 'vm-1' ? 0.4 : 0.2)] }) }) }
+    const self = { fetchKeyLoads: async () => ({ ...report('self'), endpoints: [load(undefined)] }) }
+    expect((await new PeerDemand(both, self, readPositions, { applyRound: () => {} }).collect()).get('e')).to.include({ usableSlots: 0.2 })
+  })
+
   it('collects the demand of the other VMs when some do not answer', async () => {
     for (const vm of peers.vms.slice(0, 20)) peers.silent.add(vm)
     expect((await demand.collect()).size).to.equal(peers.vms.length + 1 - 20)
--- a/packages/router/src/control/peer-demand.ts
+++ b/packages/router/src/control/peer-demand.ts
@@ -75,12 +75,14 @@
  * Adds up the reports on one endpoint: two VMs may both have sent to it, for example while its coordinator changed. Service times
  * are weighted by the slots that they kept busy; 0 means not known.
  */
-function addReport (before: MeasuredDemand | undefined, { busySlots, serviceMilliseconds, keys }: EndpointKeyLoad): MeasuredDemand {
-  if (before === undefined) return { busySlots, serviceMilliseconds, keys: mergeKeyDemand(keys) }
+function addReport (before: MeasuredDemand | undefined, { busySlots, serviceMilliseconds, keys, usableSlots }: EndpointKeyLoad): MeasuredDemand {
+  if (before === undefined) return { busySlots, serviceMilliseconds, keys: mergeKeyDemand(keys), ...(usableSlots === undefined ? {} : { usableSlots }) }
+  const usable = [before.usableSlots, usableSlots].filter(slots => slots !== undefined)
   return {
     busySlots: before.busySlots + busySlots,
     serviceMilliseconds: weightedMean([before, { busySlots, serviceMilliseconds }]),
-    keys: mergeKeyDemand([...before.keys, ...keys])
+    keys: mergeKeyDemand([...before.keys, ...keys]),
+    ...(usable.length === 0 ? {} : { usableSlots: Math.min(...usable) })
   }
 }
 
--- a/packages/router/src/request/endpoint-gate.ts
+++ b/packages/router/src/request/endpoint-gate.ts
@@ -62,6 +62,12 @@
   /** Whether the endpoint has named a limit recently. */
   get isLimited (): boolean { return this.#limit !== undefined && this.#options.clock.now() - this.#limitNamedAt <= limitKnownMilliseconds }
 
+  /** Slots that a recent limit allows to be busy, given the mean service time; undefined without one, and while the time is not known. */
+  usableSlots (serviceMilliseconds: number): number | undefined {
+    if (this.#limit === undefined || !this.isLimited || serviceMilliseconds === 0) return undefined
+    return Math.min(this.slots, this.#limit * serviceMilliseconds / 1_000)
+  }
+
   /** Applies a new directory entry of the endpoint. */
   update (entry: EndpointEntry): void {
     if (entry.life !== this.#entry.life) this.#setLimit(undefined)
--- a/packages/router/src/request/inner-handlers.ts
+++ b/packages/router/src/request/inner-handlers.ts
@@ -85,8 +85,9 @@
     const owned = keys.filter(({ key }) => isOwned(key))
     const movedAwaySlots = keys.reduce((sum, key) => sum + key.busySlots, 0) - owned.reduce((sum, key) => sum + key.busySlots, 0)
     const remainingSlots = Math.max(0, busySlots - movedAwaySlots)
-    const busy = remainingSlots / Math.max(1, gate.slots) > keyReportThreshold
-    return { endpoint, busySlots: remainingSlots, queued: gate.queued, serviceMilliseconds, keys: busy ? owned.slice(0, maximumReportedKeys) : [] }
+    const usableSlots = gate.usableSlots(serviceMilliseconds)
+    const busy = remainingSlots > keyReportThreshold * (usableSlots ?? Math.max(1, gate.slots))
+    return { endpoint, busySlots: remainingSlots, queued: gate.queued, serviceMilliseconds, keys: busy ? owned.slice(0, maximumReportedKeys) : [], usableSlots }
   }
 
   override async confirm (): Promise<ConfirmResponse> { throw unsupported('confirm') }
