Let a stopping VM finish the requests that other VMs have forwarded to it

While several VMs stop in turn, the leader changes and the list of VMs is up to two seconds old, so a VM whose callers had been finished still got requests as a coordinator. It cut them off after 0.3 s, on the assumption that nobody forwards any more by then. Change: from the end of the lame duck time on, a stopping VM announces its end to other VMs, and requests that they have forwarded have as long to finish as those of its own callers.

--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -1,5 +1,5 @@
 import { randomInt } from 'node:crypto'
-import { LifeCycle, Logger, LoopDelay, MonotonicClock, processTurnQueue, Random, type Clock } from '@briarsaddle/common'
+import { delay, LifeCycle, Logger, LoopDelay, MonotonicClock, processTurnQueue, Random, type Clock } from '@briarsaddle/common'
 import { EntryServer } from '@briarsaddle/entry'
 import type { KeyMap, VmEntry } from '@briarsaddle/key-ranges'
 import { InnerServer, PeerPool, type Answer, type Forward } from '@briarsaddle/protocol'
@@ -51,8 +51,6 @@
 const reportMilliseconds = 2_000
 // After this time a VM that cannot read the log accepts connections all the same, and refuses the requests with a reason.
 const longestPreparationMilliseconds = 2_000
-// Other VMs forward no more requests by then; only answers are still to be sent.
-const lastPeerAnswersMilliseconds = 300
 // Streams between VMs that fail are replaced before the usual deadline of a request passes.
 const peerConnectMilliseconds = 400
 const peerSilenceMilliseconds = 400
@@ -194,9 +192,10 @@
     const left = this.#member.leave()
     this.#changes.notify()
     this.#publisher.publishSoon()
-    if (this.#entry.serving) await this.#entry.stop(finishMilliseconds, lameDuckMilliseconds)
-    await left
-    await this.#inner.stop(lastPeerAnswersMilliseconds)
+    const entryStopped = this.#entry.serving ? this.#entry.stop(finishMilliseconds, lameDuckMilliseconds) : undefined
+    await delay(lameDuckMilliseconds)
+    // Other VMs forward requests until the list of VMs has changed, which a change of the leader delays. Those finish like the callers' own.
+    await Promise.all([entryStopped, left, this.#inner.stop(finishMilliseconds)])
     await this.#lifeCycle.close()
     logger.info('stopped')
   }
