Refuse queued requests some time before their deadline

Cause: a queued request of whose rule no recent running time is known expired at the very deadline, when the VM of the caller has already answered that the outcome is not known. Change: a queued request starts 5 % of its time, at most 50 ms, before its deadline or not at all, so that the refusal arrives in time. It could not have been run in that time.

--- a/packages/scheduling/src/endpoint-queue.test.ts
+++ b/packages/scheduling/src/endpoint-queue.test.ts
@@ -322,6 +322,21 @@
     }
   })
 
+  // Guards against requests that never ran and are answered as if they might have: the refusal has to reach the VM of the caller, which
+  // answers at the deadline.
+  it('refuses a queued job some time before its deadline, also when nothing is known of its running time', async () => {
+    const harness = new QueueHarness({ slots: 1 })
+    harness.submit('running')
+    const waiting = harness.submit('waiting', 'normal', 1, 1_000)
+    const startedAt = performance.now()
+    // The sweep of the queue uses the timers of the process.
+    const elapse = setInterval(() => harness.clock.advance(5), 5)
+    expect(await codeOf(waiting)).to.equal('expired_in_queue')
+    clearInterval(elapse)
+    expect(harness.clock.now()).to.be.lessThan(970)
+    expect(performance.now() - startedAt).to.be.greaterThan(500)
+  })
+
   // Guards against requests that wait for an endpoint with a limit although others of its pool have free slots.
   it('refuses a job at once that another queue can run, when the start rate does not let it start now', async () => {
     const harness = new QueueHarness({ slots: 4 })
--- a/packages/scheduling/src/endpoint-queue.ts
+++ b/packages/scheduling/src/endpoint-queue.ts
@@ -77,6 +77,15 @@
 // Limits the reserved share of the time before the deadline, so that a job with a short deadline may still wait.
 const maximumReservedShare = 0.7
 
+// Share of the time before the deadline, and the most of it, in which a refusal still reaches the VM that answers at the deadline.
+const replyShare = 0.05
+const longestReplyMilliseconds = 50
+
+/** Returns the time to reserve before the deadline for the way back of a refusal, in milliseconds. */
+function replyTime (available: number): number {
+  return Math.min(longestReplyMilliseconds, replyShare * Math.max(0, available))
+}
+
 /**
  * Returns the time to reserve for running the job before its deadline, in milliseconds: the mean running time and a margin of at
  * least one spread. `waitMargin` is an additional margin for the wait, `available` the time until the deadline.
@@ -262,7 +271,9 @@
     const { mean, spread, fresh } = this.#runningTimes.estimate(job.rule, now)
     // A job that is aborted at its deadline has wasted a slot and has an unknown outcome, whereas a job that expires in the
     // queue has not run.
-    const reserved = this.#admission && fresh && !this.#startsAtOnce(lane) ? reservedTime(mean, spread, 0, job.deadlineAt - now) : 0
+    const available = job.deadlineAt - now
+    const runningTime = fresh ? reservedTime(mean, spread, 0, available) : 0
+    const reserved = this.#admission && !this.#startsAtOnce(lane) ? Math.max(runningTime, replyTime(available)) : 0
     return {
       lane,
       rule: job.rule,
