Refuse requests at once that have less time left than hardly any answer takes

Callers saw: 502 or 504 for requests that no endpoint had got. Cause: a request was sent with any time above 5 ms left. The VM that queues for the endpoint got it when the deadline had passed, and the VM of the caller could not tell whether it had run. Change: each VM estimates for each route the time that all but the fastest twentieth of recent answers took. With less time left a request is refused as not run, which its caller may repeat. Half of the route's time is always enough to be sent. Evidence: refusals.test.ts, 'refuses a request at once when hardly any request of its route was answered in the time that is left', failed (200 after the deadline instead of 503) and passes.

--- a/packages/router/src/request/range-router.ts
+++ b/packages/router/src/request/range-router.ts
@@ -2,6 +2,7 @@
 import { CallerRequestHandler, endToEndHeaders, headerPairs, headerValue, isValidHeader, type CallerAnswer, type CallerHeader, type CallerRequest } from '@briarsaddle/entry'
 import { segmentAt, type KeyMap, type Segment } from '@briarsaddle/key-ranges'
 import { notRunAnswer, Outcome, ServiceClass, type Answer, type Forward } from '@briarsaddle/protocol'
+import { FastQuantile } from '@briarsaddle/scheduling'
 import type { StateAges } from '../control/state-ages.js'
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
 import { RouteMatcher } from '../route-matcher.js'
@@ -80,6 +81,8 @@
 const overloadShare = 0.5
 // With less time left, a request is not sent.
 const minimumRemainingMilliseconds = 5
+// A request with this share of its route's time left is sent, however long answers take.
+const alwaysSentShare = 0.5
 
 /** Routes the requests of callers to the endpoints that own their keys, or to any endpoint of a pool without keys. */
 export class RangeRouter extends CallerRequestHandler<RoutedRequest> {
@@ -92,6 +95,8 @@
   #pools = new Map<string, Pool>()
   #ruleNumbers = new Map<string, number>()
   #leastUrgentRank = 0
+  /** Times that endpoints take for the requests of each route, by route name. */
+  readonly #answerTimes = new Map<string, FastQuantile>()
 
   constructor (options: RangeRouterOptions) {
     super()
@@ -113,6 +118,7 @@
     let next = Math.max(0, ...before.values()) + 1
     this.#ruleNumbers = new Map(table.routes.map(route => [route.name, before.get(route.name) ?? next++]))
     this.#leastUrgentRank = Math.max(0, ...table.routes.map(route => route.rank))
+    for (const name of this.#answerTimes.keys()) if (!this.#ruleNumbers.has(name)) this.#answerTimes.delete(name)
   }
 
   override accept (request: CallerRequest): RoutedRequest | CallerAnswer {
@@ -171,6 +177,7 @@
     const startedAt = this.#clock.now()
     for (;;) {
       if (this.#remaining(state) < minimumRemainingMilliseconds) return notRunAnswer('deadline_exceeded')
+      if (this.#remaining(state) < this.#leastTime(routed.route)) return notRunAnswer('deadline_unreachable')
       const endpoint = routed.pool.keyed ? this.#ownerOf(state) : this.#chooseEndpoint(state)
       if (typeof endpoint === 'object') return endpoint
       const share = endpoint === 'keys_moving' ? plannedMoveWaitShare : lossWaitShare
@@ -211,9 +218,21 @@
     const answer = await this.#options.dispatcher.dispatch(endpoint, this.#forward(state, endpoint), state.signal)
     this.#chooser.finished(pool.name, endpoint.id, answer, this.#clock.now() - startedAt)
     if (answer.outcome === Outcome.OUTCOME_UNKNOWN) state.mayHaveRun = true
+    else if (answer.outcome === Outcome.OUTCOME_ANSWERED) this.#recordAnswerTime(state.routed.route, answer.serviceMilliseconds)
     return answer
   }
 
+  #recordAnswerTime ({ name }: Route, milliseconds: number): void {
+    let times = this.#answerTimes.get(name)
+    if (times === undefined) this.#answerTimes.set(name, times = new FastQuantile())
+    times.record(milliseconds, this.#clock.now())
+  }
+
+  /** Returns the time below which hardly any request of a route can be answered, in milliseconds; 0 when it is not known. */
+  #leastTime ({ name, timeoutMilliseconds }: Route): number {
+    return Math.min(alwaysSentShare * timeoutMilliseconds, this.#answerTimes.get(name)?.estimate(this.#clock.now()) ?? 0)
+  }
+
   #forward (state: RoutingState, endpoint: EndpointEntry): Forward {
     const { routed: { request, fields, route, pool, objectiveMilliseconds }, body } = state
     return {
@@ -247,7 +266,7 @@
   async #maySendAgain (state: RoutingState, endpoint: EndpointEntry, answer: Answer): Promise<boolean> {
     if (answer.outcome === Outcome.OUTCOME_ANSWERED || state.signal.aborted) return false
     const { route, pool } = state.routed
-    if (state.sent >= Math.max(2, route.attempts) || this.#remaining(state) < minimumRemainingMilliseconds) return false
+    if (state.sent >= Math.max(2, route.attempts) || this.#remaining(state) < Math.max(minimumRemainingMilliseconds, this.#leastTime(route))) return false
     if (answer.outcome === Outcome.OUTCOME_UNKNOWN && !route.idempotent) return false
     state.excluded.add(endpoint.id)
     // A request that was refused before it reached the endpoint does not count against the retry budget.
--- a/packages/router/src/request/refusals.test.ts
+++ b/packages/router/src/request/refusals.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { LogSink, LoopDelay, MonotonicClock, Random, setLogSink, type LogFields, type LogLevel } from '@briarsaddle/common'
+import { delay, LogSink, LoopDelay, MonotonicClock, Random, setLogSink, type LogFields, type LogLevel } from '@briarsaddle/common'
 import type { CallerHeader, CallerRequest } from '@briarsaddle/entry'
 import type { KeyMap } from '@briarsaddle/key-ranges'
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
@@ -27,14 +27,21 @@
   override read ({ headers }: CallerRequest): CallerFields | { readonly invalid: string, readonly requestId: string } {
     const key = headers['key']?.[0]
     if (key === 'x') return { invalid: 'invalid_key', requestId: 'r1' }
-    return { host: headers['host']?.[0] ?? '', requestId: 'r1', deadlineMilliseconds: undefined, key: key === undefined ? undefined : Number(key) }
+    return { host: headers['host']?.[0] ?? '', requestId: 'r1', deadlineMilliseconds: headers['deadline'] === undefined ? undefined : Number(headers['deadline'][0]), key: key === undefined ? undefined : Number(key) }
   }
 }
 
 /** Replies to every request with `reply`. */
 class FixedEndpoint extends EndpointTransport {
   reply: EndpointReply = { kind: 'broken', reason: 'connection_broken' }
-  override async send (): Promise<EndpointReply> { return this.reply }
+  workMilliseconds = 0
+  received = 0
+  override async send (): Promise<EndpointReply> {
+    this.received++
+    if (this.workMilliseconds > 0) await delay(this.workMilliseconds)
+    return this.reply
+  }
+
   override async grant (): Promise<GrantReply> { return { kind: 'granted', connection: 1 } }
   override async release (): Promise<ReleaseReply> { return { kind: 'released', handover: '' } }
   override async reach (): Promise<boolean> { return true }
@@ -144,4 +151,23 @@
     expect(await router.route(accepted, Buffer.alloc(0), new AbortController().signal)).to.include({ status: 200 })
     expect(log.lines).to.deep.equal([])
   })
+
+  // Guards against requests that no endpoint can answer in time and that end as if they might have run (at overload, when they are
+  // read late): their callers may not repeat them.
+  it('refuses a request at once when hardly any request of its route was answered in the time that is left', async () => {
+    router.use(table)
+    endpoint.reply = { kind: 'answered', status: 200, headers: [], body: Buffer.from('ok'), lengthKnown: true, load: undefined, limit: 'none' }
+    endpoint.workMilliseconds = 60
+    const send = async (deadline: number): Promise<number> => {
+      const accepted = router.accept(request({ host: 'a', key: '7', deadline: String(deadline) }))
+      if ('status' in accepted) throw new Error('the request was refused')
+      return (await router.route(accepted, Buffer.alloc(0), new AbortController().signal)).status
+    }
+    for (let index = 0; index < 20; index++) expect(await send(1_000)).to.equal(200)
+    const received = endpoint.received
+    expect(await send(30)).to.equal(503)
+    expect(endpoint.received).to.equal(received)
+    expect(log.lines.at(-1)).to.deep.include({ outcome: 'not-run', reason: 'deadline_unreachable', sent: 0 })
+    expect(await send(300)).to.equal(200)
+  })
 })
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -4,6 +4,7 @@
 export { EndpointQueue, type EndpointQueueOptions, type EndpointQueueSnapshot, type JobDescription, type QueueJob } from './endpoint-queue.js'
 export { EndpointChooser, RandomChoice, type EndpointChooserOptions, type RequestEnd } from './endpoint-chooser.js'
 export { TwoChoices } from './two-choices.js'
+export { FastQuantile } from './fast-quantile.js'
 export { StartRate } from './start-rate.js'
 export { RetryBudget, UnlimitedRetries } from './retry-budget.js'
 export { HotBuckets, type HotBucket, type HotBucketsOptions } from './hot-buckets.js'
