Do not take errors of endpoints at a deadline for fast answers

Cause: an endpoint ends a request at its deadline with 504, which counted as an answer within the little time that the request had. Change: only answers below 500 are samples of the time that answers take.

--- a/packages/router/src/request/range-router.ts
+++ b/packages/router/src/request/range-router.ts
@@ -83,6 +83,7 @@
 const minimumRemainingMilliseconds = 5
 // A request with this share of its route's time left is sent, however long answers take.
 const alwaysSentShare = 0.5
+const firstServerErrorStatus = 500
 
 /** Routes the requests of callers to the endpoints that own their keys, or to any endpoint of a pool without keys. */
 export class RangeRouter extends CallerRequestHandler<RoutedRequest> {
@@ -218,7 +219,8 @@
     const answer = await this.#options.dispatcher.dispatch(endpoint, this.#forward(state, endpoint), state.signal)
     this.#chooser.finished(pool.name, endpoint.id, answer, this.#clock.now() - startedAt)
     if (answer.outcome === Outcome.OUTCOME_UNKNOWN) state.mayHaveRun = true
-    else if (answer.outcome === Outcome.OUTCOME_ANSWERED) this.#recordAnswerTime(state.routed.route, answer.serviceMilliseconds)
+    // Endpoints end a request at its deadline with an error, which says nothing of the time that it takes.
+    else if (answer.outcome === Outcome.OUTCOME_ANSWERED && answer.status < firstServerErrorStatus) this.#recordAnswerTime(state.routed.route, answer.serviceMilliseconds)
     return answer
   }
 
--- a/packages/router/src/request/refusals.test.ts
+++ b/packages/router/src/request/refusals.test.ts
@@ -164,6 +164,13 @@
       return (await router.route(accepted, Buffer.alloc(0), new AbortController().signal)).status
     }
     for (let index = 0; index < 20; index++) expect(await send(1_000)).to.equal(200)
+    const answered = endpoint.reply
+    // An endpoint ends a request at its deadline, here after 5 ms.
+    endpoint.reply = { ...endpoint.reply, status: 504 }
+    endpoint.workMilliseconds = 5
+    for (let index = 0; index < 20; index++) expect(await send(1_000)).to.equal(504)
+    endpoint.reply = answered
+    endpoint.workMilliseconds = 60
     const received = endpoint.received
     expect(await send(30)).to.equal(503)
     expect(endpoint.received).to.equal(received)
