Move keys away from an endpoint with a limit also when their demand is a fraction of a slot

Cause: traced to the plan, not to the load: a move needs a tenth of a slot of excess demand. 20 requests a second of 5 ms are a tenth of a slot, so keys stayed at an endpoint that may run one a second, depending on the service time measured. Change: the minimum is half of the slots that the limit leaves, where that is less.

--- a/packages/key-ranges/src/plans.test.ts
+++ b/packages/key-ranges/src/plans.test.ts
@@ -118,6 +118,13 @@
     expect(hot.every(({ key }) => segmentAt(relieved, pool, key)?.owner.endpoint !== 'a')).to.equal(true)
   })
 
+  // Guards against callers that are refused because the demand that a limit excludes is small compared with whole slots.
+  it('moves keys away from an endpoint whose limit is far below a demand of less than a tenth of a slot', () => {
+    const keys = Array.from({ length: 20 }, (_, index) => ({ key: 100 + index, busySlots: 0.004 }))
+    const after = planSpread(assigned('a', 'b'), pool, [demand('a', { slots: 0.005, busySlots: 0.08, keys }), demand('b')])
+    expect(keys.filter(({ key }) => segmentAt(after, pool, key)?.owner.endpoint === 'a').length).to.be.at.most(1)
+  })
+
   it('does not move a key to an endpoint that could serve no more of it than its present owner', () => {
     const map = assigned('a', 'b')
     const keys = [{ key: 10, busySlots: 1.2 }, { key: 20, busySlots: 1.2 }]
--- a/packages/key-ranges/src/spread-plan.ts
+++ b/packages/key-ranges/src/spread-plan.ts
@@ -84,7 +84,8 @@
 /** Returns a move of the largest piece that fits into the free capacity of the target with the most of it. */
 function fittingMove (map: KeyMap, pool: string, member: MemberDemand, targets: TargetCapacities, settings: SpreadSettings): Move | undefined {
   const excess = member.busySlots - settings.relievedDemand * member.slots
-  if (excess <= settings.minimumMoveSlots) return undefined
+  // A limit may leave an endpoint less than the minimum demand that otherwise justifies a move.
+  if (excess <= Math.min(settings.minimumMoveSlots, member.slots / 2)) return undefined
   const target = targets.mostFree(member)
   if (target === undefined) return undefined
   const piece = largestPiece(map, pool, member, Math.min(excess, target.freeSlots))
