Log on every VM when it learns that an endpoint leaves

Only the VM that reads the directory logged it, so the logs of a request that reaches an endpoint too late could not tell a directory that was not read from one that was not passed on. The line names the source and the age of the state. Not measured; one line an endpoint and VM.

--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -19,6 +19,7 @@
 import { VmRoster } from './control/vm-roster.js'
 import type { Directory } from './endpoint-entry.js'
 import type { EndpointTransport } from './endpoint-transport.js'
+import { LeavingEndpoints } from './leaving-endpoints.js'
 import { MeasuredTransport } from './measured-transport.js'
 import type { ListenAddress, RangeNodeSettings } from './node-settings.js'
 import type { CallerProtocol } from './request/caller-protocol.js'
@@ -72,6 +73,7 @@
   readonly #loopDelay = new LoopDelay(this.#clock)
   readonly #random = new Random(randomInt(2 ** 31))
   readonly #changes = new ChangeNotifier()
+  readonly #leavingEndpoints = new LeavingEndpoints(this.#clock, () => ({ feed: this.#feed.source, leading: this.#leader.leading, directoryAgeMilliseconds: this.#stateAges.directoryAgeMilliseconds }))
   readonly #coordinators = new Coordinators()
   readonly #metrics: RouterMetrics
   readonly #transport: EndpointTransport
@@ -292,6 +294,7 @@
       this.#changes.notify()
     })
     this.#directory.onChange(directory => {
+      this.#leavingEndpoints.update(directory)
       this.#dispatcher.update(directory)
       this.#transport.keepOnly(directory)
       this.#changes.notify()
