Begin to read the log at once when a VM without a source becomes the leader

A VM that receives its state from others sleeps until that state is older than its limit, 2.5 s for the directory, and was woken on becoming the leader only if it was watching a VM at that moment. Its source often was the leader that was lost. Nobody read the directory meanwhile, and other VMs took its state for confirmed.

The feed now wakes waiting readers whenever there is no VM left to watch.

--- a/packages/router/src/control/control-feed.test.ts
+++ b/packages/router/src/control/control-feed.test.ts
@@ -242,6 +242,18 @@
     expect(leader.routing.current?.state.version).to.equal(1)
   })
 
+  // A new leader that had lost its source with its predecessor did not read the directory for up to 2.5 s (DRAIN).
+  it('is read from the log at once by a VM that becomes the leader while it has no source', async () => {
+    const leader = fleet.add('leader')
+    const vm = fleet.add('vm', 'leader')
+    await until(() => vm.feed.source === 'leader', 500)
+    await leader.stop()
+    await until(() => vm.feed.source === undefined, 300)
+    fleet.directory.put(new Map([['b', entry('b')]]))
+    vm.sources = []
+    await until(() => vm.directory.current?.state.has('b') === true, 250)
+  })
+
   it('is not used by a VM that starts while its source has old state only, so that an endpoint that has left is not in use again', async () => {
     const leader = fleet.add('leader')
     await until(() => leader.directory.current !== undefined, 500)
--- a/packages/router/src/control/control-feed.ts
+++ b/packages/router/src/control/control-feed.ts
@@ -66,6 +66,8 @@
   #next: Source | undefined
   #confirmedAt = -Infinity
   #refusedOldState = false
+  /** Whether there was a VM to watch at the last tick. */
+  #hadSources = false
 
   constructor (options: ControlFeedOptions) {
     this.#options = options
@@ -122,9 +124,10 @@
     const now = this.#options.clock.now()
     const sources = this.#options.sources()
     if (sources.length === 0) {
-      if (this.#current !== undefined || this.#next !== undefined) this.#stopWatching()
+      if (this.#hadSources) this.#stopWatching()
       return
     }
+    this.#hadSources = true
     for (const source of [this.#current, this.#next]) {
       if (source === undefined) continue
       if (!sources.includes(source.vm)) this.#drop(source, 'no longer a source')
@@ -231,6 +234,7 @@
     this.#current?.close()
     this.#next?.close()
     this.#current = this.#next = undefined
+    this.#hadSources = false
     this.#changes.notify()
   }
 }
