Learn of a leaving endpoint within its time to drain also when the VM that reads the directory is lost

One VM reads the directory for all, every second; it was lost just before its next read; its successor is elected after 1.2 to 1.55 s; and other VMs read the directory only when their state was older than 2.5 s. Together that is over 2 s, whatever the store does.

The directory is read every 0.5 s. Relays and candidates, which others watch, read the store when their state is older than 1 s and others when it is older than 1.4 s. At the worst 1.9 s and a read pass.

--- a/packages/router/src/control/timing.ts
+++ b/packages/router/src/control/timing.ts
@@ -23,7 +23,10 @@
   readonly logCallMilliseconds: number
   /** Longest time for which one read of the log waits for a change. */
   readonly logWaitMilliseconds: number
-  /** Interval between reads of the endpoint directory. */
+  /**
+   * Interval between reads of the endpoint directory. An endpoint that leaves goes on for two seconds, within which a lost reader
+   * must have been replaced too.
+   */
   readonly directoryMilliseconds: number
   /** The first assignment of a pool waits until its number of endpoints has not changed for this long, since endpoints join one by one. */
   readonly settleMilliseconds: number
@@ -45,7 +48,7 @@
   confirmMilliseconds: 350,
   logCallMilliseconds: 700,
   logWaitMilliseconds: 10_000,
-  directoryMilliseconds: 1_000,
+  directoryMilliseconds: 500,
   settleMilliseconds: 1_500,
   spreadMilliseconds: 1_000,
   restMilliseconds: 1_500
--- a/packages/router/src/control/vm-ranks.ts
+++ b/packages/router/src/control/vm-ranks.ts
@@ -35,17 +35,26 @@
     return this.#candidates.includes(vm)
   }
 
+  /** Whether other VMs may receive the control state from this one: a candidate, or a relay of its data centre. */
+  isSource ({ id, dataCentre }: Pick<VmEntry, 'id' | 'dataCentre'>): boolean {
+    return this.isCandidate(id) || this.#relaysOf(dataCentre).includes(id)
+  }
+
   /**
    * Returns the VMs from which a VM may receive the control state, the best first: the relays of its data centre, the leader, the
    * candidates. The first relay receives it from the leader, so that changes cross to another data centre once.
    */
   sourcesOf ({ id, dataCentre }: Pick<VmEntry, 'id' | 'dataCentre'>, leader: string): readonly string[] {
-    const relays = this.#ranked.filter(vm => vm.dataCentre === dataCentre).slice(0, relaysOfDataCentre).map(vm => vm.id)
+    const relays = this.#relaysOf(dataCentre)
     const rank = relays.indexOf(id)
     const nearer = rank === -1 ? relays : relays.slice(0, rank)
     const known = new Set(this.#ranked.map(vm => vm.id))
     return [...new Set([...nearer, leader, ...this.#candidates])].filter(source => source !== id && known.has(source))
   }
+
+  #relaysOf (dataCentre: string): readonly string[] {
+    return this.#ranked.filter(vm => vm.dataCentre === dataCentre).slice(0, relaysOfDataCentre).map(vm => vm.id)
+  }
 }
 
 function weightOf ({ weight = 1 }: VmEntry): number {
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -59,8 +59,10 @@
 const peerIdleMilliseconds = 20_000
 // A VM that is fed with older state than this reads the routing table itself, for which the platform states a time limit.
 const routingAgeLimitMilliseconds = 1_000
-// The same for key map and directory. A change of leader takes less, so that it does not make all VMs read the log.
-const stateAgeLimitMilliseconds = 2_500
+// The same for key map and directory. The VMs that others watch read the log first, so that a change of leader does not make all VMs
+// read it; the others have the state from them before their own limit passes.
+const sourceAgeLimitMilliseconds = 1_000
+const stateAgeLimitMilliseconds = 1_400
 // A VM without any state waits this long for a seed before it reads the log. A seed answers within some 50 ms.
 const firstStateMilliseconds = 500
 
@@ -84,6 +86,7 @@
   readonly #readPositions: ReadPositionMonitor
   readonly #member: GroupMember
   readonly #ranks = new VmRanks()
+  readonly #stateAgeLimit = (): number => this.#ranks.isSource(this.#self) ? sourceAgeLimitMilliseconds : stateAgeLimitMilliseconds
   readonly #roster: VmRoster
   readonly #candidacy: Candidacy
   readonly #feed: ControlFeed
@@ -118,11 +121,11 @@
       withoutSourceMilliseconds: () => this.#feed.ageMilliseconds
     })
     const byPosition = (one: { readonly position: number }, other: { readonly position: number }): boolean => one.position > other.position
-    this.#map = new TopicFollower({ name: 'key map', topic: platform.keyMap, clock, waitMilliseconds: timing.logWaitMilliseconds, pauseMilliseconds: 0, isNewer: byPosition, untilNeeded: this.#untilOlderThan(stateAgeLimitMilliseconds) })
+    this.#map = new TopicFollower({ name: 'key map', topic: platform.keyMap, clock, waitMilliseconds: timing.logWaitMilliseconds, pauseMilliseconds: 0, isNewer: byPosition, untilNeeded: this.#untilOlderThan(this.#stateAgeLimit) })
     this.#routing = new TopicFollower({
-      name: 'routing table', topic: platform.routing, clock, waitMilliseconds: timing.logWaitMilliseconds, pauseMilliseconds: 0, isNewer: (one, other) => one.state.version > other.state.version, untilNeeded: this.#untilOlderThan(routingAgeLimitMilliseconds)
+      name: 'routing table', topic: platform.routing, clock, waitMilliseconds: timing.logWaitMilliseconds, pauseMilliseconds: 0, isNewer: (one, other) => one.state.version > other.state.version, untilNeeded: this.#untilOlderThan(() => routingAgeLimitMilliseconds)
     })
-    this.#directory = new TopicFollower({ name: 'directory', topic: platform.directory, clock, waitMilliseconds: 0, pauseMilliseconds: timing.directoryMilliseconds, isNewer: byPosition, untilNeeded: this.#untilOlderThan(stateAgeLimitMilliseconds) })
+    this.#directory = new TopicFollower({ name: 'directory', topic: platform.directory, clock, waitMilliseconds: 0, pauseMilliseconds: timing.directoryMilliseconds, isNewer: byPosition, untilNeeded: this.#untilOlderThan(this.#stateAgeLimit) })
     this.#readPositions = new ReadPositionMonitor(this.#map, this.#routing)
     this.#member = new GroupMember({
       self: this.#self,
@@ -250,8 +253,8 @@
   }
 
   /** Returns a function that waits until this VM has to read the log itself. */
-  #untilOlderThan (milliseconds: number): (signal: AbortSignal) => Promise<void> {
-    return async signal => await this.#feed.untilOlderThan(() => this.#hasState ? milliseconds : firstStateMilliseconds, signal)
+  #untilOlderThan (limit: () => number): (signal: AbortSignal) => Promise<void> {
+    return async signal => await this.#feed.untilOlderThan(() => this.#hasState ? limit() : firstStateMilliseconds, signal)
   }
 
   /** Ids of the VMs from which this VM may receive the control state; empty while it has to read the log itself. */
