Do not pass on state as confirmed while a read of it hangs

The leader told other VMs the age of its membership as the age of its state. While reads of the directory got no answer and the membership was confirmed, nobody noticed that the directory was old.

A topic is overdue once the answer to a read takes longer than planned, and the age that a VM passes on is at least that. Others then read the store themselves.

--- a/packages/router/src/control/control-feed.ts
+++ b/packages/router/src/control/control-feed.ts
@@ -90,7 +90,13 @@
   get stateConfirmedAt (): number {
     const { map, routing, directory } = this.#options
     const readsAll = [map, routing, directory].every(follower => follower.reading)
-    return Math.max(this.#confirmedAt, readsAll ? directory.confirmedAt : -Infinity)
+    return Math.max(this.#confirmedAt, readsAll ? Math.min(directory.confirmedAt, this.readsAnsweredAt) : -Infinity)
+  }
+
+  /** When all topics were last read in time, by this VM's clock. A read may hang while other calls to the log are answered. */
+  get readsAnsweredAt (): number {
+    const { clock, map, routing, directory } = this.#options
+    return clock.now() - Math.max(...[map, routing, directory].map(follower => follower.overdueMilliseconds))
   }
 
   /**
--- a/packages/router/src/control/topic-follower.ts
+++ b/packages/router/src/control/topic-follower.ts
@@ -30,6 +30,7 @@
   #current: TopicState<State> | undefined
   #confirmedAt = -Infinity
   #confirmedByPeerAt = -Infinity
+  #answeredAt = -Infinity
   #failures = 0
   #onStandby = true
   #readController = new AbortController()
@@ -47,6 +48,15 @@
   get confirmedAt (): number { return this.#confirmedAt }
   /** When the state that another VM sent was last confirmed at the log, in clock milliseconds; -Infinity before the first. */
   get confirmedByPeerAt (): number { return this.#confirmedByPeerAt }
+  /**
+   * How much longer than planned the answer to a read has been awaited, in milliseconds; Infinity before the first state. A state from another
+   * VM counts as an answer.
+   */
+  get overdueMilliseconds (): number {
+    const { clock, waitMilliseconds, pauseMilliseconds } = this.#options
+    return Math.max(0, clock.now() - Math.max(this.#answeredAt, this.#confirmedByPeerAt) - waitMilliseconds - pauseMilliseconds)
+  }
+
   /** False before the first read and while reads fail. */
   get connected (): boolean { return this.#failures === 0 && this.#current !== undefined }
 
@@ -145,6 +155,7 @@
 
   #confirm (startedAt: number): void {
     this.#confirmedAt = Math.max(this.#confirmedAt, startedAt)
+    this.#answeredAt = this.#options.clock.now()
   }
 
   #failed (error: unknown): void {
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -270,7 +270,7 @@
 
   /** When the control state of this VM was last confirmed at the log, by itself or by the VM that it watches. */
   get #confirmedAt (): number {
-    return Math.max(this.#feed.stateConfirmedAt, this.#leader.leading ? this.#member.confirmedAt : -Infinity)
+    return Math.max(this.#feed.stateConfirmedAt, this.#leader.leading ? Math.min(this.#member.confirmedAt, this.#feed.readsAnsweredAt) : -Infinity)
   }
 
   /** Replaces the addresses of other VMs. The seeds are among them while no VM is known. */
