Send nothing more to an endpoint that leaves from its coordinator either

Only the VM of the caller asked whether an endpoint leaves. Its coordinator sent whatever another VM forwarded, also when it knew better, and requests that waited there were sent whenever a slot was free.

The coordinator refuses both, as not run, and the VM of the caller routes the request again without use of the retry budget. LeavingEndpoints keeps what a VM knows of leaving processes, and can learn it from answers too.

--- a/packages/router/src/control/grant-renewal.ts
+++ b/packages/router/src/control/grant-renewal.ts
@@ -11,6 +11,8 @@
   readonly timing: ControlTiming
   readonly transport: EndpointTransport
   readonly ledger: GrantLedger
+  /** Called when an endpoint says in its answer that it leaves. */
+  readonly onLeaving?: (holder: Holder) => void
   /** Whether the segment is still assigned to the same owner; called right before a grant is sent. */
   readonly mayRenew: (pool: string, segment: Segment) => boolean
 }
@@ -175,6 +177,7 @@
     this.observe(endpoint, reply.kind)
     if (reply.kind === 'granted') {
       state.connection = reply.connection
+      if (reply.leaving === true) this.#options.onLeaving?.(segment.owner)
       this.#options.ledger.acknowledged(holderKey(segment.owner), segment)
       return
     }
--- a/packages/router/src/control/key-leader.test.ts
+++ b/packages/router/src/control/key-leader.test.ts
@@ -4,6 +4,7 @@
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
 import { EndpointTransport, type EndpointReply, type Grant, type GrantReply, type ReleaseReply } from '../endpoint-transport.js'
 import { RouterMetrics } from '../router-metrics.js'
+import { LeavingEndpoints } from '../leaving-endpoints.js'
 import type { RoutingTable } from '../routing-table.js'
 import { DemandSource, KeyLeader, type MeasuredDemand } from './key-leader.js'
 import { MembershipService, type MembershipReport } from './leadership.js'
@@ -118,7 +119,7 @@
     directory = follow('directory', new FixedTopic(directoryState))
     const routing = follow('routing table', new FixedTopic(table))
     const member = new GroupMember({ self, service: new LeadingService(), clock, confirmEveryMilliseconds: timing.confirmMilliseconds, callMilliseconds: 100, isCandidate: () => true, onRegained: () => {} })
-    leader = new KeyLeader({ self, clock, timing, member, topic, map, directory, routing, transport, demand: new NoDemand(), roster: new VmRoster(self, clock), metrics })
+    leader = new KeyLeader({ leaving: new LeavingEndpoints(clock), self, clock, timing, member, topic, map, directory, routing, transport, demand: new NoDemand(), roster: new VmRoster(self, clock), metrics })
     for (const follower of [map, directory, routing]) follower.start(lifeCycle)
     member.start(lifeCycle)
     leader.start(lifeCycle)
--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -1,10 +1,11 @@
 import { BriarsaddleError, describeError, errorCode, Logger, withTimeLimit, type Clock, type LifeCycle } from '@briarsaddle/common'
 import {
   checkLayout, emptyKeyMap, GrantLedger, joinSegments, markOpenMoves, planMembership, planSpread, raiseFences, raiseFencesOf, rangeText, sameVmList, segmentsIn, settleRange, withVms,
-  type KeyMap, type MemberDemand, type PoolMember, type Segment, type VmEntry
+  type Holder, type KeyMap, type MemberDemand, type PoolMember, type Segment, type VmEntry
 } from '@briarsaddle/key-ranges'
 import { addressOf, type Directory, type EndpointEntry } from '../endpoint-entry.js'
 import type { EndpointTransport } from '../endpoint-transport.js'
+import type { LeavingEndpoints } from '../leaving-endpoints.js'
 import type { RouterMetrics } from '../router-metrics.js'
 import type { RoutingTable } from '../routing-table.js'
 import { GrantRenewal, holderKey } from './grant-renewal.js'
@@ -40,6 +41,7 @@
   readonly directory: TopicFollower<Directory>
   readonly routing: TopicFollower<RoutingTable>
   readonly transport: EndpointTransport
+  readonly leaving: LeavingEndpoints
   readonly demand: DemandSource
   readonly roster: VmRoster
   readonly metrics: RouterMetrics
@@ -84,7 +86,7 @@
       transitMilliseconds: timing.grantCallMilliseconds,
       staleLeaderMilliseconds: timing.staleLeaderMilliseconds
     })
-    this.#renewal = new GrantRenewal({ clock, timing, transport, ledger: this.#ledger, mayRenew: (pool, segment) => this.#mayRenew(pool, segment) })
+    this.#renewal = new GrantRenewal({ clock, timing, transport, ledger: this.#ledger, onLeaving: holder => this.#observeLeaving(holder), mayRenew: (pool, segment) => this.#mayRenew(pool, segment) })
     // A leader that cannot read the log learns the key map of its successor from other VMs. It must not grant the tokens in that map.
     options.map.onChange(({ author }) => { if (author !== options.self.id) this.#endLeadership('another VM wrote the key map') })
   }
@@ -164,6 +166,12 @@
     logger.info('leadership begins', { fence: this.#map.fence, position: map.current?.position, pools: Object.keys(this.#map.pools).length })
   }
 
+  /** Learns from the answer to a renewal that an endpoint leaves; its directory entry may say so later or never. */
+  #observeLeaving ({ endpoint, life }: Holder): void {
+    const entry = this.#options.directory.current?.state.get(endpoint)
+    if (entry?.life === life) this.#options.leaving.add(entry, 'answer')
+  }
+
   #endLeadership (reason: string): void {
     if (!this.#leading) return
     this.#leading = false
@@ -268,7 +276,7 @@
       const demand = this.#demand.get(entry.id) ?? { busySlots: 0, serviceMilliseconds: 0, keys: [] }
       const member = poolMemberOf(entry)
       const reachable = !this.#renewal.isUnreachable(entry.id)
-      members.push({ ...member, ...demand, accepting: member.accepting && reachable, keepsKeys: reachable && acceptingFormerLeaders.has(holderKey(member)) })
+      members.push({ ...member, ...demand, accepting: !this.#options.leaving.has(entry) && reachable, keepsKeys: reachable && acceptingFormerLeaders.has(holderKey(member)) })
     }
     return members.sort((one, other) => one.endpoint < other.endpoint ? -1 : 1)
   }
--- a/packages/router/src/control/leader-succession.test.ts
+++ b/packages/router/src/control/leader-succession.test.ts
@@ -4,6 +4,7 @@
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
 import { EndpointTransport, type EndpointReply, type Grant, type GrantReply, type ReleaseReply } from '../endpoint-transport.js'
 import { RouterMetrics } from '../router-metrics.js'
+import { LeavingEndpoints } from '../leaving-endpoints.js'
 import type { RoutingTable } from '../routing-table.js'
 import { DemandSource, KeyLeader, type MeasuredDemand } from './key-leader.js'
 import { MembershipService, type MembershipReport } from './leadership.js'
@@ -149,7 +150,7 @@
     const routing = follow('routing table', new FixedTopic(table))
     const member = new GroupMember({ self, service: this.membership, clock, confirmEveryMilliseconds: timing.confirmMilliseconds, callMilliseconds: 100, isCandidate: () => true, onRegained: () => {} })
     this.path = new PathOfVm(endpoints)
-    this.leader = new KeyLeader({ self, clock, timing, member, topic: this.topic, map: this.map, directory: this.directory, routing, transport: this.path, demand: new NoDemand(), roster: new VmRoster(self, clock), metrics: new RouterMetrics() })
+    this.leader = new KeyLeader({ leaving: new LeavingEndpoints(clock), self, clock, timing, member, topic: this.topic, map: this.map, directory: this.directory, routing, transport: this.path, demand: new NoDemand(), roster: new VmRoster(self, clock), metrics: new RouterMetrics() })
     for (const follower of [this.map, this.directory, routing]) follower.start(lifeCycle)
     member.start(lifeCycle)
     this.leader.start(lifeCycle)
--- a/packages/router/src/control/simulation/ownership-simulation.ts
+++ b/packages/router/src/control/simulation/ownership-simulation.ts
@@ -2,6 +2,7 @@
 import { emptyKeyMap, type KeyMap, type VmEntry } from '@briarsaddle/key-ranges'
 import type { Directory, EndpointEntry } from '../../endpoint-entry.js'
 import { RouterMetrics } from '../../router-metrics.js'
+import { LeavingEndpoints } from '../../leaving-endpoints.js'
 import type { RoutingTable } from '../../routing-table.js'
 import { DemandSource, KeyLeader, type MeasuredDemand } from '../key-leader.js'
 import { GroupMember } from '../group-member.js'
@@ -215,7 +216,7 @@
       onRegained: () => map.interrupt()
     })
     const demand = new RandomDemand(this.#random, () => map.current?.state)
-    const leader = new KeyLeader({ self, clock: this.#clock, timing: simulatedTiming, member, topic: new SimulatedTopic(this.#keyMap, access), map, directory, routing, transport: links, demand, roster: new VmRoster(self, this.#clock), metrics: new RouterMetrics() })
+    const leader = new KeyLeader({ leaving: new LeavingEndpoints(this.#clock), self, clock: this.#clock, timing: simulatedTiming, member, topic: new SimulatedTopic(this.#keyMap, access), map, directory, routing, transport: links, demand, roster: new VmRoster(self, this.#clock), metrics: new RouterMetrics() })
     for (const follower of [map, directory, routing]) follower.start(lifeCycle)
     member.start(lifeCycle)
     leader.start(lifeCycle)
--- a/packages/router/src/endpoint-transport.ts
+++ b/packages/router/src/endpoint-transport.ts
@@ -26,9 +26,9 @@
 
 /** Result of a request to an endpoint. */
 export type EndpointReply =
-  | { readonly kind: 'answered', readonly status: number, /** Headers that are passed on to the caller. */ readonly headers: readonly CallerHeader[], readonly body: Buffer, /** False when the answer had no Content-Length and its end was the close of the connection. */ readonly lengthKnown: boolean, readonly load: ReportedLoad | undefined, readonly limit: ReportedLimit }
+  | { readonly kind: 'answered', readonly status: number, /** Headers that are passed on to the caller. */ readonly headers: readonly CallerHeader[], readonly body: Buffer, /** False when the answer had no Content-Length and its end was the close of the connection. */ readonly lengthKnown: boolean, readonly load: ReportedLoad | undefined, readonly limit: ReportedLimit, /** Whether the endpoint says that it leaves. */ readonly leaving?: boolean }
   /** The endpoint did not run the request: it has no free slot, does not hold the key, or another endpoint has its address. */
-  | { readonly kind: 'refused', readonly reason: 'endpoint_full' | 'not_owner', readonly load: ReportedLoad | undefined, readonly limit: ReportedLimit }
+  | { readonly kind: 'refused', readonly reason: 'endpoint_full' | 'not_owner', readonly load: ReportedLoad | undefined, readonly limit: ReportedLimit, readonly leaving?: boolean }
   /** Nothing was sent. */
   | { readonly kind: 'unreachable' }
   /** The request may have run. */
@@ -50,7 +50,7 @@
 
 /** Result of a grant. */
 export type GrantReply =
-  | { readonly kind: 'granted', readonly connection: number }
+  | { readonly kind: 'granted', readonly connection: number, /** Whether the endpoint says that it leaves. */ readonly leaving?: boolean }
   /** The endpoint has seen a higher token on these keys. */
   | { readonly kind: 'fenced' }
   /** Nothing was sent, because the connection of the first grant is gone. */
--- a/packages/router/src/leaving-endpoints.ts
+++ b/packages/router/src/leaving-endpoints.ts
@@ -3,15 +3,22 @@
 
 const logger = new Logger('leaving')
 
-/** How a VM learned that an endpoint leaves. */
-export type LeavingSource = 'directory'
+/** How a VM learned that an endpoint leaves: by its directory entry, by an answer of the endpoint, or because its coordinator sends it nothing more. */
+export type LeavingSource = 'directory' | 'answer' | 'coordinator'
 
+/** One process of an endpoint. */
+export type EndpointProcess = Pick<EndpointEntry, 'id' | 'pool' | 'life' | 'leaving'>
+
+// Until its keys have moved, an endpoint that says in an answer that it leaves is the only one that can serve them.
+const serveKeysMilliseconds = 1_000
 // An endpoint that is missing in the directory may be listed again, since entries expire while the platform's store is down.
 const rememberMilliseconds = 60_000
 
 interface LeavingEndpoint {
   readonly life: number
-  /** When the endpoint was last listed, or was learned to leave, in clock milliseconds. */
+  /** When it gets no requests any more, not even for keys that it still holds, in clock milliseconds. */
+  closesAt: number
+  /** When it was last listed, or was learned to leave, in clock milliseconds. */
   lastListedAt: number
 }
 
@@ -39,14 +46,32 @@
   }
 
   /** Records that the process of an endpoint leaves. */
-  add ({ id, life, pool }: Pick<EndpointEntry, 'id' | 'life' | 'pool'>, source: LeavingSource): void {
-    if (this.#leaving.get(id)?.life === life) return
-    this.#leaving.set(id, { life, lastListedAt: this.#clock.now() })
+  add ({ id, life, pool }: EndpointProcess, source: LeavingSource): void {
+    const now = this.#clock.now()
+    const closesAt = source === 'answer' ? now + serveKeysMilliseconds : now
+    const known = this.#leaving.get(id)
+    if (known?.life === life) {
+      known.closesAt = Math.min(known.closesAt, closesAt)
+      return
+    }
+    this.#leaving.set(id, { life, closesAt, lastListedAt: now })
     logger.info('endpoint leaves', { endpoint: id, pool, life, source, ...this.#stateFields() })
   }
 
-  /** Whether the process of an endpoint is leaving. */
-  has ({ id, life, leaving }: Pick<EndpointEntry, 'id' | 'life' | 'leaving'>): boolean {
+  /** Whether an endpoint is leaving, so that it gets no new keys, and no requests that another endpoint can run. */
+  has ({ id, life, leaving }: EndpointProcess): boolean {
     return leaving || this.#leaving.get(id)?.life === life
   }
+
+  /** Whether an endpoint is leaving and gets no requests any more. */
+  isClosed (endpoint: EndpointProcess): boolean {
+    return this.millisecondsToClose(endpoint) === 0
+  }
+
+  /** Returns the time until a leaving endpoint gets no requests any more; Infinity when it is not leaving. */
+  millisecondsToClose ({ id, life, leaving }: EndpointProcess): number {
+    if (leaving) return 0
+    const known = this.#leaving.get(id)
+    return known?.life === life ? Math.max(0, known.closesAt - this.#clock.now()) : Infinity
+  }
 }
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -215,7 +215,8 @@
       clock: this.#clock,
       loopDelay: this.#loopDelay,
       random: this.#random,
-      metrics: this.#metrics
+      metrics: this.#metrics,
+      leaving: this.#leavingEndpoints
     })
   }
 
@@ -230,6 +231,7 @@
       map: () => this.#map.current?.state,
       directory: () => this.#endpoints,
       changes: this.#changes,
+      leaving: this.#leavingEndpoints,
       metrics: this.#metrics,
       stateAges: () => this.#stateAges
     })
@@ -246,6 +248,7 @@
       directory: this.#directory,
       routing: this.#routing,
       transport: this.#transport,
+      leaving: this.#leavingEndpoints,
       demand: new PeerDemand(this.#peers, this.#control, this.#readPositions, this.#roster),
       roster: this.#roster,
       metrics: this.#metrics
--- a/packages/router/src/request/dispatcher.ts
+++ b/packages/router/src/request/dispatcher.ts
@@ -2,9 +2,10 @@
 import { notRunAnswer, Outcome, peerReasons, type Answer, type Forward } from '@briarsaddle/protocol'
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
 import type { EndpointTransport } from '../endpoint-transport.js'
+import type { LeavingEndpoints } from '../leaving-endpoints.js'
 import type { RouterMetrics } from '../router-metrics.js'
 import type { Coordinators } from './coordinators.js'
-import { EndpointGate } from './endpoint-gate.js'
+import { EndpointGate, leavingReason } from './endpoint-gate.js'
 
 const logger = new Logger('dispatch')
 
@@ -25,6 +26,7 @@
   readonly loopDelay: LoopDelay
   readonly random: Random
   readonly metrics: RouterMetrics
+  readonly leaving: LeavingEndpoints
 }
 
 /** Reasons that show that the peer did not handle the request, so that this VM may send it to the endpoint itself. */
@@ -48,6 +50,7 @@
     if (coordinator === undefined || coordinator === this.#options.vm) return await this.#gate(endpoint).handle(forward, signal)
     const answer = await this.#options.peers.forward(coordinator, forward, signal)
     this.#adoptLimit(endpoint, answer)
+    if (answer.endpointLeaving === true) this.#options.leaving.add(endpoint, answer.reason === leavingReason ? 'coordinator' : 'answer')
     if (answer.outcome !== Outcome.OUTCOME_NOT_RUN || !absentPeerReasons.has(answer.reason) || signal.aborted) return answer
     const gate = this.#gates.get(endpoint.id)
     if (gate?.isLimited === true) {
--- a/packages/router/src/request/endpoint-limit.test.ts
+++ b/packages/router/src/request/endpoint-gate.test.ts
@@ -1,8 +1,9 @@
 import { expect } from 'chai'
-import { delay, LoopDelay, ManualClock, Random } from '@briarsaddle/common'
+import { delay, LoopDelay, ManualClock, MonotonicClock, Random } from '@briarsaddle/common'
 import { Answer, Forward, notRunAnswer, Outcome } from '@briarsaddle/protocol'
 import type { EndpointEntry } from '../endpoint-entry.js'
 import { EndpointTransport, type EndpointReply, type GrantReply, type ReleaseReply, type ReportedLimit } from '../endpoint-transport.js'
+import { LeavingEndpoints } from '../leaving-endpoints.js'
 import { RouterMetrics } from '../router-metrics.js'
 import { Coordinators } from './coordinators.js'
 import { Dispatcher, PeerForwarder } from './dispatcher.js'
@@ -10,11 +11,13 @@
 /** Answers the requests that it received when the test says so, in any order. */
 class ControlledEndpoint extends EndpointTransport {
   readonly received: Array<(limit: ReportedLimit, kind?: 'answered' | 'refused') => void> = []
+  /** Whether its answers say that it leaves. */
+  leaving = false
 
   override async send (): Promise<EndpointReply> {
     return await new Promise(resolve => this.received.push((limit, kind = 'answered') => resolve(kind === 'answered'
-      ? { kind, status: 200, headers: [], body: Buffer.from('ok'), lengthKnown: true, load: undefined, limit }
-      : { kind, reason: 'endpoint_full', load: undefined, limit })))
+      ? { kind, status: 200, headers: [], body: Buffer.from('ok'), lengthKnown: true, load: undefined, limit, leaving: this.leaving }
+      : { kind, reason: 'endpoint_full', load: undefined, limit, leaving: this.leaving })))
   }
 
   override async grant (): Promise<GrantReply> { return { kind: 'granted', connection: 1 } }
@@ -44,7 +47,7 @@
     peer = new ScriptedPeer()
     const coordinators = new Coordinators()
     coordinators.update([{ ...vm, id: coordinator }])
-    dispatcher = new Dispatcher({ vm: 'vm-1', coordinators, peers: peer, transport: endpoint, directory: () => new Map([['e1', entry]]), clock, loopDelay: new LoopDelay(clock), random: new Random(1), metrics: new RouterMetrics() })
+    dispatcher = new Dispatcher({ vm: 'vm-1', coordinators, peers: peer, transport: endpoint, directory: () => new Map([['e1', entry]]), clock, loopDelay: new LoopDelay(clock), random: new Random(1), metrics: new RouterMetrics(), leaving: new LeavingEndpoints(clock) })
   }
 
   async function send (): Promise<Answer> {
@@ -122,3 +125,61 @@
     expect(endpoint.received).to.have.length(1)
   })
 })
+
+describe('An endpoint that leaves', () => {
+  const clock = new MonotonicClock()
+  let endpoint: ControlledEndpoint
+  let leaving: LeavingEndpoints
+  let dispatcher: Dispatcher
+
+  beforeEach(() => {
+    endpoint = new ControlledEndpoint()
+    leaving = new LeavingEndpoints(clock)
+    dispatcher = new Dispatcher({ vm: 'vm-1', coordinators: new Coordinators(), peers: new ScriptedPeer(), transport: endpoint, directory: () => new Map([['e1', entry]]), clock, loopDelay: new LoopDelay(clock), random: new Random(1), metrics: new RouterMetrics(), leaving })
+  })
+
+  async function send (): Promise<Answer> {
+    return await dispatcher.dispatch(entry, forward, new AbortController().signal)
+  }
+
+  function update (fields: Partial<EndpointEntry>): void {
+    const directory = new Map([['e1', { ...entry, ...fields }]])
+    leaving.update(directory)
+    dispatcher.update(directory)
+  }
+
+  // Guards against requests that wait at the coordinator and are sent after the time that a leaving endpoint goes on for (DRAIN).
+  it('gets no request any more that has waited at its coordinator since it said so', async () => {
+    const running = Array.from({ length: entry.slots }, send)
+    const waiting = send()
+    await delay(0)
+    update({ leaving: true })
+    expect(await Promise.race([waiting, delay(1_000)])).to.include({ outcome: Outcome.OUTCOME_NOT_RUN, reason: 'endpoint_leaving', endpointLeaving: true })
+    for (const answer of endpoint.received) answer('none')
+    for (const answer of await Promise.all(running)) expect(answer.outcome).to.equal(Outcome.OUTCOME_ANSWERED)
+    expect(endpoint.received).to.have.length(entry.slots)
+  })
+
+  // Guards against a coordinator that knows and a VM that does not: both must know for the request to be refused in time (DRAIN).
+  it('gets no request that another VM forwards to a coordinator that knows of its leaving', async () => {
+    update({ leaving: true })
+    expect(await dispatcher.accept(forward, new AbortController().signal)).to.include({ outcome: Outcome.OUTCOME_NOT_RUN, reason: 'endpoint_leaving' })
+    expect(endpoint.received).to.have.length(0)
+  })
+
+  it('is known by its answer to leave, and gets requests again when it has started anew', async () => {
+    endpoint.leaving = true
+    const answer = send()
+    await delay(0)
+    endpoint.received[0]?.('none')
+    expect(await answer).to.include({ endpointLeaving: true })
+    expect(leaving.has(entry)).to.equal(true)
+    expect(leaving.isClosed(entry), 'until its keys have moved').to.equal(false)
+    await delay(1_050)
+    expect(await send()).to.include({ reason: 'endpoint_leaving' })
+    update({ life: 2 })
+    void send()
+    await delay(0)
+    expect(endpoint.received).to.have.length(2)
+  })
+})
--- a/packages/router/src/request/endpoint-gate.ts
+++ b/packages/router/src/request/endpoint-gate.ts
@@ -1,8 +1,9 @@
-import { Logger, withTimeLimit, type Clock, type Random } from '@briarsaddle/common'
+import { BriarsaddleError, Logger, withTimeLimit, type Clock, type Random } from '@briarsaddle/common'
 import { Answer, notRunAnswer, Outcome, ServiceClass, unknownAnswer, type Forward } from '@briarsaddle/protocol'
 import { ClassPolicy, EndpointQueue, RefusalError, type ServiceClass as QueueClass } from '@briarsaddle/scheduling'
 import type { EndpointEntry } from '../endpoint-entry.js'
 import type { EndpointReply, EndpointTransport, ReportedLimit } from '../endpoint-transport.js'
+import type { LeavingEndpoints } from '../leaving-endpoints.js'
 import type { RouterMetrics } from '../router-metrics.js'
 import { KeyDemandMeter } from './key-demand.js'
 
@@ -15,6 +16,7 @@
   readonly clock: Clock
   readonly random: Random
   readonly metrics: RouterMetrics
+  readonly leaving: LeavingEndpoints
 }
 
 // Further requests would wait beyond their deadlines; admission control refuses most of them before this limit.
@@ -22,6 +24,8 @@
 const policy = new ClassPolicy()
 // A limit that was not named for this long is no reason to leave an endpoint to its coordinator.
 const limitKnownMilliseconds = 5_000
+// How long requests that wait for an endpoint may still start after its directory entry said that it leaves.
+const queueMilliseconds = 400
 
 const queueClasses: Readonly<Record<ServiceClass, QueueClass>> = {
   [ServiceClass.SERVICE_CLASS_NORMAL]: 'normal',
@@ -39,6 +43,8 @@
   /** Requests a second that the endpoint takes from all VMs together; undefined when it names no limit. */
   #limit: number | undefined
   #limitNamedAt = -Infinity
+  #closesAt = Infinity
+  #closeTimer: NodeJS.Timeout | undefined
 
   constructor (options: EndpointGateOptions) {
     this.#options = options
@@ -70,8 +76,13 @@
 
   /** Applies a new directory entry of the endpoint. */
   update (entry: EndpointEntry): void {
-    if (entry.life !== this.#entry.life) this.#setLimit(undefined)
+    if (entry.life !== this.#entry.life) {
+      this.#setLimit(undefined)
+      clearTimeout(this.#closeTimer)
+      this.#closesAt = Infinity
+    }
     this.#entry = entry
+    if (this.#options.leaving.isClosed(entry)) this.#closeIn(queueMilliseconds)
     if (entry.slots !== this.#queue.slots) this.#queue.setSlots(entry.slots)
   }
 
@@ -93,6 +104,7 @@
     const arrivedAt = clock.now()
     const deadlineAt = arrivedAt + forward.deadlineMilliseconds
     this.demand.recordArrival(forward.rule, forward.bucket)
+    if (this.#options.leaving.isClosed(this.#entry)) return this.#refuseAsLeaving()
     try {
       // Nobody waits for the answer after the deadline, even if the cancellation by the VM that received the request is late.
       const answer = await withTimeLimit(forward.deadlineMilliseconds, signal, async limited => await this.#queue.submit({
@@ -104,8 +116,9 @@
         run: async runSignal => await this.#run(forward, { arrivedAt, deadlineAt }, runSignal),
         isRunningTimeSample: result => result.outcome === Outcome.OUTCOME_ANSWERED
       }))
-      return { ...answer, outstanding: this.outstanding, requestsPerSecond: this.#limit ?? Infinity }
+      return { ...answer, outstanding: this.outstanding, requestsPerSecond: this.#limit ?? Infinity, endpointLeaving: this.#options.leaving.has(this.#entry) }
     } catch (error) {
+      if (error instanceof BriarsaddleError && error.code === leavingReason) return this.#refuseAsLeaving()
       if (!(error instanceof RefusalError)) throw error
       const fields = {
         request: forward.requestId,
@@ -126,6 +139,23 @@
     }
   }
 
+  #refuseAsLeaving (): Answer {
+    return notRunAnswer(leavingReason, { retryAfterMilliseconds: moveMilliseconds, outstanding: this.outstanding, requestsPerSecond: this.#limit ?? Infinity, endpointLeaving: true })
+  }
+
+  /** Refuses the requests that still wait after the given time, because the endpoint leaves. */
+  #closeIn (milliseconds: number): void {
+    const closesAt = this.#options.clock.now() + milliseconds
+    if (closesAt >= this.#closesAt) return
+    this.#closesAt = closesAt
+    clearTimeout(this.#closeTimer)
+    this.#closeTimer = setTimeout(() => {
+      const refused = this.#queue.rejectQueued(() => new BriarsaddleError('the endpoint leaves', { code: leavingReason, step: 'queue request' }))
+      if (refused > 0) logger.info('requests refused that waited for an endpoint that leaves', { endpoint: this.#entry.id, pool: this.pool, refused, running: this.outstanding })
+    }, milliseconds)
+    this.#closeTimer.unref()
+  }
+
   /** Returns the state as plain data for the state dump. */
   snapshot (): Readonly<Record<string, unknown>> {
     return { endpoint: this.#entry, queue: this.#queue.snapshot(), work: this.demand.snapshot() }
@@ -143,12 +173,19 @@
     const { requestId, bucket, method, target, headers, body } = forward
     const reply = await transport.send(this.#entry, { requestId, key: bucket < 0 ? undefined : bucket, method, target, headers, body, remainingMilliseconds: deadlineAt - startedAt }, signal)
     const milliseconds = clock.now() - startedAt
+    if ('leaving' in reply && reply.leaving === true) this.#observeLeaving()
     if ('limit' in reply) this.#observeLimit(reply.limit, startedAt, reply.kind === 'answered')
     if (reply.kind === 'answered') this.demand.recordServiceTime(forward.rule, milliseconds)
     else logger.info('endpoint did not answer', { request: requestId, endpoint: this.#entry.id, pool: this.pool, key: keyOf(forward), life: this.#entry.life, result: reply.kind, reason: 'reason' in reply ? reply.reason : reply.kind, waitedMilliseconds: Math.round(startedAt - arrivedAt), milliseconds: Math.round(milliseconds) })
     return answerOf(reply, milliseconds)
   }
 
+  #observeLeaving (): void {
+    const { leaving } = this.#options
+    leaving.add(this.#entry, 'answer')
+    this.#closeIn(leaving.millisecondsToClose(this.#entry))
+  }
+
   /** Applies what the reply to a request says of the limit. */
   #observeLimit (limit: ReportedLimit, sentAt: number, answered: boolean): void {
     if (limit === 'unknown') return
@@ -168,6 +205,12 @@
 /** Reason of an answer without a Content-Length, whose end was the close of its connection. */
 export const lengthUnknown = 'length_unknown'
 
+/** Reason of a refusal because the endpoint leaves. */
+export const leavingReason = 'endpoint_leaving'
+
+// Advised delay of a repeat while the keys of an endpoint that leaves move to another one.
+const moveMilliseconds = 300
+
 // Advised delay of a repeat: the endpoint will probably have finished a request, and have a free slot, by then.
 const fullRetryMilliseconds = 100
 
--- a/packages/router/src/request/range-router.ts
+++ b/packages/router/src/request/range-router.ts
@@ -5,6 +5,7 @@
 import { FastQuantile } from '@briarsaddle/scheduling'
 import type { StateAges } from '../control/state-ages.js'
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
+import type { LeavingEndpoints } from '../leaving-endpoints.js'
 import { RouteMatcher } from '../route-matcher.js'
 import type { Pool, Route, RoutingTable } from '../routing-table.js'
 import type { RouterMetrics } from '../router-metrics.js'
@@ -13,7 +14,7 @@
 import type { CallerFields, CallerProtocol } from './caller-protocol.js'
 import type { ChangeNotifier } from './change-notifier.js'
 import type { Dispatcher } from './dispatcher.js'
-import { lengthUnknown } from './endpoint-gate.js'
+import { leavingReason, lengthUnknown } from './endpoint-gate.js'
 import { refusalFor, renderOwnAnswer, unknownFor, type OwnAnswer } from './own-answer.js'
 import { PoolChooser } from './pool-chooser.js'
 
@@ -30,6 +31,7 @@
   readonly map: () => KeyMap | undefined
   readonly directory: () => Directory
   readonly changes: ChangeNotifier
+  readonly leaving: LeavingEndpoints
   readonly metrics: RouterMetrics
   /** Ages of the states; used in log lines only. */
   readonly stateAges: () => StateAges
@@ -197,7 +199,7 @@
     const directory = this.#options.directory()
     if (segment.moving) return this.#isPlanned(segment, directory) ? 'keys_moving' : 'owner_lost'
     const entry = directory.get(segment.owner.endpoint)
-    return entry?.life === segment.owner.life && !entry.leaving ? entry : 'owner_lost'
+    return entry?.life === segment.owner.life && !this.#options.leaving.isClosed(entry) ? entry : 'owner_lost'
   }
 
   /** Whether the processes of all former holders still run, so that the move ends as soon as they have released the keys. */
@@ -206,7 +208,7 @@
   }
 
   #chooseEndpoint ({ routed, excluded }: RoutingState): EndpointEntry | 'no_endpoint' {
-    const endpoints = [...this.#options.directory().values()].filter(entry => entry.pool === routed.pool.name && !entry.leaving)
+    const endpoints = [...this.#options.directory().values()].filter(entry => entry.pool === routed.pool.name && !this.#options.leaving.has(entry))
     return this.#chooser.choose(routed.pool.name, endpoints, excluded) ?? 'no_endpoint'
   }
 
@@ -273,10 +275,10 @@
     state.excluded.add(endpoint.id)
     // A request that was refused before it reached the endpoint does not count against the retry budget.
     const reached = answer.outcome === Outcome.OUTCOME_UNKNOWN || answer.reason === 'endpoint_full' || answer.reason === 'not_owner'
-    if (pool.keyed && !reached && answer.reason !== 'endpoint_unreachable') return false
+    if (pool.keyed && !reached && answer.reason !== 'endpoint_unreachable' && answer.reason !== leavingReason) return false
     state.retriesSpent = reached && !this.#options.retries.take(pool.name)
     if (state.retriesSpent) return false
-    if (answer.reason === 'not_owner' || answer.reason === 'endpoint_unreachable') await this.#options.changes.waitForChange(ownerWaitMilliseconds, state.signal)
+    if (answer.reason === 'not_owner' || answer.reason === 'endpoint_unreachable' || answer.reason === leavingReason) await this.#options.changes.waitForChange(ownerWaitMilliseconds, state.signal)
     else if (pool.keyed) await this.#options.changes.waitForChange(freeSlotWaitMilliseconds, state.signal)
     return true
   }
--- a/packages/router/src/request/refusals.test.ts
+++ b/packages/router/src/request/refusals.test.ts
@@ -7,6 +7,7 @@
 import { MeasuredTransport } from '../measured-transport.js'
 import { RetryBudget } from '../retry-budget.js'
 import { RouterMetrics } from '../router-metrics.js'
+import { LeavingEndpoints } from '../leaving-endpoints.js'
 import type { RoutingTable } from '../routing-table.js'
 import { CallerProtocol, type CallerFields } from './caller-protocol.js'
 import { ChangeNotifier } from './change-notifier.js'
@@ -76,7 +77,7 @@
     metrics = new RouterMetrics()
     endpoint = new FixedEndpoint()
     dispatcher = new Dispatcher({
-      vm: 'vm-1', coordinators: new Coordinators(), peers: new NoPeers(), transport: new MeasuredTransport(endpoint, metrics, clock), directory: () => directory, clock, loopDelay: new LoopDelay(clock), random: new Random(1), metrics
+      vm: 'vm-1', coordinators: new Coordinators(), peers: new NoPeers(), transport: new MeasuredTransport(endpoint, metrics, clock), directory: () => directory, clock, loopDelay: new LoopDelay(clock), random: new Random(1), metrics, leaving: new LeavingEndpoints(clock)
     })
     router = new RangeRouter({
       dataCentre: 'a',
@@ -88,6 +89,7 @@
       map: () => map,
       directory: () => directory,
       changes: new ChangeNotifier(),
+      leaving: new LeavingEndpoints(clock),
       metrics,
       stateAges: () => ({ keyMapPosition: 12, keyMapAgeMilliseconds: 70, routingAgeMilliseconds: 80, directoryAgeMilliseconds: 90 })
     })
