Let an endpoint keep one key with demand of its only range, not all of them

The exclusion of the whole range is meant to leave the endpoint something; it left everything when all of its demand fitted elsewhere. Now the piece leaves one key with demand.

--- a/packages/key-ranges/src/spread-plan.ts
+++ b/packages/key-ranges/src/spread-plan.ts
@@ -164,37 +164,36 @@
 }
 
 /**
- * Returns the piece with the most demand within the limit, among the ends of all settled segments of the endpoint; its only segment as a
- * whole only if it takes no requests. With a limit of 0, the pieces have one key with demand each.
+ * Returns the piece with the most demand within the limit, among the ends of all settled segments of the endpoint; it keeps
+ * at least one key with demand of its only segment. With a limit of 0, the pieces have one key with demand each.
  */
 function largestPiece (map: KeyMap, pool: string, member: MemberDemand, maximumSlots: number): Piece | undefined {
   const segments = (map.pools[pool] ?? []).filter(segment => !segment.moving && segment.owner.endpoint === member.endpoint)
-  const pieces = segments.flatMap(segment => edgePieces(segment, member.keys, maximumSlots).filter(piece => segments.length > 1 || member.slots === 0 || sizeOf(piece) < sizeOf(segment)))
+  const pieces = segments.flatMap(segment => edgePieces(segment, member.keys, maximumSlots, segments.length === 1))
   return pieces.sort((one, other) => other.busySlots - one.busySlots)[0]
 }
 
 /**
  * Returns the largest pieces within the limit at both ends of a segment, so that a move splits a segment at most once. The whole
- * segment is returned if its demand is within the limit.
+ * segment is returned if its demand is within the limit, unless a key is to be kept.
  */
-function edgePieces (segment: Segment, keys: readonly KeyDemand[], maximumSlots: number): Piece[] {
+function edgePieces (segment: Segment, keys: readonly KeyDemand[], maximumSlots: number, keepsKey: boolean): Piece[] {
   const inside = keys.filter(({ key }) => key >= segment.from && key <= segment.to).sort((one, other) => one.key - other.key)
+  const mostKeys = keepsKey ? inside.length - 1 : inside.length
   const pieces: Piece[] = []
-  const first = maximumSlots === 0 ? single(inside[0]) : longestPrefix(inside, maximumSlots)
+  const first = longestPrefix(inside.slice(0, mostKeys), maximumSlots)
   const next = inside[first.count]
   if (first.count > 0) pieces.push({ from: segment.from, to: next === undefined ? segment.to : next.key - 1, busySlots: first.busySlots })
-  const last = maximumSlots === 0 ? single(inside.at(-1)) : longestPrefix([...inside].reverse(), maximumSlots)
+  const last = longestPrefix([...inside].reverse().slice(0, mostKeys), maximumSlots)
   const before = inside[inside.length - 1 - last.count]
   if (last.count > 0) pieces.push({ from: before === undefined ? segment.from : before.key + 1, to: segment.to, busySlots: last.busySlots })
   return pieces
 }
 
-function single (key: KeyDemand | undefined): { readonly count: number, readonly busySlots: number } {
-  return key === undefined ? { count: 0, busySlots: 0 } : { count: 1, busySlots: key.busySlots }
-}
-
-/** Returns how many of the first keys fit within the limit, and their demand. */
+/** Returns how many of the first keys fit within the limit, and their demand; with a limit of 0, the first key. */
 function longestPrefix (keys: readonly KeyDemand[], maximumSlots: number): { readonly count: number, readonly busySlots: number } {
+  const [only] = keys
+  if (maximumSlots === 0) return only === undefined ? { count: 0, busySlots: 0 } : { count: 1, busySlots: only.busySlots }
   let busySlots = 0
   let count = 0
   for (const { busySlots: demand } of keys) {
