--- a/packages/key-ranges/src/spread-plan.ts
+++ b/packages/key-ranges/src/spread-plan.ts
@@ -1,6 +1,6 @@
 import { assignRange } from './edit.js'
 import { holderOf, type PoolMember } from './membership-plan.js'
-import { sizeOf, type KeyMap, type KeyRange, type Segment } from './key-map.js'
+import type { KeyMap, KeyRange, Segment } from './key-map.js'
 
 /** Recent demand for one key. */
 export interface KeyDemand {
