Send nothing to an endpoint for the time that it names with a refusal

The header was not read.

The queue of the endpoint starts nothing until then and refuses at once what cannot wait, with the time that is left; a pool without keys uses another endpoint; a pause of over 1 s makes the leader give its keys to others, which takes a fresh measurement of the load, about 2 s.

--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -273,10 +273,10 @@
     const acceptingFormerLeaders = this.#ownersAcceptingFormerLeaders(pool)
     for (const entry of this.#options.directory.current?.state.values() ?? []) {
       if (entry.pool !== pool) continue
-      const demand = this.#demand.get(entry.id) ?? { busySlots: 0, serviceMilliseconds: 0, keys: [] }
+      const demand: MeasuredDemand = this.#demand.get(entry.id) ?? { busySlots: 0, serviceMilliseconds: 0, keys: [] }
       const member = poolMemberOf(entry)
       const reachable = !this.#renewal.isUnreachable(entry.id)
-      members.push({ ...member, ...demand, accepting: !this.#options.leaving.has(entry) && reachable, keepsKeys: reachable && acceptingFormerLeaders.has(holderKey(member)) })
+      members.push({ ...member, ...demand, accepting: !this.#options.leaving.has(entry) && reachable && demand.usableSlots !== 0, keepsKeys: reachable && acceptingFormerLeaders.has(holderKey(member)) })
     }
     return members.sort((one, other) => one.endpoint < other.endpoint ? -1 : 1)
   }
--- a/packages/router/src/endpoint-transport.ts
+++ b/packages/router/src/endpoint-transport.ts
@@ -28,7 +28,7 @@
 export type EndpointReply =
   | { readonly kind: 'answered', readonly status: number, /** Headers that are passed on to the caller. */ readonly headers: readonly CallerHeader[], readonly body: Buffer, /** False when the answer had no Content-Length and its end was the close of the connection. */ readonly lengthKnown: boolean, readonly load: ReportedLoad | undefined, readonly limit: ReportedLimit, /** Whether the endpoint says that it leaves. */ readonly leaving?: boolean }
   /** The endpoint did not run the request: it has no free slot, does not hold the key, or another endpoint has its address. */
-  | { readonly kind: 'refused', readonly reason: 'endpoint_full' | 'not_owner', readonly load: ReportedLoad | undefined, readonly limit: ReportedLimit, readonly leaving?: boolean }
+  | { readonly kind: 'refused', readonly reason: 'endpoint_full' | 'not_owner', readonly load: ReportedLoad | undefined, readonly limit: ReportedLimit, readonly leaving?: boolean, /** For how long the endpoint wants no requests. */ readonly retryAfterMilliseconds?: number | undefined }
   /** Nothing was sent. */
   | { readonly kind: 'unreachable' }
   /** The request may have run. */
--- a/packages/router/src/request/endpoint-gate.ts
+++ b/packages/router/src/request/endpoint-gate.ts
@@ -24,6 +24,8 @@
 const policy = new ClassPolicy()
 // A limit that was not named for this long is no reason to leave an endpoint to its coordinator.
 const limitKnownMilliseconds = 5_000
+// Keys are moved away from an endpoint that wants no requests for longer than a move takes.
+const longPauseMilliseconds = 1_000
 // How long requests that wait for an endpoint may still start after its directory entry said that it leaves.
 const queueMilliseconds = 400
 
@@ -43,6 +45,7 @@
   /** Requests a second that the endpoint takes from all VMs together; undefined when it names no limit. */
   #limit: number | undefined
   #limitNamedAt = -Infinity
+  #pausedForLong = false
   #closesAt = Infinity
   #closeTimer: NodeJS.Timeout | undefined
 
@@ -68,8 +71,9 @@
   /** Whether the endpoint has named a limit recently. */
   get isLimited (): boolean { return this.#limit !== undefined && this.#options.clock.now() - this.#limitNamedAt <= limitKnownMilliseconds }
 
-  /** Slots that a recent limit allows to be busy, given the mean service time; undefined without one, and while the time is not known. */
+  /** Slots that a recent limit or a long pause allows to be busy, given the mean service time; undefined without one, and while the time is not known. */
   usableSlots (serviceMilliseconds: number): number | undefined {
+    if (this.#pausedForLong && this.#queue.pauseMilliseconds > 0) return 0
     if (this.#limit === undefined || !this.isLimited || serviceMilliseconds === 0) return undefined
     return Math.min(this.slots, this.#limit * serviceMilliseconds / 1_000)
   }
@@ -78,6 +82,7 @@
   update (entry: EndpointEntry): void {
     if (entry.life !== this.#entry.life) {
       this.#setLimit(undefined)
+      this.#queue.pauseStarts(0)
       clearTimeout(this.#closeTimer)
       this.#closesAt = Infinity
     }
@@ -173,6 +178,7 @@
     const { requestId, bucket, method, target, headers, body } = forward
     const reply = await transport.send(this.#entry, { requestId, key: bucket < 0 ? undefined : bucket, method, target, headers, body, remainingMilliseconds: deadlineAt - startedAt }, signal)
     const milliseconds = clock.now() - startedAt
+    if (reply.kind === 'refused' && reply.retryAfterMilliseconds !== undefined) this.#pause(reply.retryAfterMilliseconds)
     if ('leaving' in reply && reply.leaving === true) this.#observeLeaving()
     if ('limit' in reply) this.#observeLimit(reply.limit, startedAt, reply.kind === 'answered')
     if (reply.kind === 'answered') this.demand.recordServiceTime(forward.rule, milliseconds)
@@ -180,6 +186,12 @@
     return answerOf(reply, milliseconds)
   }
 
+  #pause (milliseconds: number): void {
+    logger.info('endpoint wants no requests for some time', { endpoint: this.#entry.id, pool: this.pool, life: this.#entry.life, milliseconds: Math.round(milliseconds), queued: this.queued })
+    this.#pausedForLong = milliseconds > longPauseMilliseconds
+    this.#queue.pauseStarts(milliseconds)
+  }
+
   #observeLeaving (): void {
     const { leaving } = this.#options
     leaving.add(this.#entry, 'answer')
@@ -221,7 +233,7 @@
 function answerOf (reply: EndpointReply, serviceMilliseconds: number): Answer {
   switch (reply.kind) {
     case 'answered': return { ...Answer.create(), outcome: Outcome.OUTCOME_ANSWERED, status: reply.status, headers: [...reply.headers], body: reply.body, reason: reply.lengthKnown ? '' : lengthUnknown, serviceMilliseconds }
-    case 'refused': return notRunAnswer(reply.reason, { retryAfterMilliseconds: fullRetryMilliseconds })
+    case 'refused': return notRunAnswer(reply.reason, { retryAfterMilliseconds: reply.retryAfterMilliseconds ?? fullRetryMilliseconds })
     case 'unreachable': return notRunAnswer('endpoint_unreachable', { retryAfterMilliseconds: fullRetryMilliseconds })
     case 'broken': return unknownAnswer(reply.reason)
   }
--- a/packages/scheduling/src/endpoint-queue.ts
+++ b/packages/scheduling/src/endpoint-queue.ts
@@ -48,6 +48,7 @@
   readonly foreignRunning: number
   /** Jobs that may start in a second; undefined without a limit. */
   readonly startsPerSecond: number | undefined
+  readonly pauseMilliseconds: number
   readonly maximumQueued: number
   readonly draining: boolean
   readonly running: PerClass<number>
@@ -195,6 +196,22 @@
   /** Sets how many jobs may start in a second; undefined removes the limit. */
   setStartRate (perSecond: number | undefined): void {
     this.#limits.startRate.set(perSecond)
+    this.#rescheduleStart()
+  }
+
+  /** Starts no job for some time, in milliseconds; 0 ends the pause. Jobs that cannot wait that long are refused at once. */
+  pauseStarts (milliseconds: number): void {
+    this.#limits.startRate.pause(milliseconds)
+    this.#rescheduleStart()
+    for (const entry of this.#laneQueue.entries()) {
+      if (entry.startBy < this.#clock.now() + milliseconds) this.#removeQueued(entry as Entry, 'deadline_unreachable')
+    }
+  }
+
+  /** Time for which no job starts, in milliseconds. */
+  get pauseMilliseconds (): number { return this.#limits.startRate.pauseMilliseconds }
+
+  #rescheduleStart (): void {
     clearTimeout(this.#startTimer)
     this.#startTimer = undefined
     this.#applyLimits()
@@ -240,6 +257,7 @@
       slots,
       foreignRunning,
       startsPerSecond: this.#limits.startRate.perSecond,
+      pauseMilliseconds: this.pauseMilliseconds,
       maximumQueued,
       draining: this.#draining,
       running: { ...running },
--- a/packages/scheduling/src/start-rate.ts
+++ b/packages/scheduling/src/start-rate.ts
@@ -6,12 +6,13 @@
 const minimumPerSecond = 0.25
 const roundingTokens = 1e-6
 
-/** Token bucket that limits how many jobs start in a second. Without a limit, every job may start at once. */
+/** Token bucket that limits how many jobs start in a second, and a pause. Without either, every job may start at once. */
 export class StartRate {
   readonly #clock: Clock
   #perSecond: number | undefined
   #tokens = 0
   #refilledAt = 0
+  #pausedUntil = -Infinity
 
   constructor (clock: Clock) {
     this.#clock = clock
@@ -31,12 +32,20 @@
     this.#perSecond = perSecond === undefined ? undefined : Math.max(minimumPerSecond, perSecond)
   }
 
+  /** Lets no job start for some time, in milliseconds; 0 ends the pause. */
+  pause (milliseconds: number): void {
+    this.#pausedUntil = this.#clock.now() + milliseconds
+  }
+
+  /** Time for which no job may start, in milliseconds. */
+  get pauseMilliseconds (): number { return Math.max(0, this.#pausedUntil - this.#clock.now()) }
+
   /** Returns the time until `count` more jobs may have started, in milliseconds. */
   delayOf (count: number): number {
-    if (this.#perSecond === undefined) return 0
+    if (this.#perSecond === undefined) return this.pauseMilliseconds
     this.#refill(this.#perSecond)
     const missing = count - this.#tokens
-    return missing <= roundingTokens ? 0 : 1_000 * missing / this.#perSecond
+    return Math.max(this.pauseMilliseconds, missing <= roundingTokens ? 0 : 1_000 * missing / this.#perSecond)
   }
 
   /** Records that a job starts. */
