Bound how long a read without an answer delays a change of the configuration

One VM reads for all; its read of the routing table may wait 10 s for a change, and when its answer is lost, nothing else ends it. About two more calls a second of one VM.

--- a/packages/router/src/control/state-ages.ts
+++ b/packages/router/src/control/state-ages.ts
@@ -5,8 +5,8 @@
 
 /**
  * Ages of the states on which this VM bases its decisions, for logs and metrics. An age is the time since the start of the
- * last successful read, by this VM or the one from which it receives the state; undefined before the first. A read of the key map or the routing table may wait 10 s for a change,
- * so an age of that length is normal.
+ * last successful read, by this VM or the one from which it receives the state; undefined before the first. A read of the key map or the routing table may wait 1 s for a change,
+ * so an age of twice that is normal.
  */
 export interface StateAges {
   readonly keyMapPosition: number | undefined
--- a/packages/router/src/control/timing.ts
+++ b/packages/router/src/control/timing.ts
@@ -21,7 +21,7 @@
   readonly confirmMilliseconds: number
   /** Timeout of one call to the log, in addition to the time that the call asks the log to wait for a change. */
   readonly logCallMilliseconds: number
-  /** Longest time for which one read of the log waits for a change. */
+  /** Longest time for which one read of the log waits for a change. With the timeout of a call, it bounds how long a read without an answer delays a change. */
   readonly logWaitMilliseconds: number
   /**
    * Interval between reads of the endpoint directory. An endpoint that leaves goes on for two seconds, within which a lost reader
@@ -47,7 +47,7 @@
   membershipMilliseconds: 1_200,
   confirmMilliseconds: 350,
   logCallMilliseconds: 700,
-  logWaitMilliseconds: 10_000,
+  logWaitMilliseconds: 1_000,
   directoryMilliseconds: 500,
   settleMilliseconds: 1_500,
   spreadMilliseconds: 1_000,
