Use a store again that has come back from an older copy

A follower kept the higher of two offsets, so it never took what the store had now, and every write of the key map named an end that was not there (410 and 412 ten times a second).

Positions carry the era of the store, tokens begin anew in each era, and what a copy says does not replace what VMs know (docs/platform.md, section 8). A leader goes on with its own map; a new one takes the newest map that any VM holds and waits until all grants of earlier eras have run out.

--- a/packages/key-ranges/src/edit.ts
+++ b/packages/key-ranges/src/edit.ts
@@ -37,11 +37,11 @@
 }
 
 /**
- * Gives all segments one new fencing token without changing their owners. An endpoint that has acknowledged the new token
+ * Gives all segments one new fencing token, above `least`, without changing their owners. An endpoint that has acknowledged the new token
  * refuses grants that a former leader still sends.
  */
-export function raiseFences (map: KeyMap): KeyMap {
-  const fence = map.fence + 1
+export function raiseFences (map: KeyMap, least = 0): KeyMap {
+  const fence = Math.max(map.fence, least) + 1
   const pools = Object.fromEntries(Object.entries(map.pools).map(([pool, segments]) => [pool, segments.map(segment => ({ ...segment, fence }))]))
   return { ...map, fence, pools }
 }
--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -10,6 +10,8 @@
 import type { RoutingTable } from '../routing-table.js'
 import { GrantRenewal, holderKey } from './grant-renewal.js'
 import type { GroupMember } from './group-member.js'
+import { eraOf, firstFenceOf } from './log-position.js'
+import type { OtherKeyMaps } from './other-key-maps.js'
 import { RangeHandover } from './range-handover.js'
 import type { TopicState, WritableTopic } from './state-topic.js'
 import type { ControlTiming } from './timing.js'
@@ -45,6 +47,8 @@
   readonly demand: DemandSource
   readonly roster: VmRoster
   readonly metrics: RouterMetrics
+  /** Key maps of the other VMs, for a log that went back. Absent: there are no other VMs. */
+  readonly otherMaps?: OtherKeyMaps
 }
 
 const tickMilliseconds = 100
@@ -68,6 +72,10 @@
    */
   #unansweredWrites: ReadonlyArray<TopicState<KeyMap>> = []
   #leading = false
+  /** Era of the log in which this leadership last wrote the key map. */
+  #era = 0
+  /** After the log went back: until when grants of former leaders may hold. */
+  #formerGrants: { readonly era: number, readonly allAnswered: boolean, readonly until: number } | undefined
   /** Generation of the membership whose members are on the roster. */
   #generation: number | undefined
   #otherCandidates = false
@@ -124,6 +132,7 @@
     if (this.#isStale()) return this.#endLeadership('the log was out of reach for too long')
     // Either another VM leads, or a write of this VM was applied late. The newer key map will show which; until then nothing is granted.
     if (this.#options.map.behind) return
+    if (this.#currentEra !== this.#era) return await this.#continueInNewEra(signal)
     this.#renewal.renewDue(this.#map.pools)
     void this.#collectDemand()
     await this.#refreshMembers()
@@ -137,6 +146,55 @@
     return this.#options.map.current?.state ?? emptyKeyMap
   }
 
+  get #currentEra (): number {
+    return eraOf(this.#options.map.current?.position ?? 0)
+  }
+
+  /** Whether the key map was written before the log went back, or has a token that the log may have given out again. */
+  get #isFromEarlierEra (): boolean {
+    return this.#map.fence < firstFenceOf(this.#currentEra)
+  }
+
+  /**
+   * Writes the key map again after the log went back. What this leader has granted is still true, but nothing is granted until the write
+   * is acknowledged, since another VM may lead.
+   */
+  async #continueInNewEra (signal: AbortSignal): Promise<void> {
+    await this.#adoptNewestMap()
+    // A newer map of another VM has ended this leadership.
+    if (!this.#leading) return
+    await this.#write({ ...this.#map, fence: Math.max(this.#map.fence, firstFenceOf(this.#currentEra)) + 1 }, 'continue after the log went back', signal)
+    this.#generation = undefined
+    logger.info('leadership continues after the log went back', { era: this.#era, fence: this.#map.fence, position: this.#options.map.current?.position })
+  }
+
+  /** Takes the key map with the highest token that another VM holds, if it is higher. Returns whether all VMs answered. */
+  async #adoptNewestMap (): Promise<boolean> {
+    const { otherMaps, map } = this.#options
+    const position = map.current?.position ?? 0
+    const { maps, allAnswered } = await otherMaps?.collect(position) ?? { maps: [], allAnswered: true }
+    for (const state of maps) map.offer({ position: map.current?.position ?? position, state })
+    return allAnswered
+  }
+
+  /**
+   * Returns whether the grants of leaders before the log went back have surely run out. Their last moves may be lost with the log, so any
+   * endpoint may hold any keys until then.
+   */
+  async #haveFormerGrantsRunOut (): Promise<boolean> {
+    const { clock, timing } = this.#options
+    const era = this.#currentEra
+    if (this.#formerGrants?.era !== era || !this.#formerGrants.allAnswered) {
+      const allAnswered = await this.#adoptNewestMap()
+      const lastGrantAt = clock.now() + (allAnswered ? 0 : timing.staleLeaderMilliseconds)
+      const until = lastGrantAt + timing.holdMilliseconds * (1 + timing.clockSlack) + timing.grantCallMilliseconds
+      const before = this.#formerGrants?.era === era ? this.#formerGrants.until : Infinity
+      if (before === Infinity) logger.warning('the log went back: keys are granted again once all earlier grants have run out', { era, position: this.#options.map.current?.position, fence: this.#map.fence, allAnswered, milliseconds: Math.round(until - clock.now()) })
+      this.#formerGrants = { era, allAnswered, until: Math.min(before, until) }
+    }
+    return this.#formerGrants.until <= clock.now()
+  }
+
   /** Takes over only while the membership is confirmed: otherwise another VM has been elected, whatever the last report said. */
   async #takeOverIfConfirmed (signal: AbortSignal): Promise<void> {
     if (this.#isMembershipConfirmed) await this.#takeOver(signal)
@@ -152,10 +210,11 @@
     const { map, self, directory, routing } = this.#options
     if (directory.current === undefined || routing.current === undefined) return
     await withTimeLimit(this.#options.timing.logCallMilliseconds, signal, async limited => await map.refresh(limited))
+    if (this.#isFromEarlierEra && !await this.#haveFormerGrantsRunOut()) return
     this.#generation = undefined
     this.#options.roster.reset(this.#map.vms)
     await this.#refreshMembers()
-    const raised = raiseFences({ ...this.#map, author: self.id, vms: this.#options.roster.vms })
+    const raised = raiseFences({ ...this.#map, author: self.id, vms: this.#options.roster.vms }, firstFenceOf(this.#currentEra))
     await this.#write(joinSegments(raised), 'take over', signal)
     // Former holders in moves that are not open (see `Segment.open`) refuse every leader before the previous one.
     const closedSegments = Object.values(raised.pools).flat().filter(segment => segment.open !== true)
@@ -323,6 +382,7 @@
       // Another VM has written a newer key map before the answer arrived. This VM must not grant the tokens in that map.
       if ((follower.current?.position ?? 0) > written) throw new BriarsaddleError('another VM has written the key map since', { code: 'lost_race', step: purpose })
       follower.offer({ position: written, state: map })
+      this.#era = eraOf(written)
     } catch (error) {
       logger.info('write of the key map failed', { purpose, position, code: errorCode(error) })
       if (errorCode(error) === 'lost_race' || errorCode(error) === 'log_unavailable') this.#unansweredWrites = this.#unansweredWrites.filter(other => other !== attempt)
@@ -340,7 +400,7 @@
 
   /** Whether this VM may still act as the leader and no write without an answer assigns keys of the segment to another owner. */
   #mayGrant (pool: string, segment: Segment): boolean {
-    if (!this.#leading || this.#options.map.behind || this.#isStale()) return false
+    if (!this.#leading || this.#options.map.behind || this.#currentEra !== this.#era || this.#isStale()) return false
     const { endpoint, life } = segment.owner
     return this.#inDoubtWrites.every(({ state }) => segmentsIn(state, pool, segment).every(({ owner }) => owner.endpoint === endpoint && owner.life === life))
   }
--- a/packages/router/src/control/ownership-soak.test.ts
+++ b/packages/router/src/control/ownership-soak.test.ts
@@ -16,4 +16,11 @@
     expect(results.filter(({ violations, unsettled }) => violations.length > 0 || unsettled.length > 0)).to.deep.equal([])
     for (const { seed, maps } of results) expect(maps, `key maps written with seed ${seed}`).to.be.greaterThan(10)
   })
+
+  // Guards against two owners of a key, and keys without one, after the log came back without its last writes (CONFIG, OWNER).
+  it(`does so too while the log comes back from older copies (seeds ${seeds.join(', ')})`, async () => {
+    const results = await Promise.all(seeds.map(async seed => ({ seed, ...await new OwnershipSimulation(new Random(seed), true).run(faultyMilliseconds, settleMilliseconds) })))
+    expect(results.filter(({ violations, unsettled }) => violations.length > 0 || unsettled.length > 0)).to.deep.equal([])
+    for (const { seed, maps } of results) expect(maps, `key maps written with seed ${seed}`).to.be.greaterThan(10)
+  })
 })
--- a/packages/router/src/control/simulation/ownership-simulation.ts
+++ b/packages/router/src/control/simulation/ownership-simulation.ts
@@ -5,7 +5,10 @@
 import { LeavingEndpoints } from '../../leaving-endpoints.js'
 import type { RoutingTable } from '../../routing-table.js'
 import { DemandSource, KeyLeader, type MeasuredDemand } from '../key-leader.js'
+import { DirectoryHistory } from '../directory-history.js'
 import { GroupMember } from '../group-member.js'
+import { isNewerKeyMap } from '../log-position.js'
+import { OtherKeyMaps, type OtherMaps } from '../other-key-maps.js'
 import type { StateTopic } from '../state-topic.js'
 import { defaultControlTiming, type ControlTiming } from '../timing.js'
 import { TopicFollower, type TopicFollowerOptions } from '../topic-follower.js'
@@ -21,6 +24,10 @@
 const endpointCount = 6
 const mostPauseMilliseconds = 400
 const positionExchangeMilliseconds = 150
+// Writes that a log that went back has lost, and how long it takes until endpoints have written their records again.
+const mostLostWrites = 12
+const mostRewriteMilliseconds = 400
+const restoreIntervalMilliseconds = 2_500
 
 /** The default timing at about a third of its length, so that more happens in a run. */
 export const simulatedTiming: ControlTiming = {
@@ -78,6 +85,26 @@
   readonly lifeCycle: LifeCycle
 }
 
+/** The maps of the other VMs that are neither isolated nor restarting. */
+class SimulatedOtherMaps extends OtherKeyMaps {
+  readonly #vms: () => readonly SimulatedVm[]
+  readonly #self: string
+
+  constructor (self: string, vms: () => readonly SimulatedVm[]) {
+    super()
+    this.#self = self
+    this.#vms = vms
+  }
+
+  override async collect (position: number): Promise<OtherMaps> {
+    const own = this.#vms().find(vm => vm.entry.id === this.#self)
+    const others = this.#vms().filter(vm => vm !== own)
+    const reached = own?.isolated === true ? [] : others.filter(vm => !vm.isolated)
+    for (const vm of reached) vm.map.observePeerPosition(position)
+    return { maps: reached.flatMap(({ map }) => map.current?.state ?? []), allAnswered: reached.length === others.length }
+  }
+}
+
 /** Result of a run. */
 export interface SimulationResult {
   /** Grants that gave keys to a second endpoint or had too low a token, each with the events that led to it. */
@@ -92,6 +119,8 @@
 export class OwnershipSimulation {
   readonly endpoints: SimulatedEndpoints
   readonly #random: Random
+  readonly #restores: boolean
+  #restoredAt = performance.now()
   readonly #clock = new MonotonicClock()
   readonly #keyMap = new SharedTopic<KeyMap>(emptyKeyMap)
   readonly #directory = new SharedTopic<Directory>(new Map())
@@ -99,8 +128,10 @@
   readonly #vms: SimulatedVm[] = []
   #nextEndpoint = 1
 
-  constructor (random: Random) {
+  /** With `restores`, the log comes back from older copies now and then. */
+  constructor (random: Random, restores = false) {
     this.#random = random
+    this.#restores = restores
     this.endpoints = new SimulatedEndpoints(random)
   }
 
@@ -123,15 +154,16 @@
     clearInterval(gossip)
     const unsettled = this.#unsettled()
     for (const vm of this.#vms) await vm.lifeCycle.close()
-    return { violations: this.endpoints.violations, unsettled, maps: this.#keyMap.newest.position }
+    return { violations: this.endpoints.violations, unsettled, maps: this.#keyMap.writes }
   }
 
   /** Returns the segments that are not settled at a living endpoint and, when there are any, the state of each VM. */
   #unsettled (): readonly string[] {
-    const unsettled = (this.#keyMap.newest.state.pools[pool] ?? []).filter(({ moving, owner }) => moving || this.endpoints.get(owner)?.alive !== true)
-    if (unsettled.length === 0) return []
+    const segments = this.#keyMap.newest.state.pools[pool] ?? []
+    const unsettled = segments.filter(({ moving, owner }) => moving || this.endpoints.get(owner)?.alive !== true)
+    if (unsettled.length === 0 && segments.length > 0) return []
     const vms = this.#vms.map(({ entry, map, leader }) => `${entry.id} at ${map.current?.position}, behind ${map.behind}: ${JSON.stringify(leader.snapshot())}`)
-    return [...unsettled.map(segment => JSON.stringify(segment)), ...vms]
+    return [`${unsettled.length} of ${segments.length} segments`, ...unsettled.map(segment => JSON.stringify(segment)), ...vms]
   }
 
   async #injectFault (): Promise<void> {
@@ -146,18 +178,34 @@
       () => { vm.links.cut.add(entry.id) },
       () => { vm.links.cut.clear() },
       () => { this.#group.reassign() },
+      async () => { if (this.#restores && performance.now() - this.#restoredAt > restoreIntervalMilliseconds) await this.#restoreLog() },
       () => { if (entries.length < 2 * endpointCount) this.#addEndpoint() },
       () => { this.#putEntry({ ...entry, leaving: true }) },
       () => { if (entries.length > endpointCount) this.#lose(entry) },
       () => { if (entries.length > endpointCount && entry.leaving) this.#removeEntry(entry) },
-      async () => {
-        await vm.lifeCycle.close()
-        this.#vms[this.#vms.indexOf(vm)] = this.#startVm(vm.entry.id)
-      }
+      async () => await this.#restart(vm)
     ]
     await this.#random.pick(steps)()
   }
 
+  async #restart (vm: SimulatedVm): Promise<void> {
+    await vm.lifeCycle.close()
+    this.#vms[this.#vms.indexOf(vm)] = this.#startVm(vm.entry.id)
+  }
+
+  /** The log loses its last writes, and some VMs are lost beside it, or all. What endpoints wrote is written again. */
+  async #restoreLog (): Promise<void> {
+    this.#restoredAt = performance.now()
+    const directory = this.#directory.newest.state
+    this.#keyMap.restore(this.#random.integer(0, mostLostWrites))
+    this.#directory.restore(this.#random.integer(0, mostLostWrites))
+    if (this.#random.fraction() < 0.5) this.#group.reassign()
+    const restartShare = this.#random.pick([0, 0.5, 1])
+    await Promise.all(this.#vms.filter(() => this.#random.fraction() < restartShare).map(async vm => await this.#restart(vm)))
+    await delay(this.#random.integer(0, mostRewriteMilliseconds))
+    this.#directory.put(directory)
+  }
+
   #heal (vm: SimulatedVm): void {
     vm.access.mode = 'answers'
     vm.isolated = false
@@ -203,8 +251,10 @@
     const access = new LogAccess(this.#random)
     const links = new SimulatedLinks(id, this.endpoints, simulatedTiming.grantCallMilliseconds)
     const lifeCycle = new LifeCycle(id)
-    const map = this.#follow('key map', new SimulatedTopic(this.#keyMap, access))
-    const directory = this.#follow('directory', new SimulatedTopic(this.#directory, access), { waitMilliseconds: 0, pauseMilliseconds: simulatedTiming.directoryMilliseconds })
+    const history = new DirectoryHistory(this.#clock)
+    const map = this.#follow('key map', new SimulatedTopic(this.#keyMap, access), { isNewer: isNewerKeyMap })
+    const directory = this.#follow('directory', new SimulatedTopic(this.#directory, access), { waitMilliseconds: 0, pauseMilliseconds: simulatedTiming.directoryMilliseconds, merge: (held, copy) => history.merge(held, copy) })
+    directory.onChange(state => history.update(state))
     const routing = this.#follow('routing table', new SimulatedTopic(new SharedTopic(table), access))
     const member = new GroupMember({
       self,
@@ -216,7 +266,7 @@
       onRegained: () => map.interrupt()
     })
     const demand = new RandomDemand(this.#random, () => map.current?.state)
-    const leader = new KeyLeader({ leaving: new LeavingEndpoints(this.#clock), self, clock: this.#clock, timing: simulatedTiming, member, topic: new SimulatedTopic(this.#keyMap, access), map, directory, routing, transport: links, demand, roster: new VmRoster(self, this.#clock), metrics: new RouterMetrics() })
+    const leader = new KeyLeader({ leaving: new LeavingEndpoints(this.#clock), self, clock: this.#clock, timing: simulatedTiming, member, topic: new SimulatedTopic(this.#keyMap, access), map, directory, routing, transport: links, demand, roster: new VmRoster(self, this.#clock), otherMaps: new SimulatedOtherMaps(id, () => this.#vms), metrics: new RouterMetrics() })
     for (const follower of [map, directory, routing]) follower.start(lifeCycle)
     member.start(lifeCycle)
     leader.start(lifeCycle)
--- a/packages/router/src/control/simulation/simulated-endpoints.ts
+++ b/packages/router/src/control/simulation/simulated-endpoints.ts
@@ -18,7 +18,7 @@
 
 /** One process of an endpoint: the keys that it holds, and the highest fencing token that it has seen for each key. */
 export class SimulatedEndpoint {
-  readonly fences = new Int32Array(keyCount)
+  readonly fences = new Float64Array(keyCount)
   held: readonly Held[] = []
   alive = true
 
--- a/packages/router/src/control/simulation/simulated-log.ts
+++ b/packages/router/src/control/simulation/simulated-log.ts
@@ -1,5 +1,6 @@
 import { BriarsaddleError, delay, type Random } from '@briarsaddle/common'
 import type { VmEntry } from '@briarsaddle/key-ranges'
+import { eraOf, logPosition, offsetOf } from '../log-position.js'
 import { MembershipService, type MembershipReport } from '../leadership.js'
 import { WritableTopic, type TopicState } from '../state-topic.js'
 
@@ -40,15 +41,30 @@
 
 /** A topic that all VMs of a simulation share. */
 export class SharedTopic<State> {
-  newest: TopicState<State>
+  /** States by offset, of which the last one is the newest. */
+  readonly #states: State[]
+  #era = 0
+  /** Number of states that were appended. */
+  writes = 0
 
   constructor (state: State) {
-    this.newest = { position: 1, state }
+    this.#states = [state]
+  }
+
+  get newest (): TopicState<State> {
+    return { position: logPosition(this.#era, this.#states.length), state: this.#states.at(-1) as State }
   }
 
   /** Appends a state. */
   put (state: State): void {
-    this.newest = { position: this.newest.position + 1, state }
+    this.#states.push(state)
+    this.writes++
+  }
+
+  /** Comes back from an older copy, without the last states, in a new era. */
+  restore (lost: number): void {
+    this.#states.splice(Math.max(1, this.#states.length - lost))
+    this.#era++
   }
 }
 
@@ -72,16 +88,20 @@
     await this.#access.call(signal, () => undefined, () => {})
     while (performance.now() < until && this.#shared.newest.position <= current.position && !signal.aborted) await delay(waitStepMilliseconds)
     const newest = await this.read(signal)
+    if (eraOf(newest.position) !== eraOf(current.position)) throw new BriarsaddleError('the log went back', { code: 'log_forgotten', step: 'read' })
     return newest.position > current.position ? newest : undefined
   }
 
   override async write (state: State, position: number, signal: AbortSignal): Promise<number> {
+    // The condition names an offset only, which a log that went back gives out again.
+    const isNext = (): boolean => offsetOf(position) === offsetOf(this.#shared.newest.position)
     const carryOut = (): number => {
-      if (position !== this.#shared.newest.position) throw new BriarsaddleError('another write came first', { code: 'lost_race', step: 'write' })
-      this.#shared.put(state)
+      if (isNext()) this.#shared.put(state)
+      else throw new BriarsaddleError('another write came first', { code: 'lost_race', step: 'write' })
+      if (eraOf(position) !== eraOf(this.#shared.newest.position)) throw new BriarsaddleError('the log went back', { code: 'lost_race', step: 'write' })
       return this.#shared.newest.position
     }
-    return await this.#access.call(signal, carryOut, () => { if (position === this.#shared.newest.position) this.#shared.put(state) })
+    return await this.#access.call(signal, carryOut, () => { if (isNext()) this.#shared.put(state) })
   }
 }
 
--- a/packages/router/src/control/state-topic.ts
+++ b/packages/router/src/control/state-topic.ts
@@ -1,6 +1,6 @@
 /** State that was read from a topic of the platform's log, with the position in the topic that it includes. */
 export interface TopicState<State> {
-  /** Offset of the next record. */
+  /** Position of the next record, see `logPosition`. */
   readonly position: number
   readonly state: State
 }
@@ -11,7 +11,7 @@
   abstract read (signal: AbortSignal): Promise<TopicState<State>>
   /**
    * Resolves to a state newer than `current`, or to undefined when no record was added within `waitMilliseconds`.
-   * Throws `log_unavailable`, or `log_forgotten` when the records after `current` were deleted.
+   * Throws `log_unavailable`, or `log_forgotten` when the records after `current` were deleted, or the log went back.
    */
   abstract next (current: TopicState<State>, waitMilliseconds: number, signal: AbortSignal): Promise<TopicState<State> | undefined>
 }
--- a/packages/router/src/control/topic-follower.ts
+++ b/packages/router/src/control/topic-follower.ts
@@ -1,4 +1,5 @@
 import { delay, describeError, errorCode, Logger, withTimeLimit, type Clock, type LifeCycle } from '@briarsaddle/common'
+import { eraOf } from './log-position.js'
 import type { StateTopic, TopicState } from './state-topic.js'
 
 const logger = new Logger('log')
@@ -15,6 +16,11 @@
   readonly pauseMilliseconds: number
   /** Whether `one` replaces `other`, so that a state that arrives late does not replace a newer one. */
   readonly isNewer: (one: TopicState<State>, other: TopicState<State>) => boolean
+  /**
+   * Returns the state after the log came back from an older copy, from the one that this VM holds and the one of the copy. Absent: `isNewer` decides.
+   * The topic is then read once more as a whole, when its writers have written again what was lost.
+   */
+  readonly merge?: (held: State, copy: State) => State
   /** Resolves when this VM has to read the topic itself, because it does not receive the state from another VM. Absent: always. */
   readonly untilNeeded?: (signal: AbortSignal) => Promise<void>
 }
@@ -22,6 +28,8 @@
 const firstBackoffMilliseconds = 100
 // A log that is available again is noticed within this time.
 const longestBackoffMilliseconds = 800
+// Endpoints write their records again within some heartbeats, and the store drops those that do not.
+const rewriteMilliseconds = 5_000
 
 /** Follows a topic and holds its latest state. */
 export class TopicFollower<State> {
@@ -36,6 +44,8 @@
   #readController = new AbortController()
   #failingSince = -Infinity
   #peerPosition = 0
+  /** When to read the whole topic once more after the log went back, in clock milliseconds. */
+  #rereadAt = Infinity
   #peerPositionAt = -Infinity
 
   constructor (options: TopicFollowerOptions<State>) {
@@ -80,10 +90,19 @@
 
   /** Applies a state that did not come from a read, for example one that this VM has written, unless it is not newer. */
   offer (state: TopicState<State>): void {
+    const { merge } = this.#options
+    if (this.#current !== undefined && merge !== undefined && eraOf(state.position) > eraOf(this.#current.position)) {
+      this.#rereadAt = this.#options.clock.now() + rewriteMilliseconds
+      return this.#use({ position: state.position, state: merge(this.#current.state, state.state) })
+    }
     if (this.#current !== undefined && !this.#options.isNewer(state, this.#current)) {
       this.#current = { position: Math.max(state.position, this.#current.position), state: this.#current.state }
       return
     }
+    this.#use(state)
+  }
+
+  #use (state: TopicState<State>): void {
     const changed = state.state !== this.#current?.state
     this.#current = state
     if (changed) for (const listener of this.#listeners) listener(state.state)
@@ -148,6 +167,13 @@
       return
     }
     const startedAt = this.#options.clock.now()
+    if (startedAt >= this.#rereadAt) {
+      const whole = await this.#options.topic.read(signal)
+      this.#rereadAt = Infinity
+      if (eraOf(whole.position) === eraOf(current.position)) this.#use(whole)
+      this.#confirm(startedAt)
+      return
+    }
     const next = await this.#options.topic.next(current, this.#options.waitMilliseconds, signal)
     if (next !== undefined) this.offer(next)
     this.#confirm(startedAt)
@@ -162,7 +188,7 @@
     if (this.#failures++ === 0) this.#failingSince = this.#options.clock.now()
     const fields = { topic: this.#options.name, code: errorCode(error), error: describeError(error), positionHeld: this.#current?.position }
     if (errorCode(error) === 'log_forgotten') {
-      // Reads the latest state as a whole, since the records up to it are deleted; the current state stays in use until then.
+      // Reads the latest state as a whole, since the records up to it are deleted or lost; the current state stays in use until then.
       logger.info('the log deleted records that were not read yet', fields)
       void withTimeLimit(longestBackoffMilliseconds, undefined, async limited => await this.refresh(limited)).catch((failure: unknown) => logger.warning('the latest state could not be read', { topic: this.#options.name, error: describeError(failure) }))
       return
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,6 +1,7 @@
 export { RangeNode, type RangeNodePlatform } from './range-node.js'
 export type { ListenAddress, RangeNodeSettings } from './node-settings.js'
 export { defaultControlTiming, type ControlTiming } from './control/timing.js'
+export { eraOf, logPosition, offsetOf } from './control/log-position.js'
 export { StateTopic, WritableTopic, type TopicState } from './control/state-topic.js'
 export { MembershipService, type MembershipReport } from './control/leadership.js'
 export type { Directory, EndpointEntry } from './endpoint-entry.js'
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -12,6 +12,9 @@
 import type { MembershipService } from './control/leadership.js'
 import { GroupMember } from './control/group-member.js'
 import { ReadPositionMonitor } from './control/read-position-monitor.js'
+import { DirectoryHistory } from './control/directory-history.js'
+import { isNewerKeyMap } from './control/log-position.js'
+import { PeerKeyMaps } from './control/other-key-maps.js'
 import { PeerDemand } from './control/peer-demand.js'
 import type { StateTopic, WritableTopic } from './control/state-topic.js'
 import { TopicFollower } from './control/topic-follower.js'
@@ -85,6 +88,7 @@
   readonly #directory: TopicFollower<Directory>
   readonly #readPositions: ReadPositionMonitor
   readonly #member: GroupMember
+  readonly #directoryHistory = new DirectoryHistory(this.#clock)
   readonly #ranks = new VmRanks()
   readonly #stateAgeLimit = (): number => this.#ranks.isSource(this.#self) ? sourceAgeLimitMilliseconds : stateAgeLimitMilliseconds
   readonly #roster: VmRoster
@@ -121,11 +125,11 @@
       withoutSourceMilliseconds: () => this.#feed.ageMilliseconds
     })
     const byPosition = (one: { readonly position: number }, other: { readonly position: number }): boolean => one.position > other.position
-    this.#map = new TopicFollower({ name: 'key map', topic: platform.keyMap, clock, waitMilliseconds: timing.logWaitMilliseconds, pauseMilliseconds: 0, isNewer: byPosition, untilNeeded: this.#untilOlderThan(this.#stateAgeLimit) })
+    this.#map = new TopicFollower({ name: 'key map', topic: platform.keyMap, clock, waitMilliseconds: timing.logWaitMilliseconds, pauseMilliseconds: 0, isNewer: isNewerKeyMap, untilNeeded: this.#untilOlderThan(this.#stateAgeLimit) })
     this.#routing = new TopicFollower({
       name: 'routing table', topic: platform.routing, clock, waitMilliseconds: timing.logWaitMilliseconds, pauseMilliseconds: 0, isNewer: (one, other) => one.state.version > other.state.version, untilNeeded: this.#untilOlderThan(() => routingAgeLimitMilliseconds)
     })
-    this.#directory = new TopicFollower({ name: 'directory', topic: platform.directory, clock, waitMilliseconds: 0, pauseMilliseconds: timing.directoryMilliseconds, isNewer: byPosition, untilNeeded: this.#untilOlderThan(this.#stateAgeLimit) })
+    this.#directory = new TopicFollower({ name: 'directory', topic: platform.directory, clock, waitMilliseconds: 0, pauseMilliseconds: timing.directoryMilliseconds, isNewer: byPosition, merge: (held, copy) => this.#directoryHistory.merge(held, copy), untilNeeded: this.#untilOlderThan(this.#stateAgeLimit) })
     this.#readPositions = new ReadPositionMonitor(this.#map, this.#routing)
     this.#member = new GroupMember({
       self: this.#self,
@@ -251,6 +255,7 @@
       leaving: this.#leavingEndpoints,
       demand: new PeerDemand(this.#peers, this.#control, this.#readPositions, this.#roster),
       roster: this.#roster,
+      otherMaps: new PeerKeyMaps(this.#peers),
       metrics: this.#metrics
     })
   }
@@ -301,6 +306,7 @@
     })
     this.#directory.onChange(directory => {
       this.#leavingEndpoints.update(directory)
+      this.#directoryHistory.update(directory)
       this.#dispatcher.update(directory)
       this.#transport.keepOnly(directory)
       this.#changes.notify()
--- a/packages/router/src/request/inner-handlers.ts
+++ b/packages/router/src/request/inner-handlers.ts
@@ -61,8 +61,9 @@
     return { ...this.#options.readPositions.own, watchers: [...publisher.watchers], leaving: leaving(), endpoints: [...this.#options.dispatcher.gates].map(([endpoint, gate]) => this.#keyLoad(endpoint, gate)) }
   }
 
-  override async fetchControl ({ keyMapPosition, routingVersion }: FetchControlRequest): Promise<FetchControlResponse> {
+  override async fetchControl ({ keyMapPosition, routingVersion, knownPosition }: FetchControlRequest): Promise<FetchControlResponse> {
     const { map, routing } = this.#options
+    map.observePeerPosition(knownPosition)
     const keyMap = map.current
     const table = routing.current?.state
     return {
