Count a request at its endpoint when the endpoint is chosen, not when it is sent

Requests that arrive together were all chosen for before the first of them counted, so some waited for a busy endpoint while others of the pool had free slots. The chooser counts at the choice.

--- a/packages/router/src/request/pool-chooser.ts
+++ b/packages/router/src/request/pool-chooser.ts
@@ -17,15 +17,16 @@
     this.#random = random
   }
 
-  /** Returns the endpoint to which to send a request; undefined when all are excluded. */
+  /** Returns the endpoint to which to send a request, and counts the request there until `finished`; undefined when all are excluded. */
   choose (pool: string, endpoints: readonly EndpointEntry[], excluded: ReadonlySet<string>): EndpointEntry | undefined {
     const chooser = this.#chooser(pool)
     const near = endpoints.filter(entry => entry.dataCentre === this.#dataCentre && !excluded.has(entry.id) && chooser.load(entry.id) < entry.slots)
     const id = near.length > 0 ? chooser.choose(near.map(entry => entry.id)) : chooser.choose(endpoints.map(entry => entry.id), excluded)
+    if (id !== undefined) chooser.started(id)
     return endpoints.find(entry => entry.id === id)
   }
 
-  /** Records that a request is sent to an endpoint. */
+  /** Records that a request is sent to an endpoint that was not chosen here, the owner of its key. */
   started (pool: string, endpoint: string): void {
     this.#chooser(pool).started(endpoint)
   }
--- a/packages/router/src/request/range-router.ts
+++ b/packages/router/src/request/range-router.ts
@@ -217,7 +217,7 @@
     const startedAt = this.#clock.now()
     state.sent++
     state.endpoint = endpoint.id
-    this.#chooser.started(pool.name, endpoint.id)
+    if (pool.keyed) this.#chooser.started(pool.name, endpoint.id)
     const answer = await this.#options.dispatcher.dispatch(endpoint, this.#forward(state, endpoint), state.signal)
     this.#chooser.finished(pool.name, endpoint.id, answer, this.#clock.now() - startedAt)
     if (answer.outcome === Outcome.OUTCOME_UNKNOWN) state.mayHaveRun = true
