Return a key map to a new leader only if it is newer than its own

After the log has gone back a leader asks every VM for its key map. On a large fleet each would have sent the whole map, some 60 KB of JSON, at once, so that answers come after the call's 0.4 s and the leader waits 10 s longer than it has to (read, not measured on such a fleet). The request names the token that the leader has, and only a higher one is returned; a map that cannot be decoded counts as no answer.

--- a/packages/router/src/control/control-relay.ts
+++ b/packages/router/src/control/control-relay.ts
@@ -41,7 +41,7 @@
     if (vms.length === 0) return
     const vm = random.pick(vms)
     try {
-      const request = { keyMapPosition: map.current?.position ?? 0, routingVersion: routing.current?.state.version ?? 0, knownPosition: 0 }
+      const request = { keyMapPosition: map.current?.position ?? 0, routingVersion: routing.current?.state.version ?? 0, knownPosition: 0, knownFence: 0 }
       const response = await peers.get(vm)?.fetchControl(request, callMilliseconds)
       if (response === undefined) return
       if (response.keyMap !== '') map.offer({ position: response.keyMapPosition, state: decodeKeyMap(response.keyMap) })
--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -172,7 +172,7 @@
   async #adoptNewestMap (): Promise<boolean> {
     const { otherMaps, map } = this.#options
     const position = map.current?.position ?? 0
-    const { maps, allAnswered } = await otherMaps?.collect(position) ?? { maps: [], allAnswered: true }
+    const { maps, allAnswered } = await otherMaps?.collect(position, this.#map.fence) ?? { maps: [], allAnswered: true }
     for (const state of maps) map.offer({ position: map.current?.position ?? position, state })
     return allAnswered
   }
--- a/packages/router/src/control/other-key-maps.ts
+++ b/packages/router/src/control/other-key-maps.ts
@@ -13,8 +13,8 @@
 
 /** The key maps that other VMs hold. */
 export abstract class OtherKeyMaps {
-  /** Tells the other VMs the position up to which the log was read, and returns the maps that they hold. Never rejects. */
-  abstract collect (position: number): Promise<OtherMaps>
+  /** Tells the other VMs the position up to which the log was read, and returns those of their maps that have a higher token than `fence`. Never rejects. */
+  abstract collect (position: number, fence: number): Promise<OtherMaps>
 }
 
 /** The other VMs, which can be asked for their key map. */
@@ -34,17 +34,17 @@
     this.#peers = peers
   }
 
-  override async collect (position: number): Promise<OtherMaps> {
-    const answers = await Promise.all(this.#peers.vms.map(async vm => await this.#ask(vm, position)))
-    const maps = answers.filter(answer => answer !== undefined)
-    return { maps: maps.flatMap(text => text === '' ? [] : [decodeKeyMap(text)]), allAnswered: maps.length === answers.length }
+  override async collect (position: number, fence: number): Promise<OtherMaps> {
+    const answers = await Promise.all(this.#peers.vms.map(async vm => await this.#ask(vm, position, fence)))
+    return { maps: answers.flatMap(answer => answer?.map ?? []), allAnswered: answers.every(answer => answer !== undefined) }
   }
 
-  /** Returns the encoded map of a VM, or undefined when it does not answer. */
-  async #ask (vm: string, position: number): Promise<string | undefined> {
+  /** Returns the map of a VM if it has a higher token; undefined when the VM does not answer. */
+  async #ask (vm: string, position: number, fence: number): Promise<{ readonly map: KeyMap | undefined } | undefined> {
     try {
-      const answer = await this.#peers.get(vm)?.fetchControl({ keyMapPosition: 0, routingVersion: Number.MAX_SAFE_INTEGER, knownPosition: position }, callMilliseconds)
-      return answer?.keyMap
+      const answer = await this.#peers.get(vm)?.fetchControl({ keyMapPosition: 0, routingVersion: Number.MAX_SAFE_INTEGER, knownPosition: position, knownFence: fence }, callMilliseconds)
+      if (answer === undefined) return undefined
+      return { map: answer.keyMap === '' ? undefined : decodeKeyMap(answer.keyMap) }
     } catch (error) {
       logger.info('a VM did not send its key map', { peer: vm, error: describeError(error) })
       return undefined
--- a/packages/router/src/request/inner-handlers.ts
+++ b/packages/router/src/request/inner-handlers.ts
@@ -6,6 +6,7 @@
 import { encodeKeyMap, segmentAt, type KeyMap } from '@briarsaddle/key-ranges'
 import type { ControlPublisher } from '../control/control-publisher.js'
 import type { ReadPositionMonitor } from '../control/read-position-monitor.js'
+import type { TopicState } from '../control/state-topic.js'
 import type { TopicFollower } from '../control/topic-follower.js'
 import type { RoutingTable } from '../routing-table.js'
 import type { Dispatcher } from './dispatcher.js'
@@ -61,14 +62,15 @@
     return { ...this.#options.readPositions.own, watchers: [...publisher.watchers], leaving: leaving(), endpoints: [...this.#options.dispatcher.gates].map(([endpoint, gate]) => this.#keyLoad(endpoint, gate)) }
   }
 
-  override async fetchControl ({ keyMapPosition, routingVersion, knownPosition }: FetchControlRequest): Promise<FetchControlResponse> {
+  override async fetchControl ({ keyMapPosition, routingVersion, knownPosition, knownFence }: FetchControlRequest): Promise<FetchControlResponse> {
     const { map, routing } = this.#options
     map.observePeerPosition(knownPosition)
     const keyMap = map.current
     const table = routing.current?.state
+    const isNewer = (held: TopicState<KeyMap>): boolean => knownPosition > 0 ? held.state.fence > knownFence : held.position > keyMapPosition
     return {
       keyMapPosition: keyMap?.position ?? 0,
-      keyMap: keyMap !== undefined && keyMap.position > keyMapPosition ? encodeKeyMap(keyMap.state) : '',
+      keyMap: keyMap !== undefined && isNewer(keyMap) ? encodeKeyMap(keyMap.state) : '',
       routingVersion: table?.version ?? 0,
       routingTable: table !== undefined && table.version > routingVersion ? JSON.stringify(table) : ''
     }
