Do not read the store at each tick while a new leader waits for former grants

A leader that takes over after the log has gone back read the whole key map every 0.1 s of its wait, and asked VMs that had not answered as often. It waits now without calls, and asks such VMs again each second.

--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -52,6 +52,8 @@
 }
 
 const tickMilliseconds = 100
+// VMs that did not answer after the log went back are asked again at this interval.
+const askAgainMilliseconds = 1_000
 
 /**
  * Assigns keys to endpoints while this VM is the leader: plans the assignment, writes it to the key map, carries out the
@@ -75,7 +77,7 @@
   /** Era of the log in which this leadership last wrote the key map. */
   #era = 0
   /** After the log went back: until when grants of former leaders may hold. */
-  #formerGrants: { readonly era: number, readonly allAnswered: boolean, readonly until: number } | undefined
+  #formerGrants: { readonly era: number, readonly allAnswered: boolean, readonly askedAt: number, readonly until: number } | undefined
   /** Generation of the membership whose members are on the roster. */
   #generation: number | undefined
   #otherCandidates = false
@@ -185,19 +187,28 @@
     const { clock, timing } = this.#options
     const era = this.#currentEra
     if (this.#formerGrants?.era !== era || !this.#formerGrants.allAnswered) {
+      const askedAt = clock.now()
       const allAnswered = await this.#adoptNewestMap()
       const lastGrantAt = clock.now() + (allAnswered ? 0 : timing.staleLeaderMilliseconds)
       const until = lastGrantAt + timing.holdMilliseconds * (1 + timing.clockSlack) + timing.grantCallMilliseconds
       const before = this.#formerGrants?.era === era ? this.#formerGrants.until : Infinity
       if (before === Infinity) logger.warning('the log went back: keys are granted again once all earlier grants have run out', { era, position: this.#options.map.current?.position, fence: this.#map.fence, allAnswered, milliseconds: Math.round(until - clock.now()) })
-      this.#formerGrants = { era, allAnswered, until: Math.min(before, until) }
+      this.#formerGrants = { era, allAnswered, askedAt, until: Math.min(before, until) }
     }
     return this.#formerGrants.until <= clock.now()
   }
 
+  /** Whether it is known that grants of former leaders may still hold, so that there is nothing to do yet. */
+  get #awaitsFormerGrants (): boolean {
+    const waiting = this.#formerGrants
+    if (waiting === undefined || waiting.era !== this.#currentEra || !this.#isFromEarlierEra) return false
+    const now = this.#options.clock.now()
+    return now < waiting.until && (waiting.allAnswered || now - waiting.askedAt < askAgainMilliseconds)
+  }
+
   /** Takes over only while the membership is confirmed: otherwise another VM has been elected, whatever the last report said. */
   async #takeOverIfConfirmed (signal: AbortSignal): Promise<void> {
-    if (this.#isMembershipConfirmed) await this.#takeOver(signal)
+    if (this.#isMembershipConfirmed && !this.#awaitsFormerGrants) await this.#takeOver(signal)
   }
 
   get #isMembershipConfirmed (): boolean {
