--- a/packages/router/src/control/topic-follower.ts
+++ b/packages/router/src/control/topic-follower.ts
@@ -42,6 +42,7 @@
   #failures = 0
   #onStandby = true
   #readController = new AbortController()
+  #backoffController = new AbortController()
   #failingSince = -Infinity
   #peerPosition = 0
   /** When to read the whole topic once more after the log went back, in clock milliseconds. */
@@ -126,6 +127,12 @@
     this.#readController.abort()
   }
 
+  /** Starts a new read at once, also while this VM waits after a failure. For use when the log is known to answer again. */
+  restart (): void {
+    this.interrupt()
+    this.#backoffController.abort()
+  }
+
   /** Reads the latest state now. Throws `log_unavailable`. */
   async refresh (signal: AbortSignal): Promise<TopicState<State>> {
     const startedAt = this.#options.clock.now()
@@ -138,7 +145,11 @@
   async #run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const reading = this.#readController = new AbortController()
-      const end = (): void => reading.abort()
+      const backoff = this.#backoffController = new AbortController()
+      const end = (): void => {
+        reading.abort()
+        backoff.abort()
+      }
       signal.addEventListener('abort', end)
       try {
         this.#onStandby = true
@@ -153,7 +164,7 @@
         if (signal.aborted) return
         if (reading.signal.aborted) continue
         this.#failed(error)
-        await delay(Math.min(longestBackoffMilliseconds, firstBackoffMilliseconds * 2 ** (this.#failures - 1)), signal)
+        await delay(Math.min(longestBackoffMilliseconds, firstBackoffMilliseconds * 2 ** (this.#failures - 1)), backoff.signal)
       } finally {
         signal.removeEventListener('abort', end)
       }
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -139,7 +139,7 @@
       callMilliseconds: timing.logCallMilliseconds,
       isCandidate: () => this.#candidacy.decide(),
       // Reads that have been waiting since before the outage may never be answered.
-      onRegained: () => this.#followers.forEach(follower => follower.interrupt())
+      onRegained: () => this.#followers.forEach(follower => follower.restart())
     })
     this.#peers = new PeerPool(this.#lifeCycle, { connectTimeoutMilliseconds: peerConnectMilliseconds, silenceMilliseconds: peerSilenceMilliseconds, idleMilliseconds: peerIdleMilliseconds, clock, random: this.#random })
     this.#updatePeers([])
