Refuse requests that have crashed three endpoints, on all VMs

Cause: nothing remembered a request beyond one attempt; repeats are counted by pool, and each crash was seen by another coordinator.

Change: PoisonList records, by a keyed hash of path, caller and body, under which requests endpoint processes crashed; CrashWitness proves a crash by a refused connection, a missing entry or a later process, never by a broken connection alone. VMs report with their demand, the leader merges, the control feed spreads the list, the store keeps it. Any answer acquits; crashes that happen together count as one event. Operators see the list in /state and lift a refusal by POST.

--- a/packages/router/src/control/control-feed.test.ts
+++ b/packages/router/src/control/control-feed.test.ts
@@ -3,6 +3,7 @@
 import { assignRange, emptyKeyMap, firstKey, lastKey, settleRange, type KeyMap, type VmEntry } from '@briarsaddle/key-ranges'
 import { ControlUpdate as ControlUpdateMessage, ControlWatcher, type ControlUpdate, type ControlWatch, type ControlWatchEvents, type VmRecord, type WatchControlRequest } from '@briarsaddle/protocol'
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
+import { PoisonList } from '../poison/poison-list.js'
 import type { RoutingTable } from '../routing-table.js'
 import { ControlFeed, type WatchablePeers } from './control-feed.js'
 import { ControlPublisher } from './control-publisher.js'
@@ -78,6 +79,7 @@
   readonly map: TopicFollower<KeyMap>
   readonly routing: TopicFollower<RoutingTable>
   readonly directory: TopicFollower<Directory>
+  readonly poison = new PoisonList(clock)
   readonly publisher: ControlPublisher
   readonly feed: ControlFeed
   readonly watchers: LocalWatcher[] = []
@@ -97,9 +99,9 @@
     this.routing = follow('routing table', fleet.routing, (one, other) => one.state.version > other.state.version)
     this.directory = follow('directory', fleet.directory, byPosition)
     const age = (): number => clock.now() - this.feed.stateConfirmedAt
-    this.publisher = new ControlPublisher({ clock, map: this.map, routing: this.routing, directory: this.directory, age, leaving: () => this.leaving, path: () => [...this.feed.path, id] })
+    this.publisher = new ControlPublisher({ clock, map: this.map, routing: this.routing, directory: this.directory, poison: this.poison, age, leaving: () => this.leaving, path: () => [...this.feed.path, id] })
     const peers: WatchablePeers = { get: vm => ({ watchControl: (request, events) => fleet.watch(vm, request, events) }) }
-    this.feed = new ControlFeed({ self: this.self, clock, peers, map: this.map, routing: this.routing, directory: this.directory, sources: () => this.sources, onUpdate: () => this.publisher.publishSoon() })
+    this.feed = new ControlFeed({ self: this.self, clock, peers, map: this.map, routing: this.routing, directory: this.directory, poison: this.poison, sources: () => this.sources, onUpdate: () => this.publisher.publishSoon() })
   }
 
   start (): this {
--- a/packages/router/src/control/control-feed.ts
+++ b/packages/router/src/control/control-feed.ts
@@ -3,6 +3,7 @@
 import type { ControlUpdate, ControlWatchEvents, PeerClient } from '@briarsaddle/protocol'
 import type { Directory } from '../endpoint-entry.js'
 import { ChangeNotifier } from '../request/change-notifier.js'
+import type { PoisonList } from '../poison/poison-list.js'
 import { routingTableSchema, type RoutingTable } from '../routing-table.js'
 import { restoreText } from './compressed-text.js'
 import { applyDirectoryChange } from './directory-codec.js'
@@ -23,6 +24,7 @@
   readonly map: TopicFollower<KeyMap>
   readonly routing: TopicFollower<RoutingTable>
   readonly directory: TopicFollower<Directory>
+  readonly poison: Pick<PoisonList, 'merge'>
   /** Ids of the VMs to watch, the best first; empty while this VM must read the log itself. */
   readonly sources: () => readonly string[]
   /** Called after each update, also without changes. */
@@ -198,6 +200,7 @@
       this.#offer(source, update)
     }
     if (update.leaving) this.#drop(source, 'stopping')
+    this.#options.poison.merge(update.poisonRequests)
     this.#options.onUpdate()
   }
 
--- a/packages/router/src/control/control-publisher.ts
+++ b/packages/router/src/control/control-publisher.ts
@@ -2,6 +2,7 @@
 import { encodeKeyMap, encodeKeyMapDelta, type KeyMap } from '@briarsaddle/key-ranges'
 import { ControlUpdate, type ControlWatcher, type Watcher } from '@briarsaddle/protocol'
 import type { Directory } from '../endpoint-entry.js'
+import type { PoisonList } from '../poison/poison-list.js'
 import type { RoutingTable } from '../routing-table.js'
 import { compressText } from './compressed-text.js'
 import { encodeDirectoryChange } from './directory-codec.js'
@@ -15,6 +16,7 @@
   readonly map: TopicFollower<KeyMap>
   readonly routing: TopicFollower<RoutingTable>
   readonly directory: TopicFollower<Directory>
+  readonly poison: PoisonList
   /** Time since the control state of this VM was last confirmed at the log, in milliseconds. */
   readonly age: () => number
   readonly leaving: () => boolean
@@ -36,6 +38,7 @@
   map: KeyMap | undefined
   routing: RoutingTable | undefined
   directory: Directory | undefined
+  poisonVersion: number
 }
 
 /** Sends the control state of this VM and its changes to the VMs that watch it. */
@@ -47,7 +50,7 @@
 
   constructor (options: ControlPublisherOptions) {
     this.#options = options
-    for (const topic of [options.map, options.routing, options.directory]) topic.onChange(() => this.publishSoon())
+    for (const topic of [options.map, options.routing, options.directory, options.poison]) topic.onChange(() => this.publishSoon())
   }
 
   /** Starts to send heartbeats, until the life cycle closes. */
@@ -66,7 +69,7 @@
 
   /** Adds a watcher and sends it the whole state. */
   add (watcher: ControlWatcher): void {
-    const watch: Watch = { watcher, openedAt: this.#options.clock.now(), writable: true, map: undefined, routing: undefined, directory: undefined }
+    const watch: Watch = { watcher, openedAt: this.#options.clock.now(), writable: true, map: undefined, routing: undefined, directory: undefined, poisonVersion: 0 }
     this.#watches.add(watch)
     watcher.onWritable(() => { watch.writable = true })
     watcher.onClosed(() => this.#watches.delete(watch))
@@ -91,7 +94,7 @@
   }
 
   #send (watch: Watch, encoded: Map<unknown, Buffer>): void {
-    const { map, routing, directory, age, leaving, path } = this.#options
+    const { map, routing, directory, poison, age, leaving, path } = this.#options
     const update = ControlUpdate.create({
       ageMilliseconds: Math.min(age(), longestAgeMilliseconds),
       leaving: leaving(),
@@ -120,6 +123,10 @@
       update.directory = once(encoded, before, () => encodeDirectoryChange(before, state))
       watch.directory = state
     }
+    if (poison.version !== watch.poisonVersion) {
+      update.poisonRequests = poison.encode()
+      watch.poisonVersion = poison.version
+    }
     watch.writable = watch.watcher.send(update)
   }
 }
--- a/packages/router/src/control/peer-demand.test.ts
+++ b/packages/router/src/control/peer-demand.test.ts
@@ -7,7 +7,7 @@
 
 function report (vm: string): FetchKeyLoadsResponse {
   const endpoint: EndpointKeyLoad = { endpoint: `endpoint of ${vm}`, busySlots: 1, queued: 0, serviceMilliseconds: 100, keys: [] }
-  return { keyMapPosition: 0, routingVersion: 0, endpoints: [endpoint], watchers: [], leaving: false }
+  return { keyMapPosition: 0, routingVersion: 0, endpoints: [endpoint], watchers: [], leaving: false, poisonRequests: '' }
 }
 
 /** VMs that answer after a few milliseconds, or not at all. */
@@ -39,7 +39,7 @@
 
   beforeEach(() => {
     peers = new Peers()
-    demand = new PeerDemand(peers, own, readPositions, { applyRound: () => {} })
+    demand = new PeerDemand(peers, own, readPositions, { applyRound: () => {} }, { merge: () => {} })
   })
 
   // Guards against lost connections when dozens of VMs answer a leader with a third of a core at the same time.
@@ -55,7 +55,7 @@
     const reports = [load(1, 100, [{ key: 5, busySlots: 0.5 }, { key: 6, busySlots: 0.5 }]), load(3, 200, [{ key: 5, busySlots: 1.5 }]), load(0, 0, [])]
     const both: DemandPeers = { vms: ['vm-1', 'vm-2'], get: vm => ({ fetchKeyLoads: async () => ({ ...report(vm), endpoints: [reports[vm === 'vm-1' ? 1 : 2] as EndpointKeyLoad] }) }) }
     const self = { fetchKeyLoads: async () => ({ ...report('self'), endpoints: [reports[0] as EndpointKeyLoad] }) }
-    const collected = await new PeerDemand(both, self, readPositions, { applyRound: () => {} }).collect()
+    const collected = await new PeerDemand(both, self, readPositions, { applyRound: () => {} }, { merge: () => {} }).collect()
     expect(collected.get('e')).to.deep.equal({ busySlots: 4, serviceMilliseconds: 175, keys: [{ key: 5, busySlots: 2 }, { key: 6, busySlots: 0.5 }] })
   })
 
@@ -63,7 +63,7 @@
     const load = (usableSlots: number | undefined): EndpointKeyLoad => ({ endpoint: 'e', busySlots: 1, queued: 0, serviceMilliseconds: 100, keys: [], usableSlots })
     const both: DemandPeers = { vms: ['vm-1', 'vm-2'], get: vm => ({ fetchKeyLoads: async () => ({ ...report(vm), endpoints: [load(vm === 'vm-1' ? 0.4 : 0.2)] }) }) }
     const self = { fetchKeyLoads: async () => ({ ...report('self'), endpoints: [load(undefined)] }) }
-    expect((await new PeerDemand(both, self, readPositions, { applyRound: () => {} }).collect()).get('e')).to.include({ usableSlots: 0.2 })
+    expect((await new PeerDemand(both, self, readPositions, { applyRound: () => {} }, { merge: () => {} }).collect()).get('e')).to.include({ usableSlots: 0.2 })
   })
 
   it('collects the demand of the other VMs when some do not answer', async () => {
--- a/packages/router/src/control/peer-demand.ts
+++ b/packages/router/src/control/peer-demand.ts
@@ -2,6 +2,7 @@
 import { mergeKeyDemand, type VmEntry } from '@briarsaddle/key-ranges'
 import type { EndpointKeyLoad, FetchKeyLoadsResponse, PeerClient, VmRecord } from '@briarsaddle/protocol'
 import type { RangeControlHandler } from '../request/inner-handlers.js'
+import type { PoisonList } from '../poison/poison-list.js'
 import type { ReadPositionMonitor } from './read-position-monitor.js'
 import { DemandSource, type MeasuredDemand } from './key-leader.js'
 import type { RosterReport, VmRoster } from './vm-roster.js'
@@ -18,15 +19,17 @@
   get (vm: string): Pick<PeerClient, 'fetchKeyLoads'> | undefined
 }
 
-/** Collects the demand from all VMs that coordinate endpoints, including this VM, and tells the roster which VMs answered. */
+/** Collects the demand from all VMs that coordinate endpoints, including this VM, tells the roster which VMs answered, and learns under which requests endpoints crashed. */
 export class PeerDemand extends DemandSource {
   readonly #peers: DemandPeers
   readonly #own: Pick<RangeControlHandler, 'fetchKeyLoads'>
   readonly #readPositions: Pick<ReadPositionMonitor, 'own' | 'observePeer'>
   readonly #roster: Pick<VmRoster, 'applyRound'>
+  readonly #poison: Pick<PoisonList, 'merge'>
 
-  constructor (peers: DemandPeers, own: Pick<RangeControlHandler, 'fetchKeyLoads'>, readPositions: Pick<ReadPositionMonitor, 'own' | 'observePeer'>, roster: Pick<VmRoster, 'applyRound'>) {
+  constructor (peers: DemandPeers, own: Pick<RangeControlHandler, 'fetchKeyLoads'>, readPositions: Pick<ReadPositionMonitor, 'own' | 'observePeer'>, roster: Pick<VmRoster, 'applyRound'>, poison: Pick<PoisonList, 'merge'>) {
     super()
+    this.#poison = poison
     this.#roster = roster
     this.#readPositions = readPositions
     this.#peers = peers
@@ -51,7 +54,10 @@
   async #ask (vm: string): Promise<FetchKeyLoadsResponse | undefined> {
     try {
       const response = await this.#peers.get(vm)?.fetchKeyLoads(this.#readPositions.own, callMilliseconds)
-      if (response !== undefined) this.#readPositions.observePeer(response)
+      if (response !== undefined) {
+        this.#readPositions.observePeer(response)
+        this.#poison.merge(response.poisonRequests)
+      }
       return response
     } catch (error) {
       logger.info('a VM did not report its demand', { peer: vm, error: describeError(error) })
--- a/packages/router/src/endpoint-transport.ts
+++ b/packages/router/src/endpoint-transport.ts
@@ -65,6 +65,9 @@
   | { readonly kind: 'released', readonly handover: string }
   | { readonly kind: 'failed' }
 
+/** Result of an attempt to connect to an endpoint: nothing listens at its address any more when it is refused. */
+export type ProbeResult = 'reached' | 'refused' | 'silent'
+
 /** Sends requests, grants and releases to endpoints. Never rejects. */
 export abstract class EndpointTransport {
   /** Sends a request. An abort of the signal cancels it at the endpoint. */
@@ -75,6 +78,11 @@
   abstract release (holder: Holder, release: KeyRange & { readonly fence: number }, signal: AbortSignal): Promise<ReleaseReply>
   /** Returns whether a connection to the endpoint can be established. */
   abstract reach (holder: Holder): Promise<boolean>
+  /** Tries to establish a connection to the endpoint, which tells a process that has ended from one that is out of reach. */
+  async probe (holder: Holder): Promise<ProbeResult> {
+    return await this.reach(holder) ? 'reached' : 'silent'
+  }
+
   /** Closes the connections to endpoints that are not in the directory any more. */
   abstract keepOnly (directory: ReadonlyMap<string, EndpointEntry>): void
 }
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -7,7 +7,7 @@
 export type { Directory, EndpointEntry } from './endpoint-entry.js'
 export {
   EndpointTransport,
-  type EndpointReply, type EndpointRequest, type Grant, type GrantReply, type ReleaseReply, type ReportedLimit, type ReportedLoad
+  type EndpointReply, type EndpointRequest, type Grant, type GrantReply, type ProbeResult, type ReleaseReply, type ReportedLimit, type ReportedLoad
 } from './endpoint-transport.js'
 export { CallerProtocol, type CallerFields } from './request/caller-protocol.js'
 export { routingTableSchema, type Pool, type Route, type RoutingTable } from './routing-table.js'
--- a/packages/router/src/measured-transport.ts
+++ b/packages/router/src/measured-transport.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@briarsaddle/common'
 import type { Holder, KeyRange } from '@briarsaddle/key-ranges'
 import type { Directory, EndpointEntry } from './endpoint-entry.js'
-import { EndpointTransport, type EndpointReply, type EndpointRequest, type Grant, type GrantReply, type ReleaseReply } from './endpoint-transport.js'
+import { EndpointTransport, type EndpointReply, type EndpointRequest, type Grant, type GrantReply, type ProbeResult, type ReleaseReply } from './endpoint-transport.js'
 import type { RouterMetrics } from './router-metrics.js'
 
 /** Wraps a transport and records the results and times of its calls as metrics. */
@@ -43,6 +43,10 @@
     return await this.#inner.reach(holder)
   }
 
+  override async probe (holder: Holder): Promise<ProbeResult> {
+    return await this.#inner.probe(holder)
+  }
+
   override keepOnly (directory: Directory): void {
     this.#inner.keepOnly(directory)
   }
--- /dev/null
+++ b/packages/router/src/poison/crash-witness.ts
@@ -0,0 +1,112 @@
+import { delay, Logger, type Clock } from '@briarsaddle/common'
+import { addressOf, type Directory, type EndpointEntry } from '../endpoint-entry.js'
+import type { EndpointTransport } from '../endpoint-transport.js'
+import type { PoisonList } from './poison-list.js'
+import type { RequestContent } from './request-fingerprint.js'
+
+const logger = new Logger('poison')
+
+/** What a witness needs from the VM. */
+export interface CrashWitnessOptions {
+  readonly clock: Clock
+  readonly transport: Pick<EndpointTransport, 'probe'>
+  readonly directory: () => Directory
+  readonly poison: PoisonList
+}
+
+/** A request that was sent to a process of an endpoint. */
+export interface WitnessedRun {
+  readonly request: RequestContent
+  readonly endpoint: EndpointEntry
+  /** Whether an earlier crash under the request was known when the run began. */
+  readonly sequential: boolean
+}
+
+/** How a run ended: with an answer, refused by the endpoint, with a broken connection, or given up by this VM. */
+export type RunEnd = 'answered' | 'refused' | 'broken' | 'given_up'
+
+interface LostRun extends WitnessedRun {
+  readonly lostAt: number
+}
+
+const probeMilliseconds = 100
+// A port that accepts connections this often in a row belongs to a living process; then only the directory can show a restart.
+const mostProbes = 3
+// Directory entries of lost endpoints expire within three heartbeats.
+const investigationMilliseconds = 4_000
+// A run that was given up may go on at the endpoint for a while.
+const givenUpMilliseconds = 1_000
+
+/**
+ * Finds out which requests were in flight when a process of an endpoint crashed. A broken connection alone proves nothing: the endpoint may
+ * live behind a cut. A refused connection, a missing directory entry or a later process does.
+ */
+export class CrashWitness {
+  readonly #options: CrashWitnessOptions
+  readonly #running = new Set<WitnessedRun>()
+  #lost: LostRun[] = []
+  readonly #investigated = new Set<string>()
+
+  constructor (options: CrashWitnessOptions) {
+    this.#options = options
+  }
+
+  /** Records that a request is sent to an endpoint. */
+  begin (endpoint: EndpointEntry, request: RequestContent): WitnessedRun {
+    const run = { request, endpoint, sequential: this.#options.poison.isSuspect(request) }
+    this.#running.add(run)
+    return run
+  }
+
+  /** Records the end of a run. */
+  end (run: WitnessedRun, end: RunEnd): void {
+    this.#running.delete(run)
+    if (end === 'answered') this.#options.poison.acquit(run.request)
+    if (end === 'answered' || end === 'refused') return
+    const now = this.#options.clock.now()
+    this.#lost = [...this.#lost.filter(({ lostAt }) => now - lostAt <= investigationMilliseconds), { ...run, lostAt: now }]
+    if (end === 'broken') void this.#investigate(run.endpoint, now)
+  }
+
+  async #investigate (endpoint: EndpointEntry, brokenAt: number): Promise<void> {
+    const { clock } = this.#options
+    const key = processKey(endpoint)
+    if (this.#investigated.has(key)) return
+    this.#investigated.add(key)
+    let probes = 0
+    let proof = this.#endedByDirectory(endpoint)
+    while (proof === undefined && clock.now() - brokenAt < investigationMilliseconds) {
+      if (probes < mostProbes) {
+        const result = await this.#options.transport.probe({ endpoint: endpoint.id, life: endpoint.life, address: addressOf(endpoint) })
+        if (result === 'refused') proof = 'connection refused'
+        else if (result === 'reached') probes++
+      }
+      proof ??= this.#endedByDirectory(endpoint)
+      if (proof === undefined) await delay(probeMilliseconds)
+    }
+    this.#investigated.delete(key)
+    if (proof === undefined) return logger.info('a connection to an endpoint broke, but it did not crash', { endpoint: endpoint.id, life: endpoint.life })
+    this.#report(endpoint, brokenAt, proof)
+  }
+
+  #endedByDirectory ({ id, life }: EndpointEntry): string | undefined {
+    const entry = this.#options.directory().get(id)
+    if (entry === undefined) return 'removed from the directory'
+    return entry.life === life ? undefined : 'later process'
+  }
+
+  /** Requests that were in flight at the crash, or had been given up shortly before, are suspects. */
+  #report (endpoint: EndpointEntry, brokenAt: number, proof: string): void {
+    const key = processKey(endpoint)
+    const ofProcess = (run: WitnessedRun): boolean => processKey(run.endpoint) === key
+    const lost = this.#lost.filter(run => ofProcess(run) && run.lostAt >= brokenAt - givenUpMilliseconds)
+    this.#lost = this.#lost.filter(run => !ofProcess(run))
+    const suspects = [...lost, ...[...this.#running].filter(ofProcess)]
+    logger.info('endpoint crashed', { endpoint: endpoint.id, pool: endpoint.pool, life: endpoint.life, proof, suspects: suspects.length, milliseconds: Math.round(this.#options.clock.now() - brokenAt) })
+    for (const { request, sequential } of suspects) this.#options.poison.recordCrash(request, endpoint, sequential)
+  }
+}
+
+function processKey ({ id, life }: EndpointEntry): string {
+  return `${id} ${life}`
+}
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -13,7 +13,7 @@
 import { GroupMember } from './control/group-member.js'
 import { ReadPositionMonitor } from './control/read-position-monitor.js'
 import { DirectoryHistory } from './control/directory-history.js'
-import { isNewerKeyMap } from './control/log-position.js'
+import { eraOf, isNewerKeyMap } from './control/log-position.js'
 import { PeerKeyMaps } from './control/other-key-maps.js'
 import { PeerDemand } from './control/peer-demand.js'
 import type { StateTopic, WritableTopic } from './control/state-topic.js'
@@ -31,6 +31,8 @@
 import { Dispatcher, PeerForwarder } from './request/dispatcher.js'
 import { RangeControlHandler, RangeFrameHandler } from './request/inner-handlers.js'
 import { RangeRouter, type RoutedRequest } from './request/range-router.js'
+import { PoisonArchive } from './poison/poison-archive.js'
+import { PoisonList } from './poison/poison-list.js'
 import { RetryBudget } from './retry-budget.js'
 import type { RouterMetrics } from './router-metrics.js'
 import type { RoutingTable } from './routing-table.js'
@@ -43,6 +45,8 @@
   readonly keyMap: WritableTopic<KeyMap>
   readonly routing: StateTopic<RoutingTable>
   readonly directory: StateTopic<Directory>
+  /** The list of requests that crash endpoints, as text. */
+  readonly poisonRequests: WritableTopic<string>
   readonly membership: MembershipService
   readonly transport: EndpointTransport
   readonly callers: CallerProtocol
@@ -79,6 +83,7 @@
   readonly #random = new Random(randomInt(2 ** 31))
   readonly #changes = new ChangeNotifier()
   readonly #leavingEndpoints = new LeavingEndpoints(this.#clock, () => ({ feed: this.#feed.source, leading: this.#leader.leading, directoryAgeMilliseconds: this.#stateAges.directoryAgeMilliseconds }))
+  readonly #poison = new PoisonList(this.#clock)
   readonly #coordinators = new Coordinators()
   readonly #metrics: RouterMetrics
   readonly #transport: EndpointTransport
@@ -143,11 +148,11 @@
     })
     this.#peers = new PeerPool(this.#lifeCycle, { connectTimeoutMilliseconds: peerConnectMilliseconds, silenceMilliseconds: peerSilenceMilliseconds, idleMilliseconds: peerIdleMilliseconds, clock, random: this.#random })
     this.#updatePeers([])
-    this.#publisher = new ControlPublisher({ clock, map: this.#map, routing: this.#routing, directory: this.#directory, age: () => clock.now() - this.#confirmedAt, leaving: () => this.#stopping !== undefined, path: () => [...this.#feed.path, this.#self.id] })
-    this.#feed = new ControlFeed({ self: this.#self, clock, peers: this.#peers, map: this.#map, routing: this.#routing, directory: this.#directory, sources: () => this.#sources, onUpdate: () => this.#publisher.publishSoon() })
+    this.#publisher = new ControlPublisher({ clock, map: this.#map, routing: this.#routing, directory: this.#directory, poison: this.#poison, age: () => clock.now() - this.#confirmedAt, leaving: () => this.#stopping !== undefined, path: () => [...this.#feed.path, this.#self.id] })
+    this.#feed = new ControlFeed({ self: this.#self, clock, peers: this.#peers, map: this.#map, routing: this.#routing, directory: this.#directory, poison: this.#poison, sources: () => this.#sources, onUpdate: () => this.#publisher.publishSoon() })
     this.#dispatcher = this.#createDispatcher()
     this.#router = this.#createRouter()
-    this.#control = new RangeControlHandler({ vm: settings.vm.id, dispatcher: this.#dispatcher, map: this.#map, routing: this.#routing, readPositions: this.#readPositions, publisher: this.#publisher, leaving: () => this.#stopping !== undefined })
+    this.#control = new RangeControlHandler({ vm: settings.vm.id, dispatcher: this.#dispatcher, map: this.#map, routing: this.#routing, readPositions: this.#readPositions, publisher: this.#publisher, poison: this.#poison, leaving: () => this.#stopping !== undefined })
     this.#leader = this.#createLeader()
     this.#inner = new InnerServer({ ...listen.inner }, new RangeFrameHandler(this.#dispatcher), this.#control)
     this.#entry = new EntryServer({ ...listen.callers, ...settings.limits, maximumHeaderBytes, maximumBodyBytes, clock, loopDelay: this.#loopDelay }, this.#router)
@@ -160,12 +165,13 @@
     await this.#inner.listen()
     this.#lifeCycle.own('inner server', async () => await this.#inner.stop(0))
     await new StatusServer({ '/ready': async () => this.#readiness() }).listen(this.#settings.listen.readiness, this.#lifeCycle)
-    await new StatusServer({ '/metrics': async () => await this.#metricsPage(), '/state': async () => this.#statePage() }).listen(this.#settings.listen.administration, this.#lifeCycle)
+    await new StatusServer({ '/metrics': async () => await this.#metricsPage(), '/state': async () => this.#statePage() }, { '/poison-requests/lift': async query => this.#liftRefusal(query) }).listen(this.#settings.listen.administration, this.#lifeCycle)
     for (const follower of this.#followers) follower.start(this.#lifeCycle)
     this.#feed.start(this.#lifeCycle)
     this.#publisher.start(this.#lifeCycle)
     this.#member.start(this.#lifeCycle)
     this.#leader.start(this.#lifeCycle)
+    new PoisonArchive({ list: this.#poison, topic: this.#platform.poisonRequests, callMilliseconds: this.#settings.timing.logCallMilliseconds, isLeading: () => this.#leader.leading, era: () => eraOf(this.#map.current?.position ?? 0) }).start(this.#lifeCycle)
     new ControlRelay({ peers: this.#peers, map: this.#map, routing: this.#routing, random: this.#random, isFed: () => this.#feed.source !== undefined }).start(this.#lifeCycle)
     this.#lifeCycle.every('state metrics', reportMilliseconds, () => this.#reportState(), error => logger.error('state metrics failed', { error: String(error) }))
     await this.#listenWhenPrepared()
@@ -220,7 +226,8 @@
       loopDelay: this.#loopDelay,
       random: this.#random,
       metrics: this.#metrics,
-      leaving: this.#leavingEndpoints
+      leaving: this.#leavingEndpoints,
+      poison: this.#poison
     })
   }
 
@@ -236,6 +243,7 @@
       directory: () => this.#endpoints,
       changes: this.#changes,
       leaving: this.#leavingEndpoints,
+      poison: this.#poison,
       metrics: this.#metrics,
       stateAges: () => this.#stateAges
     })
@@ -253,7 +261,7 @@
       routing: this.#routing,
       transport: this.#transport,
       leaving: this.#leavingEndpoints,
-      demand: new PeerDemand(this.#peers, this.#control, this.#readPositions, this.#roster),
+      demand: new PeerDemand(this.#peers, this.#control, this.#readPositions, this.#roster, this.#poison),
       roster: this.#roster,
       otherMaps: new PeerKeyMaps(this.#peers),
       metrics: this.#metrics
@@ -360,12 +368,21 @@
       feed: { source: this.#feed.source, ageMilliseconds: Math.round(this.#feed.ageMilliseconds), sources: this.#sources, watchers: this.#publisher.watchers.map(({ vm }) => vm?.id), candidate: this.#member.report !== undefined },
       connectedPeers: this.#peers.clients,
       router: this.#router.snapshot(),
+      poisonRequests: this.#poison.snapshot(),
       gates,
       entry: { serving: this.#entry.serving, inFlight: this.#entry.inFlight }
     }
     return { status: 200, type: 'application/json', text: JSON.stringify(state) }
   }
 
+  /** Ends the refusal of a request that crashed endpoints, on all VMs. */
+  #liftRefusal (query: URLSearchParams): StatusPage {
+    const fingerprint = query.get('fingerprint') ?? ''
+    if (fingerprint === '') return { status: 400, type: 'text/plain', text: 'the query must name a fingerprint\n' }
+    if (!this.#poison.lift(fingerprint)) return { status: 404, type: 'text/plain', text: 'no request with this fingerprint is known; see /state\n' }
+    return { status: 200, type: 'text/plain', text: 'lifted\n' }
+  }
+
   #reportState (): void {
     const { user, system } = process.cpuUsage()
     const { keyMapAgeMilliseconds, routingAgeMilliseconds, directoryAgeMilliseconds } = this.#stateAges
@@ -376,6 +393,8 @@
       keyMapPosition: this.#map.current?.position ?? 0,
       endpoints: this.#endpoints.size,
       limitedEndpoints: [...this.#dispatcher.gates.values()].filter(gate => gate.isLimited).length,
+      suspectedRequests: this.#poison.size,
+      refusedRequests: this.#poison.refused,
       callersInFlight: this.#entry.inFlight,
       acceptedConnections: this.#entry.acceptedConnections,
       refusedConnections: this.#entry.refusedConnections,
--- a/packages/router/src/request/dispatcher.ts
+++ b/packages/router/src/request/dispatcher.ts
@@ -4,6 +4,7 @@
 import type { EndpointTransport } from '../endpoint-transport.js'
 import type { LeavingEndpoints } from '../leaving-endpoints.js'
 import type { RouterMetrics } from '../router-metrics.js'
+import type { PoisonList } from '../poison/poison-list.js'
 import type { Coordinators } from './coordinators.js'
 import { EndpointGate, leavingReason } from './endpoint-gate.js'
 
@@ -27,6 +28,7 @@
   readonly random: Random
   readonly metrics: RouterMetrics
   readonly leaving: LeavingEndpoints
+  readonly poison: PoisonList
 }
 
 /** Reasons that show that the peer did not handle the request, so that this VM may send it to the endpoint itself. */
@@ -51,6 +53,7 @@
     const answer = await this.#options.peers.forward(coordinator, forward, signal)
     this.#adoptLimit(endpoint, answer)
     if (answer.endpointLeaving === true) this.#options.leaving.add(endpoint, answer.reason === leavingReason ? 'coordinator' : 'answer')
+    if (answer.reason === peerReasons.lost) this.#gate(endpoint).coordinatorLost(endpoint, forward)
     if (answer.outcome !== Outcome.OUTCOME_NOT_RUN || !absentPeerReasons.has(answer.reason) || signal.aborted) return answer
     const gate = this.#gates.get(endpoint.id)
     if (gate?.isLimited === true) {
--- a/packages/router/src/request/endpoint-gate.ts
+++ b/packages/router/src/request/endpoint-gate.ts
@@ -1,10 +1,12 @@
 import { BriarsaddleError, Logger, withTimeLimit, type Clock, type Random } from '@briarsaddle/common'
 import { Answer, notRunAnswer, Outcome, ServiceClass, unknownAnswer, type Forward } from '@briarsaddle/protocol'
 import { ClassPolicy, EndpointQueue, RefusalError, type ServiceClass as QueueClass } from '@briarsaddle/scheduling'
-import type { EndpointEntry } from '../endpoint-entry.js'
+import type { Directory, EndpointEntry } from '../endpoint-entry.js'
 import type { EndpointReply, EndpointTransport, ReportedLimit } from '../endpoint-transport.js'
 import type { LeavingEndpoints } from '../leaving-endpoints.js'
 import type { RouterMetrics } from '../router-metrics.js'
+import { CrashWitness, type RunEnd } from '../poison/crash-witness.js'
+import { poisonReason, type PoisonList } from '../poison/poison-list.js'
 import { KeyDemandMeter } from './key-demand.js'
 
 const logger = new Logger('gate')
@@ -17,6 +19,8 @@
   readonly random: Random
   readonly metrics: RouterMetrics
   readonly leaving: LeavingEndpoints
+  readonly directory: () => Directory
+  readonly poison: PoisonList
 }
 
 // Further requests would wait beyond their deadlines; admission control refuses most of them before this limit.
@@ -41,6 +45,7 @@
   readonly #queue: EndpointQueue
   /** Measures the demand at this endpoint. */
   readonly demand: KeyDemandMeter
+  readonly #witness: CrashWitness
   #entry: EndpointEntry
   /** Requests a second that the endpoint takes from all VMs together; undefined when it names no limit. */
   #limit: number | undefined
@@ -55,6 +60,7 @@
     const { clock, random } = options
     this.#queue = new EndpointQueue({ slots: options.entry.slots, maximumQueued, clock, random, policy })
     this.demand = new KeyDemandMeter(clock)
+    this.#witness = new CrashWitness(options)
   }
 
   /** Number of requests that run or wait. */
@@ -175,9 +181,14 @@
       logger.info('request was cancelled or passed its deadline before it was sent', { request: forward.requestId, endpoint: this.#entry.id, pool: this.pool, key: keyOf(forward), waitedMilliseconds: Math.round(startedAt - arrivedAt), remainingMilliseconds: Math.round(deadlineAt - startedAt) })
       return notRunAnswer('deadline_exceeded')
     }
+    // A VM that forwards the request may not know yet that it crashes endpoints.
+    const refusedMilliseconds = this.#options.poison.refusedFor(forward)
+    if (refusedMilliseconds !== undefined) return notRunAnswer(poisonReason, { retryAfterMilliseconds: refusedMilliseconds })
     const { requestId, bucket, method, target, headers, body } = forward
+    const run = this.#witness.begin(this.#entry, forward)
     const reply = await transport.send(this.#entry, { requestId, key: bucket < 0 ? undefined : bucket, method, target, headers, body, remainingMilliseconds: deadlineAt - startedAt }, signal)
     const milliseconds = clock.now() - startedAt
+    this.#witness.end(run, runEndOf(reply, signal))
     if (reply.kind === 'refused' && reply.retryAfterMilliseconds !== undefined) this.#pause(reply.retryAfterMilliseconds)
     if ('leaving' in reply && reply.leaving === true) this.#observeLeaving()
     if ('limit' in reply) this.#observeLimit(reply.limit, startedAt, reply.kind === 'answered')
@@ -186,6 +197,11 @@
     return answerOf(reply, milliseconds)
   }
 
+  /** Records that the coordinator was lost after it had received a request for this endpoint, which may have crashed meanwhile. */
+  coordinatorLost (endpoint: EndpointEntry, forward: Forward): void {
+    this.#witness.end(this.#witness.begin(endpoint, forward), 'broken')
+  }
+
   #pause (milliseconds: number): void {
     logger.info('endpoint wants no requests for some time', { endpoint: this.#entry.id, pool: this.pool, life: this.#entry.life, milliseconds: Math.round(milliseconds), queued: this.queued })
     this.#pausedForLong = milliseconds > longPauseMilliseconds
@@ -217,6 +233,9 @@
 /** Reason of an answer without a Content-Length, whose end was the close of its connection. */
 export const lengthUnknown = 'length_unknown'
 
+/** Reason of a reply when the connection to the endpoint ended before the answer was complete. */
+export const connectionBroken = 'connection_broken'
+
 /** Reason of a refusal because the endpoint leaves. */
 export const leavingReason = 'endpoint_leaving'
 
@@ -230,6 +249,13 @@
   return bucket < 0 ? undefined : bucket
 }
 
+function runEndOf (reply: EndpointReply, signal: AbortSignal): RunEnd {
+  if (reply.kind === 'answered') return 'answered'
+  if (reply.kind !== 'broken') return 'refused'
+  if (signal.aborted) return 'given_up'
+  return reply.reason === connectionBroken ? 'broken' : 'refused'
+}
+
 function answerOf (reply: EndpointReply, serviceMilliseconds: number): Answer {
   switch (reply.kind) {
     case 'answered': return { ...Answer.create(), outcome: Outcome.OUTCOME_ANSWERED, status: reply.status, headers: [...reply.headers], body: reply.body, reason: reply.lengthKnown ? '' : lengthUnknown, serviceMilliseconds }
--- a/packages/router/src/request/inner-handlers.ts
+++ b/packages/router/src/request/inner-handlers.ts
@@ -8,6 +8,7 @@
 import type { ReadPositionMonitor } from '../control/read-position-monitor.js'
 import type { TopicState } from '../control/state-topic.js'
 import type { TopicFollower } from '../control/topic-follower.js'
+import type { PoisonList } from '../poison/poison-list.js'
 import type { RoutingTable } from '../routing-table.js'
 import type { Dispatcher } from './dispatcher.js'
 import type { EndpointGate } from './endpoint-gate.js'
@@ -40,6 +41,7 @@
   readonly routing: TopicFollower<RoutingTable>
   readonly readPositions: ReadPositionMonitor
   readonly publisher: ControlPublisher
+  readonly poison: PoisonList
   readonly leaving: () => boolean
 }
 
@@ -59,7 +61,7 @@
   override async fetchKeyLoads (request: FetchKeyLoadsRequest): Promise<FetchKeyLoadsResponse> {
     this.#options.readPositions.observePeer(request)
     const { publisher, leaving } = this.#options
-    return { ...this.#options.readPositions.own, watchers: [...publisher.watchers], leaving: leaving(), endpoints: [...this.#options.dispatcher.gates].map(([endpoint, gate]) => this.#keyLoad(endpoint, gate)) }
+    return { ...this.#options.readPositions.own, watchers: [...publisher.watchers], leaving: leaving(), poisonRequests: this.#options.poison.encodeRecent(), endpoints: [...this.#options.dispatcher.gates].map(([endpoint, gate]) => this.#keyLoad(endpoint, gate)) }
   }
 
   override async fetchControl ({ keyMapPosition, routingVersion, knownPosition, knownFence }: FetchControlRequest): Promise<FetchControlResponse> {
--- a/packages/router/src/request/range-router.ts
+++ b/packages/router/src/request/range-router.ts
@@ -9,6 +9,7 @@
 import { RouteMatcher } from '../route-matcher.js'
 import type { Pool, Route, RoutingTable } from '../routing-table.js'
 import type { RouterMetrics } from '../router-metrics.js'
+import { poisonReason, type PoisonList } from '../poison/poison-list.js'
 import { TargetRotation } from '../target-rotation.js'
 import type { RetryBudget } from '../retry-budget.js'
 import type { CallerFields, CallerProtocol } from './caller-protocol.js'
@@ -16,6 +17,7 @@
 import type { Dispatcher } from './dispatcher.js'
 import { leavingReason, lengthUnknown } from './endpoint-gate.js'
 import { refusalFor, renderOwnAnswer, unknownFor, type OwnAnswer } from './own-answer.js'
+import type { RequestContent } from '../poison/request-fingerprint.js'
 import { PoolChooser } from './pool-chooser.js'
 
 const logger = new Logger('requests')
@@ -32,6 +34,7 @@
   readonly directory: () => Directory
   readonly changes: ChangeNotifier
   readonly leaving: LeavingEndpoints
+  readonly poison: PoisonList
   readonly metrics: RouterMetrics
   /** Ages of the states; used in log lines only. */
   readonly stateAges: () => StateAges
@@ -166,6 +169,9 @@
 
   async #run (state: RoutingState): Promise<Answer> {
     for (;;) {
+      const { poison } = this.#options
+      const refusedMilliseconds = poison.size === 0 ? undefined : poison.refusedFor(this.#content(state))
+      if (refusedMilliseconds !== undefined) return notRunAnswer(poisonReason, { retryAfterMilliseconds: refusedMilliseconds })
       const endpoint = await this.#locate(state)
       if ('outcome' in endpoint) return endpoint
       const answer = await this.#send(state, endpoint)
@@ -237,24 +243,31 @@
     return Math.min(alwaysSentShare * timeoutMilliseconds, this.#answerTimes.get(name)?.estimate(this.#clock.now()) ?? 0)
   }
 
+  /** What endpoints receive of a request, whichever runs it. */
+  #content ({ routed: { request, fields, pool }, body }: RoutingState): RequestContent {
+    return {
+      pool: pool.name,
+      bucket: fields.key ?? noKey,
+      method: request.method,
+      target: request.target,
+      headers: endToEndHeaders(headerPairs(request.rawHeaders)).filter(header => this.#isForwarded(header)),
+      body
+    }
+  }
+
   #forward (state: RoutingState, endpoint: EndpointEntry): Forward {
-    const { routed: { request, fields, route, pool, objectiveMilliseconds }, body } = state
+    const { routed: { fields, route, pool, objectiveMilliseconds } } = state
     return {
+      ...this.#content(state),
       id: 0,
       requestId: fields.requestId,
       endpoint: endpoint.id,
-      pool: pool.name,
-      bucket: fields.key ?? noKey,
       key: '',
       serviceClass: route.rank < this.#leastUrgentRank ? ServiceClass.SERVICE_CLASS_PROMPT : ServiceClass.SERVICE_CLASS_NORMAL,
       idempotent: route.idempotent,
       idempotencyKey: '',
       rule: this.#ruleNumbers.get(route.name) ?? 0,
       deadlineMilliseconds: Math.max(1, this.#remaining(state)),
-      method: request.method,
-      target: request.target,
-      headers: endToEndHeaders(headerPairs(request.rawHeaders)).filter(header => this.#isForwarded(header)),
-      body,
       position: 0,
       anyEndpoint: !pool.keyed,
       objectiveMilliseconds
@@ -268,7 +281,7 @@
 
   /** Decides whether to send a request again, and then waits for what may let the repeat succeed: a new owner or a free slot. */
   async #maySendAgain (state: RoutingState, endpoint: EndpointEntry, answer: Answer): Promise<boolean> {
-    if (answer.outcome === Outcome.OUTCOME_ANSWERED || state.signal.aborted) return false
+    if (answer.outcome === Outcome.OUTCOME_ANSWERED || answer.reason === poisonReason || state.signal.aborted) return false
     const { route, pool } = state.routed
     if (state.sent >= Math.max(2, route.attempts) || this.#remaining(state) < Math.max(minimumRemainingMilliseconds, this.#leastTime(route))) return false
     if (answer.outcome === Outcome.OUTCOME_UNKNOWN && !route.idempotent) return false
--- a/packages/router/src/request/refusals.test.ts
+++ b/packages/router/src/request/refusals.test.ts
@@ -9,6 +9,7 @@
 import { RouterMetrics } from '../router-metrics.js'
 import { LeavingEndpoints } from '../leaving-endpoints.js'
 import type { RoutingTable } from '../routing-table.js'
+import { PoisonList } from '../poison/poison-list.js'
 import { CallerProtocol, type CallerFields } from './caller-protocol.js'
 import { ChangeNotifier } from './change-notifier.js'
 import { Coordinators } from './coordinators.js'
@@ -77,7 +78,7 @@
     metrics = new RouterMetrics()
     endpoint = new FixedEndpoint()
     dispatcher = new Dispatcher({
-      vm: 'vm-1', coordinators: new Coordinators(), peers: new NoPeers(), transport: new MeasuredTransport(endpoint, metrics, clock), directory: () => directory, clock, loopDelay: new LoopDelay(clock), random: new Random(1), metrics, leaving: new LeavingEndpoints(clock)
+      vm: 'vm-1', coordinators: new Coordinators(), peers: new NoPeers(), transport: new MeasuredTransport(endpoint, metrics, clock), directory: () => directory, clock, loopDelay: new LoopDelay(clock), random: new Random(1), metrics, leaving: new LeavingEndpoints(clock), poison: new PoisonList(clock)
     })
     router = new RangeRouter({
       dataCentre: 'a',
@@ -89,6 +90,7 @@
       map: () => map,
       directory: () => directory,
       changes: new ChangeNotifier(),
+      poison: new PoisonList(clock),
       leaving: new LeavingEndpoints(clock),
       metrics,
       stateAges: () => ({ keyMapPosition: 12, keyMapAgeMilliseconds: 70, routingAgeMilliseconds: 80, directoryAgeMilliseconds: 90 })
--- a/packages/router/src/status-server.ts
+++ b/packages/router/src/status-server.ts
@@ -15,10 +15,12 @@
 /** HTTP server for status pages, such as readiness for the balancer or metrics for the operator. */
 export class StatusServer {
   readonly #pages: Readonly<Record<string, () => Promise<StatusPage>>>
+  readonly #actions: Readonly<Record<string, (query: URLSearchParams) => Promise<StatusPage>>>
 
-  /** `pages` maps each path to the function that creates its page. */
-  constructor (pages: Readonly<Record<string, () => Promise<StatusPage>>>) {
+  /** `pages` maps each path to the function that creates its page, `actions` each path to the function that carries out a POST. */
+  constructor (pages: Readonly<Record<string, () => Promise<StatusPage>>>, actions: Readonly<Record<string, (query: URLSearchParams) => Promise<StatusPage>>> = {}) {
     this.#pages = pages
+    this.#actions = actions
   }
 
   /** Starts to listen. Throws `listen_failed`. */
@@ -28,6 +30,12 @@
     for (const [path, page] of Object.entries(this.#pages)) {
       application.get(path, async (_request, response) => send(response, await contentOf(path, page)))
     }
+    for (const [path, action] of Object.entries(this.#actions)) {
+      application.post(path, async (request, response) => {
+        const query = new URLSearchParams(request.url.split('?')[1] ?? '')
+        send(response, await contentOf(path, async () => await action(query)))
+      })
+    }
     await new Promise<void>((resolve, reject) => {
       server.once('error', error => reject(new BriarsaddleError(`cannot listen on ${host}:${port}: ${error.message}`, { code: 'listen_failed', step: 'listen', peer: `${host}:${port}`, cause: error })))
       application.listen(port, host, () => resolve())
