Go round VMs that are cut off from endpoints, and let no such VM lead

Cause: who leads and who coordinates was judged by the path to the store and to other VMs, never by that to the endpoints. A leader that reached none went on, let all grants run out and moved keys; coordinators that reached none were used; cut VMs sent by themselves.

Change: EndpointReach finds out, by connecting to a few endpoints after a call has failed or hung, whether a VM is cut off from a pool. Coordinators that are refuse with a reason, and senders use the next VM. The list of VMs names the pools, so that such VMs neither coordinate nor stand for election, and a leader asks the others, writes the list and hands over. In doubt it moves no keys. The proof of a crash by a refused connection does not count in doubt either.

--- a/packages/key-ranges/src/key-map.ts
+++ b/packages/key-ranges/src/key-map.ts
@@ -15,7 +15,9 @@
   port: z.int(),
   dataCentre: z.string(),
   /** Processor time of the VM, in cores; absent if it is not known. */
-  weight: z.number().positive().optional()
+  weight: z.number().positive().optional(),
+  /** Names of the pools whose endpoints the VM does not reach although other VMs do; absent if there are none. */
+  cutFrom: z.array(z.string()).readonly().optional()
 }).readonly()
 
 /** One VM of the deployment, with the address of its protocol between VMs. */
--- a/packages/router/src/control/candidacy.test.ts
+++ b/packages/router/src/control/candidacy.test.ts
@@ -6,20 +6,25 @@
   let clock: ManualClock
   let withoutSource: number
   let members: Set<string>
+  let cutOff: Set<string>
+  let leading: boolean
 
   beforeEach(() => {
     clock = new ManualClock()
     withoutSource = 0
     members = new Set()
+    cutOff = new Set()
+    leading = false
   })
 
   const order = ['first', 'second', 'third', 'fourth', 'last']
   const candidacyOf = (vm: string, fields: { readonly mayBegin?: boolean, readonly mustLead?: () => boolean } = {}): Candidacy => new Candidacy({
     vm,
     clock,
-    ranks: { rankOf: id => order.includes(id) ? order.indexOf(id) : undefined, isCandidate: id => order.indexOf(id) < 3 && order.includes(id) },
+    ranks: { rankOf: id => order.includes(id) ? order.indexOf(id) : undefined, isCandidate: id => order.indexOf(id) < 3 && order.includes(id), isCutOff: id => cutOff.has(id) },
     mayBegin: false,
     mustLead: () => false,
+    isLeading: () => leading,
     isMember: () => members.has(vm),
     withoutSourceMilliseconds: () => withoutSource,
     ...fields
@@ -63,4 +68,19 @@
     expect(leader.decide()).to.equal(false)
     expect(candidacyOf('seed', { mayBegin: true }).decide()).to.equal(true)
   })
+
+  // Guards against keys without an owner while a VM that cannot reach endpoints leads.
+  it('lets no VM stand that is cut off from endpoints, not even the leader, until nobody has led for long', () => {
+    cutOff.add('first')
+    const candidacy = candidacyOf('first')
+    leading = true
+    withoutSource = 60_000
+    expect(candidacy.decide()).to.equal(false)
+    leading = false
+    expect(candidacy.decide()).to.equal(false)
+    clock.advance(2_701)
+    expect(candidacy.decide()).to.equal(true)
+    withoutSource = 0
+    expect(candidacy.decide()).to.equal(false)
+  })
 })
--- a/packages/router/src/control/candidacy.ts
+++ b/packages/router/src/control/candidacy.ts
@@ -14,11 +14,12 @@
   /** Id of this VM. */
   readonly vm: string
   readonly clock: Clock
-  readonly ranks: Pick<VmRanks, 'rankOf' | 'isCandidate'>
+  readonly ranks: Pick<VmRanks, 'rankOf' | 'isCandidate' | 'isCutOff'>
   /** Whether this VM may stand for election while it is not on the list of VMs, as the seeds may at the first start. */
   readonly mayBegin: boolean
   /** Whether this VM leads and cannot hand over, because no other candidate is there or moves are under way. */
   readonly mustLead: () => boolean
+  readonly isLeading: () => boolean
   /** Whether this VM is a member of the group of candidates. */
   readonly isMember: () => boolean
   /** Time for which this VM has received no state that is confirmed at the log, in milliseconds. */
@@ -29,6 +30,7 @@
 export class Candidacy {
   readonly #options: CandidacyOptions
   #withoutSourceAt = -Infinity
+  #ledAt = -Infinity
 
   constructor (options: CandidacyOptions) {
     this.#options = options
@@ -36,13 +38,16 @@
 
   /** Returns the decision. Called periodically. */
   decide (): boolean {
-    const { vm, clock, ranks, mayBegin, mustLead, isMember, withoutSourceMilliseconds } = this.#options
+    const { vm, clock, ranks, mayBegin, mustLead, isLeading, isMember, withoutSourceMilliseconds } = this.#options
+    const now = clock.now()
+    if (isLeading()) this.#ledAt = now
     // A VM that became the leader without the rank, for example at the first start, hands over once the candidates are there.
     if (mustLead()) return true
+    // A VM that cannot grant keys stands only when no other one has led for long. A leader has no source.
+    if (ranks.isCutOff(vm)) return Math.min(withoutSourceMilliseconds(), now - this.#ledAt) > candidacyAgeMilliseconds + longestDelayMilliseconds
     const rank = ranks.rankOf(vm)
     if (rank === undefined ? mayBegin : ranks.isCandidate(vm)) return true
     const delay = rank === undefined ? longestDelayMilliseconds : Math.min(longestDelayMilliseconds, rank * candidacyStepMilliseconds)
-    const now = clock.now()
     if (withoutSourceMilliseconds() > candidacyAgeMilliseconds + delay) {
       this.#withoutSourceAt = now
       return true
--- a/packages/router/src/control/group-member.ts
+++ b/packages/router/src/control/group-member.ts
@@ -26,7 +26,9 @@
   #report: MembershipReport | undefined
   #confirmedAt = -Infinity
   #lost = false
+  #confirming = false
   #leaving = false
+  #signal: AbortSignal | undefined
 
   constructor (options: MemberOptions) {
     this.#options = options
@@ -41,8 +43,24 @@
 
   /** Starts to confirm the membership, until the life cycle closes. */
   start (lifeCycle: LifeCycle): void {
-    const confirm = async (): Promise<void> => await this.#confirm(lifeCycle.signal)
-    lifeCycle.every('membership', this.#options.confirmEveryMilliseconds, confirm, error => this.#failed(error))
+    this.#signal = lifeCycle.signal
+    lifeCycle.every('membership', this.#options.confirmEveryMilliseconds, async () => await this.#review(lifeCycle.signal), error => this.#failed(error))
+  }
+
+  /** Joins, confirms or leaves now instead of at the next interval, since the list of candidates has changed. */
+  reviewSoon (): void {
+    const signal = this.#signal
+    if (signal !== undefined && !signal.aborted) void this.#review(signal).catch((error: unknown) => this.#failed(error))
+  }
+
+  async #review (signal: AbortSignal): Promise<void> {
+    if (this.#confirming) return
+    this.#confirming = true
+    try {
+      await this.#confirm(signal)
+    } finally {
+      this.#confirming = false
+    }
   }
 
   /** Leaves the group, so that another VM can be elected at once instead of after the membership expires. */
--- a/packages/router/src/control/key-leader.ts
+++ b/packages/router/src/control/key-leader.ts
@@ -4,6 +4,7 @@
   type Holder, type KeyMap, type MemberDemand, type PoolMember, type Segment, type VmEntry
 } from '@briarsaddle/key-ranges'
 import { addressOf, type Directory, type EndpointEntry } from '../endpoint-entry.js'
+import type { EndpointReach } from '../endpoint-reach.js'
 import type { EndpointTransport } from '../endpoint-transport.js'
 import type { LeavingEndpoints } from '../leaving-endpoints.js'
 import type { RouterMetrics } from '../router-metrics.js'
@@ -47,11 +48,15 @@
   readonly demand: DemandSource
   readonly roster: VmRoster
   readonly metrics: RouterMetrics
+  /** Whether this VM reaches endpoints. Absent: it does. */
+  readonly reach?: Pick<EndpointReach, 'isInDoubt' | 'cutOffPools'>
   /** Key maps of the other VMs, for a log that went back. Absent: there are no other VMs. */
   readonly otherMaps?: OtherKeyMaps
 }
 
 const tickMilliseconds = 100
+// A leader that is cut off from endpoints asks at this interval who reaches them, since the grants that it cannot renew run out.
+const urgentCollectMilliseconds = 400
 // VMs that did not answer after the log went back are asked again at this interval.
 const askAgainMilliseconds = 1_000
 
@@ -103,9 +108,16 @@
 
   /** True while this VM acts as the leader. */
   get leading (): boolean { return this.#leading }
-  /** Whether another candidate could take over and no move is under way, so that a change of leader costs little. */
+  /**
+   * Whether another candidate could take over and a change of leader costs little: no move is under way, or this VM is cut off from endpoints, so that it
+   * cannot complete any.
+   */
   get mayHandOver (): boolean {
-    return this.movesUnderWay === 0 && this.#otherCandidates
+    return this.#otherCandidates && (this.movesUnderWay === 0 || this.#isCutOff)
+  }
+
+  get #isCutOff (): boolean {
+    return this.#options.roster.isCutOff(this.#options.self.id)
   }
 
   /** Number of moves that are not completed yet. */
@@ -261,11 +273,16 @@
   async #refreshMembers (): Promise<void> {
     const { member } = this.#options
     const generation = member.report?.generation
-    if (generation === this.#generation) return
+    // A leader that is cut off leaves as soon as there is a candidate.
+    if (generation === this.#generation && (!this.#isCutOff || this.#otherCandidates)) return
     try {
       const members = await member.members()
       this.#options.roster.addMembers(members)
-      this.#otherCandidates = members.some(({ id }) => id !== this.#options.self.id)
+      const others = members.filter(({ id }) => id !== this.#options.self.id)
+      const { roster } = this.#options
+      // The store chooses the next leader among all candidates, so those that are cut off must have left first.
+      this.#otherCandidates = others.length > 0 && (!this.#isCutOff || others.every(({ id }) => !roster.isCutOff(id)))
+      if (this.#isCutOff && this.#otherCandidates) member.reviewSoon()
       this.#generation = generation
     } catch (error) {
       logger.warning('members could not be listed', { code: errorCode(error), error: describeError(error), known: this.#options.roster.vms.length })
@@ -303,6 +320,8 @@
   }
 
   #planPool (map: KeyMap, pool: string): KeyMap {
+    // Endpoints that this VM does not reach may serve their keys well; then another VM has to lead.
+    if (this.#options.reach?.isInDoubt(pool) === true) return map
     const members = this.#membersOf(pool)
     if (map.pools[pool] === undefined && !this.#isEndpointCountStable(pool, members.length)) return map
     const planned = planMembership(map, pool, members)
@@ -324,11 +343,17 @@
       .map(({ holder }) => holder))
   }
 
+  /** Asks the other VMs at once which endpoints they reach. */
+  collectSoon (): void {
+    this.#nextCollectionAt = -Infinity
+  }
+
   /** Collects the demand once per `spreadMilliseconds`; the next plan uses it. */
   async #collectDemand (): Promise<void> {
     const { clock, timing, demand, directory } = this.#options
     if (clock.now() < this.#nextCollectionAt) return
-    this.#nextCollectionAt = clock.now() + timing.spreadMilliseconds
+    const cutOff = (this.#options.reach?.cutOffPools.length ?? 0) > 0
+    this.#nextCollectionAt = clock.now() + (cutOff ? urgentCollectMilliseconds : timing.spreadMilliseconds)
     void this.#renewal.probeUnreachable([...directory.current?.state.values() ?? []].map(poolMemberOf))
     try {
       this.#demand = await demand.collect()
--- a/packages/router/src/control/peer-demand.test.ts
+++ b/packages/router/src/control/peer-demand.test.ts
@@ -7,7 +7,7 @@
 
 function report (vm: string): FetchKeyLoadsResponse {
   const endpoint: EndpointKeyLoad = { endpoint: `endpoint of ${vm}`, busySlots: 1, queued: 0, serviceMilliseconds: 100, keys: [] }
-  return { keyMapPosition: 0, routingVersion: 0, endpoints: [endpoint], watchers: [], leaving: false, poisonRequests: '' }
+  return { keyMapPosition: 0, routingVersion: 0, endpoints: [endpoint], watchers: [], leaving: false, poisonRequests: '', cutOffPools: [], reachedPools: [] }
 }
 
 /** VMs that answer after a few milliseconds, or not at all. */
--- a/packages/router/src/control/peer-demand.ts
+++ b/packages/router/src/control/peer-demand.ts
@@ -66,9 +66,11 @@
   }
 }
 
-function rosterReport ({ watchers, leaving }: FetchKeyLoadsResponse): RosterReport {
+function rosterReport ({ watchers, leaving, cutOffPools, reachedPools }: FetchKeyLoadsResponse): RosterReport {
   return {
     leaving,
+    cutOffPools,
+    reachedPools,
     watchers: watchers.flatMap(({ vm, openMilliseconds }) => vm === undefined ? [] : { vm: vmEntry(vm), openMilliseconds })
   }
 }
--- a/packages/router/src/control/simulation/ownership-simulation.ts
+++ b/packages/router/src/control/simulation/ownership-simulation.ts
@@ -1,6 +1,7 @@
 import { delay, LifeCycle, MonotonicClock, type Random } from '@briarsaddle/common'
 import { emptyKeyMap, type KeyMap, type VmEntry } from '@briarsaddle/key-ranges'
 import type { Directory, EndpointEntry } from '../../endpoint-entry.js'
+import { EndpointReach } from '../../endpoint-reach.js'
 import { RouterMetrics } from '../../router-metrics.js'
 import { LeavingEndpoints } from '../../leaving-endpoints.js'
 import type { RoutingTable } from '../../routing-table.js'
@@ -12,7 +13,7 @@
 import type { StateTopic } from '../state-topic.js'
 import { defaultControlTiming, type ControlTiming } from '../timing.js'
 import { TopicFollower, type TopicFollowerOptions } from '../topic-follower.js'
-import { VmRoster } from '../vm-roster.js'
+import { VmRoster, type RosterReport } from '../vm-roster.js'
 import { SimulatedEndpoints, SimulatedLinks } from './simulated-endpoints.js'
 import { LogAccess, SharedGroup, SharedTopic, SimulatedMembership, SimulatedTopic, type LogMode } from './simulated-log.js'
 
@@ -50,6 +51,8 @@
 /** Random demand that differs each time it is collected, so that keys move; none after `ended` is set. */
 class RandomDemand extends DemandSource {
   ended = false
+  /** Called each time the demand is collected. */
+  onCollect = (): void => {}
   readonly #random: Random
   readonly #map: () => KeyMap | undefined
 
@@ -60,6 +63,7 @@
   }
 
   override async collect (): Promise<ReadonlyMap<string, MeasuredDemand>> {
+    this.onCollect()
     const segments = this.ended ? [] : this.#map()?.pools[pool] ?? []
     return new Map([...new Set(segments.map(segment => segment.owner.endpoint))].map(endpoint => {
       const busySlots = this.#random.fraction() * slots
@@ -77,6 +81,7 @@
   readonly entry: VmEntry
   readonly access: LogAccess
   readonly links: SimulatedLinks
+  readonly reach: EndpointReach
   readonly demand: RandomDemand
   /** True while the VM receives nothing from other VMs. */
   isolated: boolean
@@ -105,6 +110,10 @@
   }
 }
 
+function isCutOff (map: KeyMap | undefined, id: string): boolean {
+  return map?.vms.some(vm => vm.id === id && vm.cutFrom !== undefined) === true
+}
+
 /** Result of a run. */
 export interface SimulationResult {
   /** Grants that gave keys to a second endpoint or had too low a token, each with the events that led to it. */
@@ -176,6 +185,7 @@
       () => { vm.isolated = !vm.isolated },
       () => this.#heal(vm),
       () => { vm.links.cut.add(entry.id) },
+      () => { for (const { id } of entries) vm.links.cut.add(id) },
       () => { vm.links.cut.clear() },
       () => { this.#group.reassign() },
       async () => { if (this.#restores && performance.now() - this.#restoredAt > restoreIntervalMilliseconds) await this.#restoreLog() },
@@ -262,15 +272,28 @@
       clock: this.#clock,
       confirmEveryMilliseconds: simulatedTiming.confirmMilliseconds,
       callMilliseconds: simulatedTiming.logCallMilliseconds,
-      isCandidate: () => true,
+      isCandidate: () => (leader.leading && !leader.mayHandOver) || !isCutOff(map.current?.state, id),
       onRegained: () => map.interrupt()
     })
     const demand = new RandomDemand(this.#random, () => map.current?.state)
-    const leader = new KeyLeader({ leaving: new LeavingEndpoints(this.#clock), self, clock: this.#clock, timing: simulatedTiming, member, topic: new SimulatedTopic(this.#keyMap, access), map, directory, routing, transport: links, demand, roster: new VmRoster(self, this.#clock), otherMaps: new SimulatedOtherMaps(id, () => this.#vms), metrics: new RouterMetrics() })
+    const reach = new EndpointReach({ clock: this.#clock, random: this.#random, transport: links, directory: () => directory.current?.state ?? new Map() })
+    const roster = new VmRoster(self, this.#clock)
+    demand.onCollect = () => this.#collectReach(id, roster)
+    const leader: KeyLeader = new KeyLeader({ leaving: new LeavingEndpoints(this.#clock), self, clock: this.#clock, timing: simulatedTiming, member, topic: new SimulatedTopic(this.#keyMap, access), map, directory, routing, transport: reach, reach, demand, roster, otherMaps: new SimulatedOtherMaps(id, () => this.#vms), metrics: new RouterMetrics() })
     for (const follower of [map, directory, routing]) follower.start(lifeCycle)
     member.start(lifeCycle)
+    reach.start(lifeCycle)
     leader.start(lifeCycle)
-    return { entry: self, access, links, demand, isolated: false, map, leader, lifeCycle }
+    return { entry: self, access, links, reach, demand, isolated: false, map, leader, lifeCycle }
+  }
+
+  /** Tells a leader which endpoints the other VMs reach, as their reports do. A VM that does not lead reaches what its links reach. */
+  #collectReach (leader: string, roster: VmRoster): void {
+    const reportOf = ({ reach, links }: SimulatedVm): RosterReport => ({ watchers: [], leaving: false, cutOffPools: reach.cutOffPools, reachedPools: links.cut.size === 0 ? [pool] : [] })
+    const own = this.#vms.find(vm => vm.entry.id === leader)
+    if (own === undefined) return
+    const others = this.#vms.filter(vm => vm !== own)
+    roster.applyRound(new Map(others.map(vm => [vm.entry.id, own.isolated || vm.isolated ? undefined : reportOf(vm)])), reportOf(own))
   }
 
   #follow<State> (name: string, topic: StateTopic<State>, options: Partial<TopicFollowerOptions<State>> = {}): TopicFollower<State> {
--- a/packages/router/src/control/vm-ranks.ts
+++ b/packages/router/src/control/vm-ranks.ts
@@ -30,6 +30,11 @@
     return rank === -1 ? undefined : rank
   }
 
+  /** Whether the VM is cut off from endpoints that others reach. */
+  isCutOff (vm: string): boolean {
+    return this.#vms.some(({ id, cutFrom }) => id === vm && cutFrom !== undefined)
+  }
+
   /** Whether the VM is one of those that stand for election; they are in different data centres if there are several. */
   isCandidate (vm: string): boolean {
     return this.#candidates.includes(vm)
@@ -61,8 +66,13 @@
   return weight
 }
 
-/** Returns the first VM of each data centre, then others, as long as there are fewer than `candidateCount`. */
-function candidatesOf (ranked: readonly VmEntry[]): readonly string[] {
+/**
+ * Returns the first VM of each data centre, then others, as long as there are fewer than `candidateCount`. VMs that are cut off from endpoints
+ * cannot grant keys.
+ */
+function candidatesOf (all: readonly VmEntry[]): readonly string[] {
+  const reaching = all.filter(vm => vm.cutFrom === undefined)
+  const ranked = reaching.length > 0 ? reaching : all
   const firsts = ranked.filter((vm, index) => ranked.findIndex(other => other.dataCentre === vm.dataCentre) === index)
   return [...new Set([...firsts, ...ranked])].slice(0, candidateCount).map(vm => vm.id)
 }
--- a/packages/router/src/control/vm-roster.test.ts
+++ b/packages/router/src/control/vm-roster.test.ts
@@ -5,8 +5,8 @@
 import { VmRoster, type RosterReport } from './vm-roster.js'
 
 const vm = (id: string, fields: Partial<VmEntry> = {}): VmEntry => ({ id, host: '127.0.0.1', port: 1, dataCentre: 'a', weight: 0.27, ...fields })
-const quiet: RosterReport = { watchers: [], leaving: false }
-const watchedBy = (...ids: string[]): RosterReport => ({ leaving: false, watchers: ids.map(id => ({ vm: vm(id), openMilliseconds: 100 })) })
+const quiet: RosterReport = { watchers: [], leaving: false, cutOffPools: [], reachedPools: [] }
+const watchedBy = (...ids: string[]): RosterReport => ({ ...quiet, watchers: ids.map(id => ({ vm: vm(id), openMilliseconds: 100 })) })
 
 describe('VmRoster', () => {
   let clock: ManualClock
@@ -58,15 +58,39 @@
     expect(ids()).to.deep.equal(['a', 'b', 'leader'])
   })
 
+  // Guards against a leader that reaches no endpoint, and against VMs that take turns at leading when nobody reaches any (RECOVER).
+  it('names the pools that a VM is cut off from only while another VM reaches them, and makes it no candidate', () => {
+    const cutOff: RosterReport = { ...quiet, cutOffPools: ['ponds'] }
+    const reaching: RosterReport = { ...quiet, reachedPools: ['ponds'] }
+    roster.reset([vm('a'), vm('b', { dataCentre: 'b' }), vm('c', { dataCentre: 'c' })])
+    const named = (): readonly string[] => roster.vms.filter(({ cutFrom }) => cutFrom?.join() === 'ponds').map(({ id }) => id)
+    roster.applyRound(new Map([['a', cutOff], ['b', cutOff], ['c', cutOff]]), cutOff)
+    expect(named()).to.deep.equal([])
+    const before = roster.vms
+    roster.applyRound(new Map([['a', cutOff], ['b', reaching], ['c', quiet]]), cutOff)
+    expect(roster.vms).not.to.equal(before)
+    expect(named()).to.deep.equal(['a', 'leader'])
+    const ranks = new VmRanks()
+    ranks.update(roster.vms)
+    expect(['a', 'b', 'c', 'leader'].filter(id => ranks.isCandidate(id))).to.deep.equal(['b', 'c'])
+    roster.applyRound(new Map([['a', undefined], ['b', reaching], ['c', quiet]]), reaching)
+    expect(named()).to.deep.equal(['a'])
+    const successor = new VmRoster(vm('b', { dataCentre: 'b' }), clock)
+    successor.reset(roster.vms)
+    expect(successor.isCutOff('a')).to.equal(true)
+    successor.applyRound(new Map([['a', quiet], ['c', quiet]]), reaching)
+    expect(successor.vms.some(({ cutFrom }) => cutFrom !== undefined)).to.equal(false)
+  })
+
   // A VM that was lost without a reset stays a watcher of others until the keepalive of its stream fails.
   it('does not add a removed VM again for a stream that is older than its removal, but for a later one', () => {
     roster.reset([vm('a'), vm('b'), vm('c')])
     for (let round = 0; round < 2; round++) roster.applyRound(new Map([['a', undefined], ['b', watchedBy('a')], ['c', quiet]]), quiet)
     expect(ids()).not.to.include('a')
     clock.advance(1_000)
-    roster.applyRound(new Map([['b', { leaving: false, watchers: [{ vm: vm('a'), openMilliseconds: 5_000 }] }]]), quiet)
+    roster.applyRound(new Map([['b', { ...quiet, watchers: [{ vm: vm('a'), openMilliseconds: 5_000 }] }]]), quiet)
     expect(ids()).not.to.include('a')
-    roster.applyRound(new Map([['b', { leaving: false, watchers: [{ vm: vm('a'), openMilliseconds: 300 }] }]]), quiet)
+    roster.applyRound(new Map([['b', { ...quiet, watchers: [{ vm: vm('a'), openMilliseconds: 300 }] }]]), quiet)
     expect(ids()).to.include('a')
   })
 
--- a/packages/router/src/control/vm-roster.ts
+++ b/packages/router/src/control/vm-roster.ts
@@ -14,6 +14,10 @@
 export interface RosterReport {
   readonly watchers: readonly WatchingVm[]
   readonly leaving: boolean
+  /** Pools whose endpoints the VM does not reach. */
+  readonly cutOffPools: readonly string[]
+  /** Pools of which the VM has reached an endpoint lately. */
+  readonly reachedPools: readonly string[]
 }
 
 // A single call may fail because a VM was short of processor time.
@@ -33,6 +37,8 @@
   readonly #clock: Clock
   readonly #silent = new Map<string, number>()
   readonly #removedAt = new Map<string, number>()
+  /** Pools that VMs are cut off from while others reach them, by VM. */
+  #cutFrom = new Map<string, readonly string[]>()
   #vms = new Map<string, VmEntry>()
   #sorted: readonly VmEntry[] | undefined
 
@@ -44,13 +50,14 @@
 
   /** The VMs by id, in the order of their ids. The same object is returned until the list changes. */
   get vms (): readonly VmEntry[] {
-    this.#sorted ??= [...this.#vms.values()].sort((one, other) => one.id < other.id ? -1 : 1)
+    this.#sorted ??= [...this.#vms.values()].map(vm => this.#withCutFrom(vm)).sort((one, other) => one.id < other.id ? -1 : 1)
     return this.#sorted
   }
 
   /** Begins anew with a list, at the start of a leadership. */
   reset (vms: readonly VmEntry[]): void {
     this.#vms = new Map([...vms, this.#self].map(vm => [vm.id, vm]))
+    this.#cutFrom = new Map(vms.flatMap(({ id, cutFrom }) => cutFrom === undefined ? [] : [[id, cutFrom]]))
     this.#silent.clear()
     this.#removedAt.clear()
     this.#sorted = undefined
@@ -61,6 +68,32 @@
     for (const vm of members) this.#add(vm, 'member')
   }
 
+  /** Whether a VM is cut off from a pool that others reach. */
+  isCutOff (vm: string): boolean {
+    return this.#cutFrom.has(vm)
+  }
+
+  #withCutFrom ({ cutFrom: _former, ...vm }: VmEntry): VmEntry {
+    const cutFrom = this.#cutFrom.get(vm.id)
+    return cutFrom === undefined ? vm : { ...vm, cutFrom }
+  }
+
+  /** A pool that no VM reaches has lost its endpoints; then no VM is better placed than another. */
+  #applyReach (reports: ReadonlyMap<string, RosterReport | undefined>): void {
+    const reached = new Set([...reports.values()].flatMap(report => report?.reachedPools ?? []))
+    for (const [vm, report] of reports) {
+      // A VM that does not answer is as it was.
+      if (report === undefined) continue
+      const cutFrom = report.cutOffPools.filter(pool => reached.has(pool)).sort()
+      const before = this.#cutFrom.get(vm)
+      if (before?.join() === (cutFrom.length === 0 ? undefined : cutFrom.join())) continue
+      if (cutFrom.length === 0) this.#cutFrom.delete(vm)
+      else this.#cutFrom.set(vm, cutFrom)
+      this.#sorted = undefined
+      logger.warning(cutFrom.length === 0 ? 'VM is not cut off from endpoints any more' : 'VM is cut off from endpoints that others reach', { peer: vm, pools: (before ?? []).concat(cutFrom).join() })
+    }
+  }
+
   /** Applies the results of one round of calls, undefined for a call without an answer, and the report of this VM. */
   applyRound (reports: ReadonlyMap<string, RosterReport | undefined>, own: RosterReport): void {
     const now = this.#clock.now()
@@ -77,6 +110,7 @@
       this.#silent.delete(vm)
       if (report.leaving) this.#remove(vm, 'stopping')
     }
+    this.#applyReach(new Map([...reports, [this.#self.id, own]]))
     for (const report of [own, ...reports.values()]) {
       for (const { vm, openMilliseconds } of report?.watchers ?? []) {
         // The stream of a VM that was removed may stay open for a while; only a later stream shows that the VM is back.
@@ -104,6 +138,7 @@
   #remove (vm: string, reason: string): void {
     if (vm === this.#self.id || !this.#vms.delete(vm)) return
     this.#silent.delete(vm)
+    this.#cutFrom.delete(vm)
     this.#removedAt.set(vm, this.#clock.now())
     this.#sorted = undefined
     logger.info('VM removed from the list', { peer: vm, reason, vms: this.#vms.size })
--- a/packages/router/src/poison/crash-witness.test.ts
+++ b/packages/router/src/poison/crash-witness.test.ts
@@ -53,7 +53,7 @@
     poison = new PoisonList(clock)
     poison.ensureSalt()
     coordinators = new Coordinators()
-    dispatcher = new Dispatcher({ vm: 'vm-1', coordinators, peers: new LostPeer(), transport: endpoints, directory: () => directory, clock, loopDelay: new LoopDelay(clock), random: new Random(1), metrics: new RouterMetrics(), leaving: new LeavingEndpoints(clock), poison })
+    dispatcher = new Dispatcher({ vm: 'vm-1', coordinators, peers: new LostPeer(), transport: endpoints, directory: () => directory, clock, loopDelay: new LoopDelay(clock), random: new Random(1), metrics: new RouterMetrics(), leaving: new LeavingEndpoints(clock), poison, reach: { isCutOff: () => false, isInDoubt: () => false } })
   })
 
   const dispatch = async (id: string, target?: string, signal = new AbortController().signal): Promise<Answer> => await dispatcher.dispatch(entry(id), forward(id, target), signal)
--- a/packages/router/src/poison/crash-witness.ts
+++ b/packages/router/src/poison/crash-witness.ts
@@ -1,5 +1,6 @@
 import { delay, Logger, type Clock } from '@briarsaddle/common'
 import { addressOf, type Directory, type EndpointEntry } from '../endpoint-entry.js'
+import type { EndpointReach } from '../endpoint-reach.js'
 import type { EndpointTransport } from '../endpoint-transport.js'
 import type { PoisonList } from './poison-list.js'
 import type { RequestContent } from './request-fingerprint.js'
@@ -12,6 +13,7 @@
   readonly transport: Pick<EndpointTransport, 'probe'>
   readonly directory: () => Directory
   readonly poison: PoisonList
+  readonly reach: Pick<EndpointReach, 'isInDoubt'>
 }
 
 /** A request that was sent to a process of an endpoint. */
@@ -78,7 +80,8 @@
     while (proof === undefined && clock.now() - brokenAt < investigationMilliseconds) {
       if (probes < mostProbes) {
         const result = await this.#options.transport.probe({ endpoint: endpoint.id, life: endpoint.life, address: addressOf(endpoint) })
-        if (result === 'refused') proof = 'connection refused'
+        // A cut may refuse connections too.
+        if (result === 'refused' && !this.#options.reach.isInDoubt(endpoint.pool)) proof = 'connection refused'
         else if (result === 'reached') probes++
       }
       proof ??= this.#endedByDirectory(endpoint)
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -21,6 +21,7 @@
 import { VmRanks } from './control/vm-ranks.js'
 import { VmRoster } from './control/vm-roster.js'
 import type { Directory } from './endpoint-entry.js'
+import { EndpointReach } from './endpoint-reach.js'
 import type { EndpointTransport } from './endpoint-transport.js'
 import { LeavingEndpoints } from './leaving-endpoints.js'
 import { MeasuredTransport } from './measured-transport.js'
@@ -86,7 +87,7 @@
   readonly #poison = new PoisonList(this.#clock)
   readonly #coordinators = new Coordinators()
   readonly #metrics: RouterMetrics
-  readonly #transport: EndpointTransport
+  readonly #transport: EndpointReach
   readonly #self: VmEntry
   readonly #map: TopicFollower<KeyMap>
   readonly #routing: TopicFollower<RoutingTable>
@@ -115,7 +116,7 @@
     this.#settings = settings
     this.#platform = platform
     this.#metrics = platform.metrics
-    this.#transport = new MeasuredTransport(platform.transport, platform.metrics, this.#clock)
+    this.#transport = new EndpointReach({ clock: this.#clock, random: this.#random, transport: new MeasuredTransport(platform.transport, platform.metrics, this.#clock), directory: () => this.#endpoints })
     const { timing, listen } = settings
     const clock = this.#clock
     this.#self = { ...settings.vm, host: listen.inner.host, port: listen.inner.port }
@@ -126,6 +127,7 @@
       ranks: this.#ranks,
       mayBegin: this.#isSeed || settings.seeds.length === 0,
       mustLead: () => this.#leader.leading && !this.#leader.mayHandOver,
+      isLeading: () => this.#leader.leading,
       isMember: () => this.#member.report !== undefined,
       withoutSourceMilliseconds: () => this.#feed.ageMilliseconds
     })
@@ -152,7 +154,7 @@
     this.#feed = new ControlFeed({ self: this.#self, clock, peers: this.#peers, map: this.#map, routing: this.#routing, directory: this.#directory, poison: this.#poison, sources: () => this.#sources, onUpdate: () => this.#publisher.publishSoon() })
     this.#dispatcher = this.#createDispatcher()
     this.#router = this.#createRouter()
-    this.#control = new RangeControlHandler({ vm: settings.vm.id, dispatcher: this.#dispatcher, map: this.#map, routing: this.#routing, readPositions: this.#readPositions, publisher: this.#publisher, poison: this.#poison, leaving: () => this.#stopping !== undefined })
+    this.#control = new RangeControlHandler({ vm: settings.vm.id, dispatcher: this.#dispatcher, map: this.#map, routing: this.#routing, readPositions: this.#readPositions, publisher: this.#publisher, poison: this.#poison, reach: this.#transport, leaving: () => this.#stopping !== undefined })
     this.#leader = this.#createLeader()
     this.#inner = new InnerServer({ ...listen.inner }, new RangeFrameHandler(this.#dispatcher), this.#control)
     this.#entry = new EntryServer({ ...listen.callers, ...settings.limits, maximumHeaderBytes, maximumBodyBytes, clock, loopDelay: this.#loopDelay }, this.#router)
@@ -170,6 +172,7 @@
     this.#feed.start(this.#lifeCycle)
     this.#publisher.start(this.#lifeCycle)
     this.#member.start(this.#lifeCycle)
+    this.#transport.start(this.#lifeCycle)
     this.#leader.start(this.#lifeCycle)
     new PoisonArchive({ list: this.#poison, topic: this.#platform.poisonRequests, callMilliseconds: this.#settings.timing.logCallMilliseconds, isLeading: () => this.#leader.leading, era: () => eraOf(this.#map.current?.position ?? 0) }).start(this.#lifeCycle)
     new ControlRelay({ peers: this.#peers, map: this.#map, routing: this.#routing, random: this.#random, isFed: () => this.#feed.source !== undefined }).start(this.#lifeCycle)
@@ -187,6 +190,9 @@
     this.#lifeCycle.own('entry', async () => await this.#entry.stop(0))
   }
 
+  /** True while this VM assigns keys to endpoints. */
+  get leading (): boolean { return this.#leader.leading }
+
   get #hasState (): boolean {
     return this.#routing.current !== undefined && this.#map.current !== undefined && this.#directory.current !== undefined
   }
@@ -227,7 +233,8 @@
       random: this.#random,
       metrics: this.#metrics,
       leaving: this.#leavingEndpoints,
-      poison: this.#poison
+      poison: this.#poison,
+      reach: this.#transport
     })
   }
 
@@ -263,6 +270,7 @@
       leaving: this.#leavingEndpoints,
       demand: new PeerDemand(this.#peers, this.#control, this.#readPositions, this.#roster, this.#poison),
       roster: this.#roster,
+      reach: this.#transport,
       otherMaps: new PeerKeyMaps(this.#peers),
       metrics: this.#metrics
     })
@@ -308,7 +316,9 @@
     this.#map.onChange(map => {
       this.#logKeyMap(map)
       this.#coordinators.update(map.vms)
+      const wasCandidate = this.#ranks.isCandidate(this.#self.id)
       this.#ranks.update(map.vms)
+      if (this.#ranks.isCandidate(this.#self.id) !== wasCandidate) this.#member.reviewSoon()
       this.#updatePeers(map.vms)
       this.#changes.notify()
     })
@@ -320,6 +330,11 @@
       this.#changes.notify()
     })
     this.#routing.onChange(table => this.#useRouting(table))
+    this.#transport.onChange(pool => {
+      if (this.#transport.isCutOff(pool)) this.#dispatcher.cutOffFrom(pool)
+      this.#leader.collectSoon()
+      this.#changes.notify()
+    })
   }
 
   #logKeyMap ({ author, fence, vms, pools, repairs }: KeyMap): void {
@@ -368,6 +383,7 @@
       feed: { source: this.#feed.source, ageMilliseconds: Math.round(this.#feed.ageMilliseconds), sources: this.#sources, watchers: this.#publisher.watchers.map(({ vm }) => vm?.id), candidate: this.#member.report !== undefined },
       connectedPeers: this.#peers.clients,
       router: this.#router.snapshot(),
+      cutOffPools: this.#transport.cutOffPools,
       poisonRequests: this.#poison.snapshot(),
       gates,
       entry: { serving: this.#entry.serving, inFlight: this.#entry.inFlight }
@@ -393,6 +409,7 @@
       keyMapPosition: this.#map.current?.position ?? 0,
       endpoints: this.#endpoints.size,
       limitedEndpoints: [...this.#dispatcher.gates.values()].filter(gate => gate.isLimited).length,
+      cutOffPools: this.#transport.cutOffPools.length,
       suspectedRequests: this.#poison.size,
       refusedRequests: this.#poison.refused,
       callersInFlight: this.#entry.inFlight,
--- a/packages/router/src/request/dispatcher.ts
+++ b/packages/router/src/request/dispatcher.ts
@@ -1,12 +1,14 @@
 import { Logger, processTurnQueue, type Clock, type LoopDelay, type Random } from '@briarsaddle/common'
 import { notRunAnswer, Outcome, peerReasons, type Answer, type Forward } from '@briarsaddle/protocol'
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
+import type { EndpointReach } from '../endpoint-reach.js'
 import type { EndpointTransport } from '../endpoint-transport.js'
 import type { LeavingEndpoints } from '../leaving-endpoints.js'
 import type { RouterMetrics } from '../router-metrics.js'
 import type { PoisonList } from '../poison/poison-list.js'
 import type { Coordinators } from './coordinators.js'
-import { EndpointGate, leavingReason } from './endpoint-gate.js'
+import { Detours } from './detours.js'
+import { EndpointGate, endpointUnreachable, leavingReason, outOfReachReason } from './endpoint-gate.js'
 
 const logger = new Logger('dispatch')
 
@@ -29,27 +31,63 @@
   readonly metrics: RouterMetrics
   readonly leaving: LeavingEndpoints
   readonly poison: PoisonList
+  /** Whether this VM reaches endpoints. */
+  readonly reach: Pick<EndpointReach, 'isCutOff' | 'isInDoubt'>
 }
 
 /** Reasons that show that the peer did not handle the request, so that this VM may send it to the endpoint itself. */
 const absentPeerReasons: ReadonlySet<string> = new Set([peerReasons.unreachable, peerReasons.goingAway, peerReasons.congested, 'endpoint_unknown'])
 
+// VMs that are cut off are found one by one until the list of VMs names them.
+const mostDetours = 3
+
 /** Passes a request to the VM that coordinates its endpoint, or queues it on this VM. */
 export class Dispatcher {
   readonly #options: DispatcherOptions
   readonly #gates = new Map<string, EndpointGate>()
+  readonly #detours: Detours
 
   constructor (options: DispatcherOptions) {
     this.#options = options
+    this.#detours = new Detours(options.clock)
   }
 
   /** Gates that this VM has created, by endpoint id. */
   get gates (): ReadonlyMap<string, EndpointGate> { return this.#gates }
 
-  /** Sends a request to an endpoint, through its coordinator if another VM is the coordinator. Never rejects. */
+  /**
+   * Sends a request to an endpoint, through its coordinator if another VM is the coordinator. When the coordinator does not reach the endpoint, another
+   * VM does its work. Never rejects.
+   */
   async dispatch (endpoint: EndpointEntry, forward: Forward, signal: AbortSignal): Promise<Answer> {
-    const coordinator = this.#options.coordinators.of(endpoint)
-    if (coordinator === undefined || coordinator === this.#options.vm) return await this.#gate(endpoint).handle(forward, signal)
+    const { clock, coordinators, vm } = this.#options
+    const startedAt = clock.now()
+    let unreachedBy: string | undefined
+    for (let detours = 0; ; detours++) {
+      const coordinator = coordinators.of(endpoint, other => this.#isAvoided(other, endpoint)) ?? vm
+      const deadlineMilliseconds = forward.deadlineMilliseconds - (clock.now() - startedAt)
+      const answer = await this.#sendThrough(coordinator, endpoint, { ...forward, deadlineMilliseconds }, signal)
+      const left = forward.deadlineMilliseconds - (clock.now() - startedAt)
+      if (answer.outcome !== Outcome.OUTCOME_NOT_RUN || signal.aborted || left <= 0 || detours >= mostDetours) return answer
+      if (answer.reason === outOfReachReason) this.#detours.avoidForPool(coordinator, endpoint)
+      else if (answer.reason === endpointUnreachable && !this.#detours.isLost(endpoint)) {
+        this.#detours.avoidForEndpoint(coordinator, endpoint, unreachedBy)
+        if (unreachedBy !== undefined) return answer
+        unreachedBy = coordinator
+      } else return answer
+      const next = coordinators.of(endpoint, other => this.#isAvoided(other, endpoint)) ?? vm
+      // A limit binds all VMs together, and only the coordinator counts for it.
+      if (next === coordinator || this.#gates.get(endpoint.id)?.isLimited === true) return answer
+      logger.info('request takes another way', { request: forward.requestId, endpoint: endpoint.id, pool: endpoint.pool, coordinator, reason: answer.reason, next })
+    }
+  }
+
+  #isAvoided (vm: string, endpoint: EndpointEntry): boolean {
+    return (vm === this.#options.vm && this.#options.reach.isCutOff(endpoint.pool)) || this.#detours.isAvoided(vm, endpoint)
+  }
+
+  async #sendThrough (coordinator: string, endpoint: EndpointEntry, forward: Forward, signal: AbortSignal): Promise<Answer> {
+    if (coordinator === this.#options.vm) return await this.#gate(endpoint).handle(forward, signal)
     const answer = await this.#options.peers.forward(coordinator, forward, signal)
     this.#adoptLimit(endpoint, answer)
     if (answer.endpointLeaving === true) this.#options.leaving.add(endpoint, answer.reason === leavingReason ? 'coordinator' : 'answer')
@@ -75,6 +113,7 @@
     if (endpoint === undefined) return refuseForwarded(forward, 'endpoint_unknown', waited)
     const deadlineMilliseconds = forward.deadlineMilliseconds - waited - (this.#options.clock.now() - startedAt)
     if (deadlineMilliseconds <= 0) return refuseForwarded(forward, 'deadline_exceeded', waited)
+    if (this.#options.reach.isCutOff(endpoint.pool)) return refuseForwarded(forward, outOfReachReason, waited)
     return await this.#gate(endpoint).handle({ ...forward, deadlineMilliseconds }, signal)
   }
 
@@ -87,6 +126,11 @@
     }
   }
 
+  /** Gives up what waits for the endpoints of a pool, because this VM does not reach them any more. */
+  cutOffFrom (pool: string): void {
+    for (const gate of this.#gates.values()) if (gate.pool === pool) gate.outOfReach()
+  }
+
   /** Clears what was measured per rule. */
   forgetRules (): void {
     for (const gate of this.#gates.values()) gate.forgetRules()
--- a/packages/router/src/request/endpoint-gate.ts
+++ b/packages/router/src/request/endpoint-gate.ts
@@ -2,6 +2,7 @@
 import { Answer, notRunAnswer, Outcome, ServiceClass, unknownAnswer, type Forward } from '@briarsaddle/protocol'
 import { ClassPolicy, EndpointQueue, RefusalError, type ServiceClass as QueueClass } from '@briarsaddle/scheduling'
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
+import type { EndpointReach } from '../endpoint-reach.js'
 import type { EndpointReply, EndpointTransport, ReportedLimit } from '../endpoint-transport.js'
 import type { LeavingEndpoints } from '../leaving-endpoints.js'
 import type { RouterMetrics } from '../router-metrics.js'
@@ -21,6 +22,7 @@
   readonly leaving: LeavingEndpoints
   readonly directory: () => Directory
   readonly poison: PoisonList
+  readonly reach: Pick<EndpointReach, 'isInDoubt'>
 }
 
 // Further requests would wait beyond their deadlines; admission control refuses most of them before this limit.
@@ -52,6 +54,8 @@
   #limitNamedAt = -Infinity
   #pausedForLong = false
   #closesAt = Infinity
+  /** Aborted when this VM does not reach the endpoint any more. */
+  #reach = new AbortController()
   #closeTimer: NodeJS.Timeout | undefined
 
   constructor (options: EndpointGateOptions) {
@@ -129,6 +133,7 @@
       }))
       return { ...answer, outstanding: this.outstanding, requestsPerSecond: this.#limit ?? Infinity, endpointLeaving: this.#options.leaving.has(this.#entry) }
     } catch (error) {
+      if (error instanceof BriarsaddleError && error.code === outOfReachReason) return notRunAnswer(outOfReachReason, { outstanding: this.outstanding })
       if (error instanceof BriarsaddleError && error.code === leavingReason) return this.#refuseAsLeaving()
       if (!(error instanceof RefusalError)) throw error
       const fields = {
@@ -167,6 +172,14 @@
     this.#closeTimer.unref()
   }
 
+  /** Refuses the requests that wait, and gives up those that may be repeated and have no answer: their senders use another VM. */
+  outOfReach (): void {
+    const refused = this.#queue.rejectQueued(() => new BriarsaddleError('this VM does not reach the endpoint', { code: outOfReachReason, step: 'queue request' }))
+    logger.info('requests are sent through other VMs, because this VM does not reach their endpoint', { endpoint: this.#entry.id, pool: this.pool, refused, running: this.outstanding })
+    this.#reach.abort()
+    this.#reach = new AbortController()
+  }
+
   /** Returns the state as plain data for the state dump. */
   snapshot (): Readonly<Record<string, unknown>> {
     return { endpoint: this.#entry, queue: this.#queue.snapshot(), work: this.demand.snapshot() }
@@ -186,7 +199,7 @@
     if (refusedMilliseconds !== undefined) return notRunAnswer(poisonReason, { retryAfterMilliseconds: refusedMilliseconds })
     const { requestId, bucket, method, target, headers, body } = forward
     const run = this.#witness.begin(this.#entry, forward)
-    const reply = await transport.send(this.#entry, { requestId, key: bucket < 0 ? undefined : bucket, method, target, headers, body, remainingMilliseconds: deadlineAt - startedAt }, signal)
+    const reply = await transport.send(this.#entry, { requestId, key: bucket < 0 ? undefined : bucket, method, target, headers, body, remainingMilliseconds: deadlineAt - startedAt }, forward.idempotent ? AbortSignal.any([signal, this.#reach.signal]) : signal)
     const milliseconds = clock.now() - startedAt
     this.#witness.end(run, runEndOf(reply, signal))
     if (reply.kind === 'refused' && reply.retryAfterMilliseconds !== undefined) this.#pause(reply.retryAfterMilliseconds)
@@ -236,6 +249,12 @@
 /** Reason of a reply when the connection to the endpoint ended before the answer was complete. */
 export const connectionBroken = 'connection_broken'
 
+/** Reason of a refusal because the VM reaches no endpoint of the pool, while others may. */
+export const outOfReachReason = 'endpoints_out_of_reach'
+
+/** Reason of a refusal because no connection to the endpoint could be established. */
+export const endpointUnreachable = 'endpoint_unreachable'
+
 /** Reason of a refusal because the endpoint leaves. */
 export const leavingReason = 'endpoint_leaving'
 
@@ -260,7 +279,7 @@
   switch (reply.kind) {
     case 'answered': return { ...Answer.create(), outcome: Outcome.OUTCOME_ANSWERED, status: reply.status, headers: [...reply.headers], body: reply.body, reason: reply.lengthKnown ? '' : lengthUnknown, serviceMilliseconds }
     case 'refused': return notRunAnswer(reply.reason, { retryAfterMilliseconds: reply.retryAfterMilliseconds ?? fullRetryMilliseconds })
-    case 'unreachable': return notRunAnswer('endpoint_unreachable', { retryAfterMilliseconds: fullRetryMilliseconds })
+    case 'unreachable': return notRunAnswer(endpointUnreachable, { retryAfterMilliseconds: fullRetryMilliseconds })
     case 'broken': return unknownAnswer(reply.reason)
   }
 }
--- a/packages/router/src/request/inner-handlers.ts
+++ b/packages/router/src/request/inner-handlers.ts
@@ -8,6 +8,7 @@
 import type { ReadPositionMonitor } from '../control/read-position-monitor.js'
 import type { TopicState } from '../control/state-topic.js'
 import type { TopicFollower } from '../control/topic-follower.js'
+import type { EndpointReach } from '../endpoint-reach.js'
 import type { PoisonList } from '../poison/poison-list.js'
 import type { RoutingTable } from '../routing-table.js'
 import type { Dispatcher } from './dispatcher.js'
@@ -42,6 +43,7 @@
   readonly readPositions: ReadPositionMonitor
   readonly publisher: ControlPublisher
   readonly poison: PoisonList
+  readonly reach: Pick<EndpointReach, 'cutOffPools' | 'reachedPools'>
   readonly leaving: () => boolean
 }
 
@@ -60,8 +62,8 @@
 
   override async fetchKeyLoads (request: FetchKeyLoadsRequest): Promise<FetchKeyLoadsResponse> {
     this.#options.readPositions.observePeer(request)
-    const { publisher, leaving } = this.#options
-    return { ...this.#options.readPositions.own, watchers: [...publisher.watchers], leaving: leaving(), poisonRequests: this.#options.poison.encodeRecent(), endpoints: [...this.#options.dispatcher.gates].map(([endpoint, gate]) => this.#keyLoad(endpoint, gate)) }
+    const { publisher, leaving, reach } = this.#options
+    return { ...this.#options.readPositions.own, watchers: [...publisher.watchers], leaving: leaving(), poisonRequests: this.#options.poison.encodeRecent(), cutOffPools: [...reach.cutOffPools], reachedPools: [...reach.reachedPools], endpoints: [...this.#options.dispatcher.gates].map(([endpoint, gate]) => this.#keyLoad(endpoint, gate)) }
   }
 
   override async fetchControl ({ keyMapPosition, routingVersion, knownPosition, knownFence }: FetchControlRequest): Promise<FetchControlResponse> {
