Refuse requests that come late in a planned stop instead of cutting them off

The test in entry-server.test.ts had 6 requests routed and the last ones aborted before; now the one that came in the first part is answered, and later ones get 503 with the reason stopping, not having run.

--- a/packages/entry/src/entry-server.test.ts
+++ b/packages/entry/src/entry-server.test.ts
@@ -198,6 +198,32 @@
   })
 })
 
+describe('EntryServer, at a planned stop', () => {
+  // Guards against requests that are taken late in the grace period and cut off at its end, although they may have run (LOST).
+  it('refuses requests that arrive on open connections after the time for callers to notice, and finishes those before', async () => {
+    const handler = new SlowHandler()
+    const server = new EntryServer({ host: '127.0.0.1', port: 0, maximumHeaderBytes: 8_192, maximumBodyBytes: 1_000, maximumCallerConnections: 10, clock: new MonotonicClock() }, handler)
+    const socket = connect(await server.listen(), '127.0.0.1')
+    let received = ''
+    socket.on('data', data => { received += data.toString() })
+    socket.on('error', () => {})
+    const closed = once(socket, 'close')
+    const stopped = server.stop(400, 100)
+    await delay(50)
+    socket.write('GET /early HTTP/1.1\r\nHost: a\r\n\r\n')
+    // Each request that waits behind another one keeps the connection open.
+    for (let index = 0; index < 5; index++) {
+      await delay(80)
+      socket.write(`GET /late-${index} HTTP/1.1\r\nHost: a\r\n\r\n`)
+    }
+    await closed
+    await stopped
+    expect(handler).to.include({ routed: 1, cancelled: 0 })
+    expect(received.match(/HTTP\/1\.1 \d+/g)?.slice(0, 2)).to.deep.equal(['HTTP/1.1 200', 'HTTP/1.1 503'])
+    expect(handler.refusals[0]).to.equal('stopping /late-0')
+  })
+})
+
 /** Refuses every request after the given processor time. */
 class BusyHandler extends SlowHandler {
   readonly #milliseconds: number
--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -79,6 +79,8 @@
   #maximumBodyBytes: number
   #bufferedBytes = 0
   #stopping: Promise<void> | undefined
+  /** True once requests that have not been passed on are refused, because there may be no time to finish them. */
+  #refusing = false
   #onIdle: (() => void) | undefined
   #acceptedConnections = 0
   #refusedConnections = 0
@@ -158,8 +160,8 @@
 
   /**
    * Shuts the server down. For `lameDuckMilliseconds`, `serving` is false while requests are still accepted and each connection
-   * is closed after its next answer. Then no connections are accepted, and requests in flight have up to `graceMilliseconds` to
-   * finish. The remaining ones are aborted and get the final answer that the handler gives for an abort.
+   * is closed after its next answer. Then no connections are accepted, further requests on open ones are refused, and requests in
+   * flight have up to `graceMilliseconds` to finish. The remaining ones are aborted and get the final answer that the handler gives for an abort.
    */
   async stop (graceMilliseconds: number, lameDuckMilliseconds = 0): Promise<void> {
     this.#stopping ??= this.#stop(graceMilliseconds, lameDuckMilliseconds)
@@ -169,6 +171,7 @@
   async #stop (graceMilliseconds: number, lameDuckMilliseconds: number): Promise<void> {
     // Closing idle connections at once would cut off requests that are already on their way.
     await delay(lameDuckMilliseconds)
+    this.#refusing = true
     const closed = new Promise<void>(resolve => this.#server.close(() => resolve()))
     this.#server.closeIdleConnections()
     await this.#waitUntilIdle(graceMilliseconds)
@@ -224,6 +227,7 @@
     const accepted = this.#handler.accept(this.#toCallerRequest(exchange))
     if (isAnswer(accepted)) return accepted
     exchange.accepted = accepted
+    if (this.#refusing) return this.#handler.refusal('stopping', accepted)
     if (!hasBody(request)) return await this.#route(exchange, accepted, Buffer.alloc(0))
     const { maximumBufferedBytes = defaultMaximumBufferedBytes } = this.#options
     const maximumBodyBytes = this.#maximumBodyBytes
@@ -238,7 +242,7 @@
       exchange.readingBody = false
       exchange.bodyTooLarge = result.kind === 'too_large'
       if (result.kind !== 'body') return result.kind === 'too_large' ? this.#handler.refusal('body_too_large', accepted) : undefined
-      if (controller.signal.aborted) return this.#handler.refusal('stopping', accepted)
+      if (controller.signal.aborted || this.#refusing) return this.#handler.refusal('stopping', accepted)
       return await this.#route(exchange, accepted, result.body)
     } finally {
       this.#bufferedBytes -= reserved
