Look for a cut only where connections fail, and bound what a crash witness remembers

A refused connection, a grant without an answer or silence still raise a doubt, and a crash witness raises one itself before it takes a refused connection for a crash. Requests that were given up are remembered for 1 s, at most 16 of an endpoint, without large bodies.

--- a/packages/router/src/endpoint-reach.ts
+++ b/packages/router/src/endpoint-reach.ts
@@ -91,7 +91,8 @@
     const reply = await this.#options.transport.send(endpoint, request, signal)
     reach.waiting.delete(call)
     if (reply.kind === 'answered' || reply.kind === 'refused') reach.lastReachedAt = this.#options.clock.now()
-    else if (!signal.aborted) this.#doubt(endpoint.pool)
+    // Single connections break for many reasons; after a cut, the next one cannot be established.
+    else if (reply.kind === 'unreachable' && !signal.aborted) this.doubt(endpoint.pool)
     return reply
   }
 
@@ -100,7 +101,7 @@
     const pool = this.#options.directory().get(holder.endpoint)?.pool
     if (pool === undefined) return reply
     if (reply.kind === 'granted' || reply.kind === 'fenced') this.#reachOf(pool).lastReachedAt = this.#options.clock.now()
-    else this.#doubt(pool)
+    else this.doubt(pool)
     return reply
   }
 
@@ -130,11 +131,12 @@
     const since = this.#options.clock.now() - silenceMilliseconds
     for (const [pool, { waiting, lastReachedAt }] of this.#pools) {
       const [oldest] = waiting
-      if (oldest !== undefined && oldest.startedAt < since && lastReachedAt < since) this.#doubt(pool)
+      if (oldest !== undefined && oldest.startedAt < since && lastReachedAt < since) this.doubt(pool)
     }
   }
 
-  #doubt (pool: string): void {
+  /** Finds out whether this VM is cut off from a pool, unless it did so a moment ago. */
+  doubt (pool: string): void {
     const reach = this.#reachOf(pool)
     const now = this.#options.clock.now()
     if (reach.doubtedAt !== undefined || now < reach.restsUntil) return
--- a/packages/router/src/poison/crash-witness.ts
+++ b/packages/router/src/poison/crash-witness.ts
@@ -13,7 +13,7 @@
   readonly transport: Pick<EndpointTransport, 'probe'>
   readonly directory: () => Directory
   readonly poison: PoisonList
-  readonly reach: Pick<EndpointReach, 'isInDoubt'>
+  readonly reach: Pick<EndpointReach, 'isInDoubt' | 'doubt'>
 }
 
 /** A request that was sent to a process of an endpoint. */
@@ -29,6 +29,7 @@
 
 interface LostRun extends WitnessedRun {
   readonly lostAt: number
+  readonly rememberedUntil: number
 }
 
 const probeMilliseconds = 100
@@ -38,6 +39,9 @@
 const investigationMilliseconds = 4_000
 // A run that was given up may go on at the endpoint for a while.
 const givenUpMilliseconds = 1_000
+// Bounds the memory for the bodies of requests that have ended.
+const mostLost = 16
+const mostBodyBytes = 256 * 1024
 
 /**
  * Finds out which requests were in flight when a process of an endpoint crashed. A broken connection alone proves nothing: the endpoint may
@@ -66,8 +70,12 @@
     if (end === 'answered') this.#options.poison.acquit(run.request)
     if (end === 'answered' || end === 'refused') return
     const now = this.#options.clock.now()
-    this.#lost = [...this.#lost.filter(({ lostAt }) => now - lostAt <= investigationMilliseconds), { ...run, lostAt: now }]
-    if (end === 'broken') void this.#investigate(run.endpoint, now)
+    const isBroken = end === 'broken'
+    if (isBroken || run.request.body.length <= mostBodyBytes) {
+      const lost = { ...run, lostAt: now, rememberedUntil: now + (isBroken ? investigationMilliseconds : givenUpMilliseconds) }
+      this.#lost = [...this.#lost.filter(({ rememberedUntil }) => now <= rememberedUntil), lost].slice(-mostLost)
+    }
+    if (isBroken) void this.#investigate(run.endpoint, now)
   }
 
   async #investigate (endpoint: EndpointEntry, brokenAt: number): Promise<void> {
@@ -76,13 +84,17 @@
     if (this.#investigated.has(key)) return
     this.#investigated.add(key)
     let probes = 0
+    let doubted = false
     let proof = this.#endedByDirectory(endpoint)
     while (proof === undefined && clock.now() - brokenAt < investigationMilliseconds) {
       if (probes < mostProbes) {
         const result = await this.#options.transport.probe({ endpoint: endpoint.id, life: endpoint.life, address: addressOf(endpoint) })
-        // A cut may refuse connections too.
-        if (result === 'refused' && !this.#options.reach.isInDoubt(endpoint.pool)) proof = 'connection refused'
-        else if (result === 'reached') probes++
+        if (result === 'refused') {
+          // A cut may refuse connections too; then other endpoints of the pool are out of reach as well.
+          if (!doubted) this.#options.reach.doubt(endpoint.pool)
+          else if (!this.#options.reach.isInDoubt(endpoint.pool)) proof = 'connection refused'
+          doubted = true
+        } else if (result === 'reached') probes++
       }
       proof ??= this.#endedByDirectory(endpoint)
       if (proof === undefined) await delay(probeMilliseconds)
--- a/packages/router/src/request/dispatcher.ts
+++ b/packages/router/src/request/dispatcher.ts
@@ -32,7 +32,7 @@
   readonly leaving: LeavingEndpoints
   readonly poison: PoisonList
   /** Whether this VM reaches endpoints. */
-  readonly reach: Pick<EndpointReach, 'isCutOff' | 'isInDoubt'>
+  readonly reach: Pick<EndpointReach, 'isCutOff' | 'isInDoubt' | 'doubt'>
 }
 
 /** Reasons that show that the peer did not handle the request, so that this VM may send it to the endpoint itself. */
--- a/packages/router/src/request/endpoint-gate.ts
+++ b/packages/router/src/request/endpoint-gate.ts
@@ -22,7 +22,7 @@
   readonly leaving: LeavingEndpoints
   readonly directory: () => Directory
   readonly poison: PoisonList
-  readonly reach: Pick<EndpointReach, 'isInDoubt'>
+  readonly reach: Pick<EndpointReach, 'isInDoubt' | 'doubt'>
 }
 
 // Further requests would wait beyond their deadlines; admission control refuses most of them before this limit.
