Let VMs stand for election when the list names all of them as cut off

The simulation reported a VM as cut off and as reaching the pool at the same time, which VMs do not; VmRanks now counts nobody as cut off when all are, and the simulation uses VmRanks and reports as VMs do.

--- a/packages/router/src/control/simulation/ownership-simulation.ts
+++ b/packages/router/src/control/simulation/ownership-simulation.ts
@@ -13,6 +13,7 @@
 import type { StateTopic } from '../state-topic.js'
 import { defaultControlTiming, type ControlTiming } from '../timing.js'
 import { TopicFollower, type TopicFollowerOptions } from '../topic-follower.js'
+import { VmRanks } from '../vm-ranks.js'
 import { VmRoster, type RosterReport } from '../vm-roster.js'
 import { SimulatedEndpoints, SimulatedLinks } from './simulated-endpoints.js'
 import { LogAccess, SharedGroup, SharedTopic, SimulatedMembership, SimulatedTopic, type LogMode } from './simulated-log.js'
@@ -110,10 +111,6 @@
   }
 }
 
-function isCutOff (map: KeyMap | undefined, id: string): boolean {
-  return map?.vms.some(vm => vm.id === id && vm.cutFrom !== undefined) === true
-}
-
 /** Result of a run. */
 export interface SimulationResult {
   /** Grants that gave keys to a second endpoint or had too low a token, each with the events that led to it. */
@@ -272,9 +269,11 @@
       clock: this.#clock,
       confirmEveryMilliseconds: simulatedTiming.confirmMilliseconds,
       callMilliseconds: simulatedTiming.logCallMilliseconds,
-      isCandidate: () => (leader.leading && !leader.mayHandOver) || !isCutOff(map.current?.state, id),
+      isCandidate: () => (leader.leading && !leader.mayHandOver) || !ranks.isCutOff(id),
       onRegained: () => map.interrupt()
     })
+    const ranks = new VmRanks()
+    map.onChange(({ vms }) => ranks.update(vms))
     const demand = new RandomDemand(this.#random, () => map.current?.state)
     const reach = new EndpointReach({ clock: this.#clock, random: this.#random, transport: links, directory: () => directory.current?.state ?? new Map() })
     const roster = new VmRoster(self, this.#clock)
@@ -289,7 +288,7 @@
 
   /** Tells a leader which endpoints the other VMs reach, as their reports do. A VM that does not lead reaches what its links reach. */
   #collectReach (leader: string, roster: VmRoster): void {
-    const reportOf = ({ reach, links }: SimulatedVm): RosterReport => ({ watchers: [], leaving: false, cutOffPools: reach.cutOffPools, reachedPools: links.cut.size === 0 ? [pool] : [] })
+    const reportOf = ({ reach, links }: SimulatedVm): RosterReport => ({ watchers: [], leaving: false, cutOffPools: reach.cutOffPools, reachedPools: links.cut.size === 0 && !reach.isCutOff(pool) ? [pool] : [] })
     const own = this.#vms.find(vm => vm.entry.id === leader)
     if (own === undefined) return
     const others = this.#vms.filter(vm => vm !== own)
--- a/packages/router/src/control/vm-ranks.ts
+++ b/packages/router/src/control/vm-ranks.ts
@@ -30,9 +30,10 @@
     return rank === -1 ? undefined : rank
   }
 
-  /** Whether the VM is cut off from endpoints that others reach. */
+  /** Whether the VM is cut off from endpoints that others reach. False for all VMs if the list names all of them. */
   isCutOff (vm: string): boolean {
-    return this.#vms.some(({ id, cutFrom }) => id === vm && cutFrom !== undefined)
+    const cutOff = this.#vms.filter(({ cutFrom }) => cutFrom !== undefined)
+    return cutOff.length < this.#vms.length && cutOff.some(({ id }) => id === vm)
   }
 
   /** Whether the VM is one of those that stand for election; they are in different data centres if there are several. */
