Notice a crash while an earlier broken connection is still looked into

A witness connects to an endpoint three times after a connection has broken and then watches the directory only, for 4 s in all. A crash within that time was not counted. Each connection that breaks now starts the search anew. Failed before: crash-witness.test.ts, "notices a crash while it still looks for the reason".

--- a/packages/router/src/poison/crash-witness.test.ts
+++ b/packages/router/src/poison/crash-witness.test.ts
@@ -85,6 +85,18 @@
     })
   }
 
+  // Guards against a crash that is not counted because an earlier connection to the same endpoint broke for another reason.
+  it('notices a crash while it still looks for the reason of an earlier broken connection', async () => {
+    endpoints.probeResult = 'reached'
+    await dispatch('e1', '/harmless')
+    await delay(1_500)
+    endpoints.probeResult = 'refused'
+    await dispatch('e1')
+    await delay(2 * confirmMilliseconds)
+    expect(poison.isSuspect(forward('e1'))).to.equal(true)
+    expect(poison.isSuspect(forward('e1', '/harmless'))).to.equal(false)
+  })
+
   it('takes a later process or a missing directory entry as proof of a crash', async () => {
     endpoints.probeResult = 'silent'
     await dispatch('e1')
--- a/packages/router/src/poison/crash-witness.ts
+++ b/packages/router/src/poison/crash-witness.ts
@@ -32,9 +32,17 @@
   readonly rememberedUntil: number
 }
 
+/** Search for the reason of broken connections to one process of an endpoint. */
+interface Investigation {
+  /** When the last connection broke, in clock milliseconds. */
+  lastBrokenAt: number
+  /** Connections that were established since the last one broke. */
+  reached: number
+}
+
 const probeMilliseconds = 100
 // A port that accepts connections this often in a row belongs to a living process; then only the directory can show a restart.
-const mostProbes = 3
+const mostReached = 3
 // Directory entries of lost endpoints expire within three heartbeats.
 const investigationMilliseconds = 4_000
 // A run that was given up may go on at the endpoint for a while.
@@ -51,7 +59,8 @@
   readonly #options: CrashWitnessOptions
   readonly #running = new Set<WitnessedRun>()
   #lost: LostRun[] = []
-  readonly #investigated = new Set<string>()
+  /** By process of an endpoint. */
+  readonly #investigations = new Map<string, Investigation>()
 
   constructor (options: CrashWitnessOptions) {
     this.#options = options
@@ -81,27 +90,32 @@
   async #investigate (endpoint: EndpointEntry, brokenAt: number): Promise<void> {
     const { clock } = this.#options
     const key = processKey(endpoint)
-    if (this.#investigated.has(key)) return
-    this.#investigated.add(key)
-    let probes = 0
+    const present = this.#investigations.get(key)
+    if (present !== undefined) {
+      present.lastBrokenAt = brokenAt
+      present.reached = 0
+      return
+    }
+    const investigation: Investigation = { lastBrokenAt: brokenAt, reached: 0 }
+    this.#investigations.set(key, investigation)
     let doubted = false
     let proof = this.#endedByDirectory(endpoint)
-    while (proof === undefined && clock.now() - brokenAt < investigationMilliseconds) {
-      if (probes < mostProbes) {
+    while (proof === undefined && clock.now() - investigation.lastBrokenAt < investigationMilliseconds) {
+      if (investigation.reached < mostReached) {
         const result = await this.#options.transport.probe({ endpoint: endpoint.id, life: endpoint.life, address: addressOf(endpoint) })
         if (result === 'refused') {
           // A cut may refuse connections too; then other endpoints of the pool are out of reach as well.
           if (!doubted) this.#options.reach.doubt(endpoint.pool)
           else if (!this.#options.reach.isInDoubt(endpoint.pool)) proof = 'connection refused'
           doubted = true
-        } else if (result === 'reached') probes++
+        } else if (result === 'reached') investigation.reached++
       }
       proof ??= this.#endedByDirectory(endpoint)
       if (proof === undefined) await delay(probeMilliseconds)
     }
-    this.#investigated.delete(key)
+    this.#investigations.delete(key)
     if (proof === undefined) return logger.info('a connection to an endpoint broke, but it did not crash', { endpoint: endpoint.id, life: endpoint.life })
-    this.#report(endpoint, brokenAt, proof)
+    this.#report(endpoint, investigation, proof)
   }
 
   #endedByDirectory ({ id, life }: EndpointEntry): string | undefined {
@@ -111,13 +125,13 @@
   }
 
   /** Requests that were in flight at the crash, or had been given up shortly before, are suspects. */
-  #report (endpoint: EndpointEntry, brokenAt: number, proof: string): void {
+  #report (endpoint: EndpointEntry, { lastBrokenAt }: Investigation, proof: string): void {
     const key = processKey(endpoint)
     const ofProcess = (run: WitnessedRun): boolean => processKey(run.endpoint) === key
-    const lost = this.#lost.filter(run => ofProcess(run) && run.lostAt >= brokenAt - givenUpMilliseconds)
+    const lost = this.#lost.filter(run => ofProcess(run) && run.lostAt >= lastBrokenAt - givenUpMilliseconds)
     this.#lost = this.#lost.filter(run => !ofProcess(run))
     const suspects = [...lost, ...[...this.#running].filter(ofProcess)]
-    logger.info('endpoint crashed', { endpoint: endpoint.id, pool: endpoint.pool, life: endpoint.life, proof, suspects: suspects.length, milliseconds: Math.round(this.#options.clock.now() - brokenAt) })
+    logger.info('endpoint crashed', { endpoint: endpoint.id, pool: endpoint.pool, life: endpoint.life, proof, suspects: suspects.length, milliseconds: Math.round(this.#options.clock.now() - lastBrokenAt) })
     for (const { request, sequential } of suspects) this.#options.poison.recordCrash(request, endpoint, sequential)
   }
 }
