--- a/packages/router/src/poison/poison-list.test.ts
+++ b/packages/router/src/poison/poison-list.test.ts
@@ -77,6 +77,14 @@
     expect(list.refusedFor(request('/deadly'))).to.be.greaterThan(0)
   })
 
+  it('refuses at once on a VM that learns of crashes long after they happened', () => {
+    crash(request('/deadly'), 3)
+    clock.advance(10_000)
+    const later = new PoisonList(clock)
+    later.merge(list.encode())
+    expect(later.refusedFor(request('/deadly'))).to.be.greaterThan(0)
+  })
+
   it('refuses at once after one further crash when the refusal has ended, and not after an operator has lifted it', () => {
     crash(request('/deadly'), 3)
     clock.advance(60 * 60_000)
--- a/packages/router/src/poison/poison-list.ts
+++ b/packages/router/src/poison/poison-list.ts
@@ -13,6 +13,8 @@
 const crashesToRefuse = 3
 // Time for a request that is often in flight to be answered elsewhere, which acquits it, before it is refused.
 const acquittalMilliseconds = 500
+// After this time VMs that knew of the crashes would have acquitted it.
+const settledMilliseconds = 2_000
 const refusalMilliseconds = 60 * 60_000
 // After the refusal a single further crash renews it, as long as the request is remembered.
 const rememberRefusedMilliseconds = 24 * 60 * 60_000
@@ -207,7 +209,8 @@
   #judge (suspect: Suspect): void {
     const proven = isProven([...suspect.crashes.values()])
     if (proven === (suspect.provenAt !== undefined)) return
-    suspect.provenAt = proven ? this.#clock.now() : undefined
+    const now = this.#clock.now()
+    suspect.provenAt = proven ? (now - suspect.lastCrashAt > settledMilliseconds ? suspect.lastCrashAt : now) : undefined
     const { fingerprint, pool, target } = suspect
     logger.warning(proven ? 'request crashes the endpoints that run it and is refused from now on' : 'request is not refused any more', { pool, target, fingerprint, crashes: openCrashes(suspect).length })
   }
