Give up what waits for an endpoint that one VM does not reach, and do not take many crashes for a cut

Change: EndpointReach finds out for each endpoint too, on a failed connection or silence, whether it is reached, and its gate refuses and gives up repeatable requests at once. Senders try three VMs a request and count an endpoint as lost when five or all do not reach it. A VM is cut off only when it reaches none of sixteen endpoints, not of three.

--- a/packages/router/src/endpoint-reach.test.ts
+++ b/packages/router/src/endpoint-reach.test.ts
@@ -84,6 +84,38 @@
     })
   }
 
+  // Guards against requests that wait behind others which hang at an endpoint that other VMs reach.
+  it('finds out that it does not reach one endpoint while it reaches the others, and that it does again', async () => {
+    const unreached: string[] = []
+    reach.onUnreached(endpoint => unreached.push(endpoint))
+    endpoints.lost.add('e1')
+    endpoints.hangs = true
+    const caller = new AbortController()
+    void send('e1', 'ponds', caller.signal)
+    for (let index = 0; index < 16; index++) {
+      await send('e2')
+      await delay(50)
+    }
+    caller.abort()
+    expect(unreached).to.deep.equal(['e1'])
+    expect(reach.isUnreached(entry('e1'))).to.equal(true)
+    expect(reach.isUnreached({ ...entry('e1'), life: 2 })).to.equal(false)
+    expect(reach.cutOffPools).to.deep.equal([])
+    endpoints.lost.clear()
+    await delay(700)
+    expect(reach.isUnreached(entry('e1'))).to.equal(false)
+  })
+
+  // Guards against a change of the leader because many endpoints crashed together.
+  it('does not take itself for cut off when most endpoints of a pool are lost', async () => {
+    for (const id of ids.slice(0, -1)) endpoints.lost.add(id)
+    for (let index = 0; index < 60; index++) {
+      await send('e1')
+      await delay(50)
+    }
+    expect(changes).to.deep.equal([])
+  })
+
   it('does not take a slow endpoint or a short interruption for a cut', async () => {
     endpoints.hangs = true
     endpoints.lost.add('e1')
--- a/packages/router/src/endpoint-reach.ts
+++ b/packages/router/src/endpoint-reach.ts
@@ -17,6 +17,8 @@
 // Without any answer of the pool for this long, requests that wait may hang on connections that a cut has silenced.
 const silenceMilliseconds = 400
 const sampleSize = 3
+// Of so many endpoints at least one lives, even when many have crashed together.
+const confirmingSampleSize = 16
 const roundPauseMilliseconds = 100
 const roundsToCutOff = 2
 const roundsToReturn = 2
@@ -26,11 +28,25 @@
 // An endpoint that is lost raises doubts until it leaves the directory.
 const restMilliseconds = 500
 const recentlyReachedMilliseconds = 2_000
+const unreachedPauseMilliseconds = 500
+// A slow endpoint is connected to once a second at most.
+const slowRestMilliseconds = 1_000
 
-interface PoolReach {
+/** Calls to a pool, or to one process of an endpoint. */
+interface CallHistory {
   /** Start times of the requests without an answer. */
   readonly waiting: Set<{ readonly startedAt: number }>
   lastReachedAt: number
+}
+
+interface EndpointHistory extends CallHistory {
+  readonly entry: EndpointEntry
+  probing: boolean
+  restsUntil: number
+  unreached: boolean
+}
+
+interface PoolReach extends CallHistory {
   /** When the present doubt arose; undefined without one. */
   doubtedAt: number | undefined
   restsUntil: number
@@ -44,7 +60,10 @@
 export class EndpointReach extends EndpointTransport {
   readonly #options: EndpointReachOptions
   readonly #pools = new Map<string, PoolReach>()
+  /** By process of an endpoint. */
+  readonly #endpoints = new Map<string, EndpointHistory>()
   readonly #listeners: Array<(pool: string) => void> = []
+  readonly #unreachedListeners: Array<(endpoint: string) => void> = []
   #closed = false
 
   constructor (options: EndpointReachOptions) {
@@ -73,6 +92,16 @@
     return this.#pools.get(pool)?.doubtedAt !== undefined
   }
 
+  /** Whether this VM has lately not reached a process of an endpoint, whatever it reaches of the pool. */
+  isUnreached (endpoint: EndpointEntry): boolean {
+    return this.#endpoints.get(processKey(endpoint))?.unreached === true
+  }
+
+  /** Calls the listener with the id of an endpoint that this VM does not reach any more. */
+  onUnreached (listener: (endpoint: string) => void): void {
+    this.#unreachedListeners.push(listener)
+  }
+
   /** Calls the listener when this VM is cut off from a pool, and when it is back. */
   onChange (listener: (pool: string) => void): void {
     this.#listeners.push(listener)
@@ -85,14 +114,17 @@
   }
 
   override async send (endpoint: EndpointEntry, request: EndpointRequest, signal: AbortSignal): Promise<EndpointReply> {
-    const reach = this.#reachOf(endpoint.pool)
+    const histories = [this.#reachOf(endpoint.pool), this.#historyOf(endpoint)]
     const call = { startedAt: this.#options.clock.now() }
-    reach.waiting.add(call)
+    for (const { waiting } of histories) waiting.add(call)
     const reply = await this.#options.transport.send(endpoint, request, signal)
-    reach.waiting.delete(call)
-    if (reply.kind === 'answered' || reply.kind === 'refused') reach.lastReachedAt = this.#options.clock.now()
+    for (const { waiting } of histories) waiting.delete(call)
+    if (reply.kind === 'answered' || reply.kind === 'refused') for (const history of histories) history.lastReachedAt = this.#options.clock.now()
     // Single connections break for many reasons; after a cut, the next one cannot be established.
-    else if (reply.kind === 'unreachable' && !signal.aborted) this.doubt(endpoint.pool)
+    else if (reply.kind === 'unreachable' && !signal.aborted) {
+      this.doubt(endpoint.pool)
+      void this.#probeEndpoint(this.#historyOf(endpoint))
+    }
     return reply
   }
 
@@ -118,6 +150,7 @@
   }
 
   override keepOnly (directory: Directory): void {
+    for (const [key, { entry }] of this.#endpoints) if (directory.get(entry.id)?.life !== entry.life) this.#endpoints.delete(key)
     this.#options.transport.keepOnly(directory)
   }
 
@@ -127,12 +160,42 @@
     return reach
   }
 
+  #historyOf (entry: EndpointEntry): EndpointHistory {
+    const key = processKey(entry)
+    let history = this.#endpoints.get(key)
+    if (history === undefined) this.#endpoints.set(key, history = { entry, waiting: new Set(), lastReachedAt: -Infinity, probing: false, restsUntil: -Infinity, unreached: false })
+    return history
+  }
+
   #findSilence (): void {
+    for (const [pool, reach] of this.#pools) if (this.#isSilent(reach)) this.doubt(pool)
+    for (const history of this.#endpoints.values()) if (this.#isSilent(history)) void this.#probeEndpoint(history)
+  }
+
+  #isSilent ({ waiting, lastReachedAt }: CallHistory): boolean {
     const since = this.#options.clock.now() - silenceMilliseconds
-    for (const [pool, { waiting, lastReachedAt }] of this.#pools) {
-      const [oldest] = waiting
-      if (oldest !== undefined && oldest.startedAt < since && lastReachedAt < since) this.doubt(pool)
+    const [oldest] = waiting
+    return oldest !== undefined && oldest.startedAt < since && lastReachedAt < since
+  }
+
+  /** Finds out whether this VM reaches an endpoint. If not, tries until it does or the endpoint leaves the directory. */
+  async #probeEndpoint (history: EndpointHistory): Promise<void> {
+    const { clock, transport } = this.#options
+    if (history.probing || clock.now() < history.restsUntil) return
+    history.probing = true
+    const { entry } = history
+    const holder = { endpoint: entry.id, life: entry.life, address: addressOf(entry) }
+    while (!await transport.reach(holder) && !this.#closed && this.#endpoints.get(processKey(entry)) === history) {
+      if (!history.unreached) {
+        history.unreached = true
+        logger.info('this VM does not reach an endpoint', { endpoint: entry.id, pool: entry.pool, life: entry.life, waiting: history.waiting.size })
+        for (const listener of this.#unreachedListeners) listener(entry.id)
+      }
+      await delay(unreachedPauseMilliseconds)
     }
+    if (history.unreached) logger.info('endpoint is not out of reach any more, or has left the directory', { endpoint: entry.id, pool: entry.pool, life: entry.life })
+    history.unreached = history.probing = false
+    history.restsUntil = clock.now() + slowRestMilliseconds
   }
 
   /** Finds out whether this VM is cut off from a pool, unless it did so a moment ago. */
@@ -148,7 +211,7 @@
     const { clock } = this.#options
     let failed = 0
     while (!this.#closed) {
-      const { reached, probed } = await this.#probeSample(pool)
+      const { reached, probed } = await this.#probeSample(pool, failed === 0 ? sampleSize : confirmingSampleSize)
       if (reached > 0 || probed === 0) break
       failed++
       if (failed >= roundsToCutOff && clock.now() - doubtedAt >= shortestDoubtMilliseconds) {
@@ -166,7 +229,7 @@
   async #untilBack (pool: string): Promise<void> {
     for (let rounds = 0; rounds < roundsToReturn && !this.#closed;) {
       await delay(cutOffPauseMilliseconds)
-      const { reached, probed } = await this.#probeSample(pool)
+      const { reached, probed } = await this.#probeSample(pool, sampleSize)
       rounds = reached * 2 > probed || probed === 0 ? rounds + 1 : 0
     }
   }
@@ -179,12 +242,16 @@
   }
 
   /** Tries to connect to some endpoints of a pool, chosen at random. */
-  async #probeSample (pool: string): Promise<{ readonly reached: number, readonly probed: number }> {
+  async #probeSample (pool: string, size: number): Promise<{ readonly reached: number, readonly probed: number }> {
     const { random, directory, transport } = this.#options
     const rest = [...directory().values()].filter(entry => entry.pool === pool && !entry.leaving)
     const sample: EndpointEntry[] = []
-    while (sample.length < sampleSize && rest.length > 0) sample.push(...rest.splice(random.integer(0, rest.length - 1), 1))
+    while (sample.length < size && rest.length > 0) sample.push(...rest.splice(random.integer(0, rest.length - 1), 1))
     const results = await Promise.all(sample.map(async entry => await transport.reach({ endpoint: entry.id, life: entry.life, address: addressOf(entry) })))
     return { reached: results.filter(Boolean).length, probed: sample.length }
   }
 }
+
+function processKey ({ id, life }: EndpointEntry): string {
+  return `${id} ${life}`
+}
--- a/packages/router/src/poison/crash-witness.test.ts
+++ b/packages/router/src/poison/crash-witness.test.ts
@@ -55,7 +55,7 @@
     poison = new PoisonList(clock)
     poison.ensureSalt()
     coordinators = new Coordinators()
-    dispatcher = new Dispatcher({ vm: 'vm-1', coordinators, peers: new LostPeer(), transport: endpoints, directory: () => directory, clock, loopDelay: new LoopDelay(clock), random: new Random(1), metrics: new RouterMetrics(), leaving: new LeavingEndpoints(clock), poison, reach: { isCutOff: () => false, isInDoubt: () => false, doubt: () => {} } })
+    dispatcher = new Dispatcher({ vm: 'vm-1', coordinators, peers: new LostPeer(), transport: endpoints, directory: () => directory, clock, loopDelay: new LoopDelay(clock), random: new Random(1), metrics: new RouterMetrics(), leaving: new LeavingEndpoints(clock), poison, reach: { isCutOff: () => false, isInDoubt: () => false, doubt: () => {}, isUnreached: () => false } })
   })
 
   const dispatch = async (id: string, target?: string, signal = new AbortController().signal): Promise<Answer> => await dispatcher.dispatch(entry(id), forward(id, target), signal)
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -330,6 +330,7 @@
       this.#changes.notify()
     })
     this.#routing.onChange(table => this.#useRouting(table))
+    this.#transport.onUnreached(endpoint => this.#dispatcher.unreached(endpoint))
     this.#transport.onChange(pool => {
       if (this.#transport.isCutOff(pool)) this.#dispatcher.cutOffFrom(pool)
       this.#leader.collectSoon()
--- a/packages/router/src/request/detours.test.ts
+++ b/packages/router/src/request/detours.test.ts
@@ -26,7 +26,14 @@
 }
 
 class Unreachable extends EndpointTransport {
-  override async send (): Promise<EndpointReply> { return { kind: 'unreachable' } }
+  /** While true, requests hang until they are cancelled. */
+  hangs = false
+  override async send (_endpoint: unknown, _request: unknown, signal: AbortSignal): Promise<EndpointReply> {
+    if (!this.hangs) return { kind: 'unreachable' }
+    await new Promise(resolve => signal.addEventListener('abort', resolve))
+    return { kind: 'broken', reason: 'deadline_exceeded' }
+  }
+
   override async grant (): Promise<GrantReply> { return { kind: 'unreachable' } }
   override async release (): Promise<ReleaseReply> { return { kind: 'failed' } }
   override async reach (): Promise<boolean> { return false }
@@ -38,16 +45,19 @@
   let peers: Peers
   let coordinators: Coordinators
   let cutOff: boolean
+  let unreached: boolean
+  let endpoints: Unreachable
   let order: string[]
 
   function dispatcherOf (vm: string): Dispatcher {
-    return new Dispatcher({ vm, coordinators, peers, transport: new Unreachable(), directory: () => new Map([['e1', entry]]), clock, loopDelay: new LoopDelay(clock), random: new Random(1), metrics: new RouterMetrics(), leaving: new LeavingEndpoints(clock), poison: new PoisonList(clock), reach: { isCutOff: () => cutOff, isInDoubt: () => cutOff, doubt: () => {} } })
+    return new Dispatcher({ vm, coordinators, peers, transport: endpoints, directory: () => new Map([['e1', entry]]), clock, loopDelay: new LoopDelay(clock), random: new Random(1), metrics: new RouterMetrics(), leaving: new LeavingEndpoints(clock), poison: new PoisonList(clock), reach: { isCutOff: () => cutOff, isInDoubt: () => cutOff, doubt: () => {}, isUnreached: () => unreached } })
   }
 
   const dispatch = async (dispatcher: Dispatcher): Promise<Answer> => await dispatcher.dispatch(entry, forward, new AbortController().signal)
 
   beforeEach(() => {
-    cutOff = false
+    cutOff = unreached = false
+    endpoints = new Unreachable()
     peers = new Peers()
     coordinators = new Coordinators()
     coordinators.update(vms)
@@ -76,17 +86,37 @@
     expect((await dispatcher.accept(forward, new AbortController().signal)).reason).to.equal('endpoints_out_of_reach')
   })
 
-  it('tries one other VM when an endpoint is out of reach, and none for a while when that does not reach it either', async () => {
+  it('tries other VMs when an endpoint is out of reach, and none for a while when no VM reaches it', async () => {
     const dispatcher = dispatcherOf(order[3] as string)
     for (const vm of order) peers.refusals.set(vm, 'endpoint_unreachable')
-    expect((await dispatch(dispatcher)).reason).to.equal('endpoint_unreachable')
-    expect((await dispatch(dispatcher)).reason).to.equal('endpoint_unreachable')
-    expect(peers.asked).to.deep.equal([order[0], order[1], order[0]])
-    peers.refusals.delete(order[1] as string)
+    for (let index = 0; index < 5; index++) expect((await dispatch(dispatcher)).reason).to.equal('endpoint_unreachable')
+    // The second request finds out that this VM, the last one, does not reach the endpoint either.
+    expect(peers.asked).to.deep.equal([order[0], order[1], order[2], order[0], order[0], order[0]])
+    peers.asked.splice(0)
     await delay(1_050)
+    peers.refusals.delete(order[2] as string)
+    for (let index = 0; index < 3; index++) expect((await dispatch(dispatcher)).status).to.equal(200)
+    expect(peers.asked).to.deep.equal([order[0], order[1], order[2], order[2], order[2]])
+  })
+
+  // Guards against requests that wait behind others which hang at an endpoint that this VM does not reach, until their deadlines pass.
+  it('gives up what waits for an endpoint that it does not reach, so that senders use another VM', async () => {
+    const dispatcher = dispatcherOf(order[0] as string)
+    endpoints.hangs = true
+    const accept = async (idempotent: boolean): Promise<Answer> => await dispatcher.accept({ ...forward, idempotent }, new AbortController().signal)
+    const answers = [accept(true), accept(false), accept(true), accept(false)]
+    await delay(50)
+    unreached = true
+    dispatcher.unreached('e1')
+    const startedAt = performance.now()
+    const [repeatable, , ...queued] = answers as [Promise<Answer>, Promise<Answer>, ...Array<Promise<Answer>>]
+    expect((await repeatable).outcome).to.equal(Outcome.OUTCOME_UNKNOWN)
+    for (const answer of queued) expect(await answer).to.include({ outcome: Outcome.OUTCOME_NOT_RUN, reason: 'endpoint_unreachable' })
+    expect((await accept(false)).reason).to.equal('endpoint_unreachable')
     expect((await dispatch(dispatcher)).status).to.equal(200)
-    expect((await dispatch(dispatcher)).status).to.equal(200)
-    expect(peers.asked.slice(3)).to.deep.equal([order[0], order[1], order[1]])
+    expect(performance.now() - startedAt).to.be.lessThan(300)
+    // This one may run.
+    expect(await Promise.race([answers[1], delay(100)])).to.equal(undefined)
   })
 
   it('ends after a few VMs when all are cut off, and leaves VMs out that the list names', async () => {
--- a/packages/router/src/request/detours.ts
+++ b/packages/router/src/request/detours.ts
@@ -4,13 +4,15 @@
 // After this time a VM that did not reach an endpoint is tried again; until then it costs no request more time.
 const avoidMilliseconds = 2_000
 const lostMilliseconds = 1_000
+// An endpoint that so many VMs do not reach has probably crashed.
+const vmsToCountAsLost = 5
 
 /** VMs that did not reach endpoints lately, so that requests take another way. */
 export class Detours {
   readonly #clock: Clock
-  /** Until when a VM is avoided, by VM and pool or by VM and process of an endpoint. */
-  readonly #avoidedUntil = new Map<string, number>()
-  /** Until when a process of an endpoint counts as lost, because two VMs did not reach it. */
+  /** Until when a VM is avoided, by VM, for each pool and each process of an endpoint. */
+  readonly #avoidedUntil = new Map<string, Map<string, number>>()
+  /** Until when a process of an endpoint counts as lost. */
   readonly #lostUntil = new Map<string, number>()
 
   constructor (clock: Clock) {
@@ -19,45 +21,50 @@
 
   /** Avoids a VM for all endpoints of a pool. */
   avoidForPool (vm: string, { pool }: EndpointEntry): void {
-    this.#put(this.#avoidedUntil, poolKey(vm, pool), avoidMilliseconds)
+    this.#avoid(poolKey(pool), vm)
   }
 
-  /** Records that a VM did not reach an endpoint. When another VM did not reach it before, it counts as lost instead. */
-  avoidForEndpoint (vm: string, endpoint: EndpointEntry, before: string | undefined): void {
-    if (before === undefined) return this.#put(this.#avoidedUntil, endpointKey(vm, endpoint), avoidMilliseconds)
-    this.#avoidedUntil.delete(endpointKey(before, endpoint))
-    this.#put(this.#lostUntil, processKey(endpoint), lostMilliseconds)
+  /** Avoids a VM for one process of an endpoint. */
+  avoidForEndpoint (vm: string, endpoint: EndpointEntry): void {
+    if (this.#avoid(processKey(endpoint), vm) >= vmsToCountAsLost) this.countAsLost(endpoint)
+  }
+
+  /** Records that no VM reaches an endpoint, so that no other way to it is tried for a while. */
+  countAsLost (endpoint: EndpointEntry): void {
+    const now = this.#clock.now()
+    for (const [key, until] of this.#lostUntil) if (until <= now) this.#lostUntil.delete(key)
+    this.#lostUntil.set(processKey(endpoint), now + lostMilliseconds)
+    this.#avoidedUntil.delete(processKey(endpoint))
   }
 
   /** Whether a VM is avoided for an endpoint. */
   isAvoided (vm: string, endpoint: EndpointEntry): boolean {
-    return this.#isCurrent(this.#avoidedUntil, poolKey(vm, endpoint.pool)) || this.#isCurrent(this.#avoidedUntil, endpointKey(vm, endpoint))
+    const now = this.#clock.now()
+    return [poolKey(endpoint.pool), processKey(endpoint)].some(key => (this.#avoidedUntil.get(key)?.get(vm) ?? -Infinity) > now)
   }
 
-  /** Whether an endpoint counts as lost, so that no other way to it is tried. */
+  /** Whether an endpoint counts as lost. */
   isLost (endpoint: EndpointEntry): boolean {
-    return this.#isCurrent(this.#lostUntil, processKey(endpoint))
+    return (this.#lostUntil.get(processKey(endpoint)) ?? -Infinity) > this.#clock.now()
   }
 
-  #put (times: Map<string, number>, key: string, milliseconds: number): void {
+  /** Returns the number of VMs that are avoided under the key. */
+  #avoid (key: string, vm: string): number {
     const now = this.#clock.now()
-    for (const [other, until] of times) if (until <= now) times.delete(other)
-    times.set(key, now + milliseconds)
-  }
-
-  #isCurrent (times: Map<string, number>, key: string): boolean {
-    return (times.get(key) ?? -Infinity) > this.#clock.now()
+    for (const [other, vms] of this.#avoidedUntil) {
+      for (const [avoided, until] of vms) if (until <= now) vms.delete(avoided)
+      if (vms.size === 0) this.#avoidedUntil.delete(other)
+    }
+    const vms = this.#avoidedUntil.get(key) ?? new Map<string, number>()
+    this.#avoidedUntil.set(key, vms.set(vm, now + avoidMilliseconds))
+    return vms.size
   }
 }
 
 function processKey ({ id, life }: EndpointEntry): string {
-  return `${id} ${life}`
-}
-
-function endpointKey (vm: string, endpoint: EndpointEntry): string {
-  return `endpoint ${vm} ${processKey(endpoint)}`
+  return `endpoint ${id} ${life}`
 }
 
-function poolKey (vm: string, pool: string): string {
-  return `pool ${vm} ${pool}`
+function poolKey (pool: string): string {
+  return `pool ${pool}`
 }
--- a/packages/router/src/request/dispatcher.ts
+++ b/packages/router/src/request/dispatcher.ts
@@ -32,7 +32,7 @@
   readonly leaving: LeavingEndpoints
   readonly poison: PoisonList
   /** Whether this VM reaches endpoints. */
-  readonly reach: Pick<EndpointReach, 'isCutOff' | 'isInDoubt' | 'doubt'>
+  readonly reach: Pick<EndpointReach, 'isCutOff' | 'isInDoubt' | 'doubt' | 'isUnreached'>
 }
 
 /** Reasons that show that the peer did not handle the request, so that this VM may send it to the endpoint itself. */
@@ -62,7 +62,6 @@
   async dispatch (endpoint: EndpointEntry, forward: Forward, signal: AbortSignal): Promise<Answer> {
     const { clock, coordinators, vm } = this.#options
     const startedAt = clock.now()
-    let unreachedBy: string | undefined
     for (let detours = 0; ; detours++) {
       const coordinator = coordinators.of(endpoint, other => this.#isAvoided(other, endpoint)) ?? vm
       const deadlineMilliseconds = forward.deadlineMilliseconds - (clock.now() - startedAt)
@@ -70,14 +69,15 @@
       const left = forward.deadlineMilliseconds - (clock.now() - startedAt)
       if (answer.outcome !== Outcome.OUTCOME_NOT_RUN || signal.aborted || left <= 0 || detours >= mostDetours) return answer
       if (answer.reason === outOfReachReason) this.#detours.avoidForPool(coordinator, endpoint)
-      else if (answer.reason === endpointUnreachable && !this.#detours.isLost(endpoint)) {
-        this.#detours.avoidForEndpoint(coordinator, endpoint, unreachedBy)
-        if (unreachedBy !== undefined) return answer
-        unreachedBy = coordinator
-      } else return answer
+      else if (answer.reason === endpointUnreachable && !this.#detours.isLost(endpoint)) this.#detours.avoidForEndpoint(coordinator, endpoint)
+      else return answer
       const next = coordinators.of(endpoint, other => this.#isAvoided(other, endpoint)) ?? vm
+      if (next === coordinator || this.#isAvoided(next, endpoint)) {
+        this.#detours.countAsLost(endpoint)
+        return answer
+      }
       // A limit binds all VMs together, and only the coordinator counts for it.
-      if (next === coordinator || this.#gates.get(endpoint.id)?.isLimited === true) return answer
+      if (this.#detours.isLost(endpoint) || this.#gates.get(endpoint.id)?.isLimited === true) return answer
       logger.info('request takes another way', { request: forward.requestId, endpoint: endpoint.id, pool: endpoint.pool, coordinator, reason: answer.reason, next })
     }
   }
@@ -128,7 +128,12 @@
 
   /** Gives up what waits for the endpoints of a pool, because this VM does not reach them any more. */
   cutOffFrom (pool: string): void {
-    for (const gate of this.#gates.values()) if (gate.pool === pool) gate.outOfReach()
+    for (const gate of this.#gates.values()) if (gate.pool === pool) gate.outOfReach(outOfReachReason)
+  }
+
+  /** Gives up what waits for one endpoint, because this VM does not reach it any more. */
+  unreached (endpoint: string): void {
+    this.#gates.get(endpoint)?.outOfReach(endpointUnreachable)
   }
 
   /** Clears what was measured per rule. */
--- a/packages/router/src/request/endpoint-gate.test.ts
+++ b/packages/router/src/request/endpoint-gate.test.ts
@@ -48,7 +48,7 @@
     peer = new ScriptedPeer()
     const coordinators = new Coordinators()
     coordinators.update([{ ...vm, id: coordinator }])
-    dispatcher = new Dispatcher({ vm: 'vm-1', coordinators, peers: peer, transport: endpoint, directory: () => new Map([['e1', entry]]), clock, loopDelay: new LoopDelay(clock), random: new Random(1), metrics: new RouterMetrics(), leaving: new LeavingEndpoints(clock), poison: new PoisonList(clock), reach: { isCutOff: () => false, isInDoubt: () => false, doubt: () => {} } })
+    dispatcher = new Dispatcher({ vm: 'vm-1', coordinators, peers: peer, transport: endpoint, directory: () => new Map([['e1', entry]]), clock, loopDelay: new LoopDelay(clock), random: new Random(1), metrics: new RouterMetrics(), leaving: new LeavingEndpoints(clock), poison: new PoisonList(clock), reach: { isCutOff: () => false, isInDoubt: () => false, doubt: () => {}, isUnreached: () => false } })
   }
 
   async function send (): Promise<Answer> {
@@ -136,7 +136,7 @@
   beforeEach(() => {
     endpoint = new ControlledEndpoint()
     leaving = new LeavingEndpoints(clock)
-    dispatcher = new Dispatcher({ vm: 'vm-1', coordinators: new Coordinators(), peers: new ScriptedPeer(), transport: endpoint, directory: () => new Map([['e1', entry]]), clock, loopDelay: new LoopDelay(clock), random: new Random(1), metrics: new RouterMetrics(), leaving, poison: new PoisonList(clock), reach: { isCutOff: () => false, isInDoubt: () => false, doubt: () => {} } })
+    dispatcher = new Dispatcher({ vm: 'vm-1', coordinators: new Coordinators(), peers: new ScriptedPeer(), transport: endpoint, directory: () => new Map([['e1', entry]]), clock, loopDelay: new LoopDelay(clock), random: new Random(1), metrics: new RouterMetrics(), leaving, poison: new PoisonList(clock), reach: { isCutOff: () => false, isInDoubt: () => false, doubt: () => {}, isUnreached: () => false } })
   })
 
   async function send (): Promise<Answer> {
--- a/packages/router/src/request/endpoint-gate.ts
+++ b/packages/router/src/request/endpoint-gate.ts
@@ -22,7 +22,7 @@
   readonly leaving: LeavingEndpoints
   readonly directory: () => Directory
   readonly poison: PoisonList
-  readonly reach: Pick<EndpointReach, 'isInDoubt' | 'doubt'>
+  readonly reach: Pick<EndpointReach, 'isInDoubt' | 'doubt' | 'isUnreached'>
 }
 
 // Further requests would wait beyond their deadlines; admission control refuses most of them before this limit.
@@ -54,8 +54,8 @@
   #limitNamedAt = -Infinity
   #pausedForLong = false
   #closesAt = Infinity
-  /** Aborted when this VM does not reach the endpoint any more. */
-  #reach = new AbortController()
+  /** Runs that may be repeated; given up when this VM does not reach the endpoint any more. */
+  readonly #repeatable = new Set<AbortController>()
   #closeTimer: NodeJS.Timeout | undefined
 
   constructor (options: EndpointGateOptions) {
@@ -120,6 +120,7 @@
     const deadlineAt = arrivedAt + forward.deadlineMilliseconds
     this.demand.recordArrival(forward.rule, forward.bucket)
     if (this.#options.leaving.isClosed(this.#entry)) return this.#refuseAsLeaving()
+    if (this.#options.reach.isUnreached(this.#entry)) return this.#refuseAsUnreachable(endpointUnreachable)
     try {
       // Nobody waits for the answer after the deadline, even if the cancellation by the VM that received the request is late.
       const answer = await withTimeLimit(forward.deadlineMilliseconds, signal, async limited => await this.#queue.submit({
@@ -133,7 +134,7 @@
       }))
       return { ...answer, outstanding: this.outstanding, requestsPerSecond: this.#limit ?? Infinity, endpointLeaving: this.#options.leaving.has(this.#entry) }
     } catch (error) {
-      if (error instanceof BriarsaddleError && error.code === outOfReachReason) return notRunAnswer(outOfReachReason, { outstanding: this.outstanding })
+      if (error instanceof BriarsaddleError && (error.code === outOfReachReason || error.code === endpointUnreachable)) return this.#refuseAsUnreachable(error.code)
       if (error instanceof BriarsaddleError && error.code === leavingReason) return this.#refuseAsLeaving()
       if (!(error instanceof RefusalError)) throw error
       const fields = {
@@ -155,6 +156,10 @@
     }
   }
 
+  #refuseAsUnreachable (reason: string): Answer {
+    return notRunAnswer(reason, { retryAfterMilliseconds: fullRetryMilliseconds, outstanding: this.outstanding, requestsPerSecond: this.#limit ?? Infinity })
+  }
+
   #refuseAsLeaving (): Answer {
     return notRunAnswer(leavingReason, { retryAfterMilliseconds: moveMilliseconds, outstanding: this.outstanding, requestsPerSecond: this.#limit ?? Infinity, endpointLeaving: true })
   }
@@ -173,11 +178,10 @@
   }
 
   /** Refuses the requests that wait, and gives up those that may be repeated and have no answer: their senders use another VM. */
-  outOfReach (): void {
-    const refused = this.#queue.rejectQueued(() => new BriarsaddleError('this VM does not reach the endpoint', { code: outOfReachReason, step: 'queue request' }))
-    logger.info('requests are sent through other VMs, because this VM does not reach their endpoint', { endpoint: this.#entry.id, pool: this.pool, refused, running: this.outstanding })
-    this.#reach.abort()
-    this.#reach = new AbortController()
+  outOfReach (reason: typeof outOfReachReason | typeof endpointUnreachable): void {
+    const refused = this.#queue.rejectQueued(() => new BriarsaddleError('this VM does not reach the endpoint', { code: reason, step: 'queue request' }))
+    if (refused + this.outstanding > 0) logger.info('requests are sent through other VMs, because this VM does not reach their endpoint', { endpoint: this.#entry.id, pool: this.pool, reason, refused, running: this.outstanding })
+    for (const controller of this.#repeatable) controller.abort()
   }
 
   /** Returns the state as plain data for the state dump. */
@@ -199,7 +203,13 @@
     if (refusedMilliseconds !== undefined) return notRunAnswer(poisonReason, { retryAfterMilliseconds: refusedMilliseconds })
     const { requestId, bucket, method, target, headers, body } = forward
     const run = this.#witness.begin(this.#entry, forward)
-    const reply = await transport.send(this.#entry, { requestId, key: bucket < 0 ? undefined : bucket, method, target, headers, body, remainingMilliseconds: deadlineAt - startedAt }, forward.idempotent ? AbortSignal.any([signal, this.#reach.signal]) : signal)
+    const controller = new AbortController()
+    const abort = (): void => controller.abort()
+    signal.addEventListener('abort', abort)
+    if (forward.idempotent) this.#repeatable.add(controller)
+    const reply = await transport.send(this.#entry, { requestId, key: bucket < 0 ? undefined : bucket, method, target, headers, body, remainingMilliseconds: deadlineAt - startedAt }, controller.signal)
+    signal.removeEventListener('abort', abort)
+    this.#repeatable.delete(controller)
     const milliseconds = clock.now() - startedAt
     this.#witness.end(run, runEndOf(reply, signal))
     if (reply.kind === 'refused' && reply.retryAfterMilliseconds !== undefined) this.#pause(reply.retryAfterMilliseconds)
--- a/packages/router/src/request/refusals.test.ts
+++ b/packages/router/src/request/refusals.test.ts
@@ -78,7 +78,7 @@
     metrics = new RouterMetrics()
     endpoint = new FixedEndpoint()
     dispatcher = new Dispatcher({
-      vm: 'vm-1', coordinators: new Coordinators(), peers: new NoPeers(), transport: new MeasuredTransport(endpoint, metrics, clock), directory: () => directory, clock, loopDelay: new LoopDelay(clock), random: new Random(1), metrics, leaving: new LeavingEndpoints(clock), poison: new PoisonList(clock), reach: { isCutOff: () => false, isInDoubt: () => false, doubt: () => {} }
+      vm: 'vm-1', coordinators: new Coordinators(), peers: new NoPeers(), transport: new MeasuredTransport(endpoint, metrics, clock), directory: () => directory, clock, loopDelay: new LoopDelay(clock), random: new Random(1), metrics, leaving: new LeavingEndpoints(clock), poison: new PoisonList(clock), reach: { isCutOff: () => false, isInDoubt: () => false, doubt: () => {}, isUnreached: () => false }
     })
     router = new RangeRouter({
       dataCentre: 'a',
