--- a/packages/router/src/poison/crash-witness.test.ts
+++ b/packages/router/src/poison/crash-witness.test.ts
@@ -1,12 +1,13 @@
 import { expect } from 'chai'
 import { delay, LoopDelay, MonotonicClock, Random } from '@briarsaddle/common'
-import { Forward, Outcome, peerReasons, unknownAnswer, type Answer } from '@briarsaddle/protocol'
+import { Forward, Outcome, type Answer } from '@briarsaddle/protocol'
 import type { EndpointEntry } from '../endpoint-entry.js'
-import { EndpointTransport, type EndpointReply, type GrantReply, type ProbeResult, type ReleaseReply } from '../endpoint-transport.js'
 import { LeavingEndpoints } from '../leaving-endpoints.js'
 import { Coordinators } from '../request/coordinators.js'
-import { Dispatcher, PeerForwarder } from '../request/dispatcher.js'
+import { Dispatcher } from '../request/dispatcher.js'
 import { RouterMetrics } from '../router-metrics.js'
+import { ScriptedEndpoints } from '../stand-ins/scripted-endpoints.js'
+import { ScriptedPeers } from '../stand-ins/scripted-peers.js'
 import { PoisonList } from './poison-list.js'
 
 const investigationMilliseconds = 4_000
@@ -15,59 +16,38 @@
 const entry = (id: string): EndpointEntry => ({ id, pool: 'desk', host: '127.0.0.1', port: 1, dataCentre: 'a', slots: 2, leaving: false, life: 1, warmUpMilliseconds: 0 })
 const forward = (endpoint: string, target = '/poison'): Forward => ({ ...Forward.create(), endpoint, pool: 'desk', bucket: -1, target, deadlineMilliseconds: 5_000 })
 
-/** Endpoints whose connections break, or that do not answer. */
-class BreakingEndpoints extends EndpointTransport {
-  probeResult: ProbeResult = 'refused'
-  probes = 0
-  reply: EndpointReply | undefined = { kind: 'broken', reason: 'connection_broken' }
-  override async send (_endpoint: EndpointEntry, _request: unknown, signal: AbortSignal): Promise<EndpointReply> {
-    if (this.reply === undefined) await new Promise(resolve => signal.addEventListener('abort', resolve))
-    return this.reply ?? { kind: 'broken', reason: 'deadline_exceeded' }
-  }
-
-  override async grant (): Promise<GrantReply> { return { kind: 'granted', connection: 1 } }
-  override async release (): Promise<ReleaseReply> { return { kind: 'released', handover: '' } }
-  override async reach (): Promise<boolean> { return this.probeResult === 'reached' }
-  override async probe (): Promise<ProbeResult> {
-    this.probes++
-    return this.probeResult
-  }
-
-  override keepOnly (): void {}
-}
-
-class LostPeer extends PeerForwarder {
-  override async forward (): Promise<Answer> { return unknownAnswer(peerReasons.lost) }
-}
-
 describe('CrashWitness', function () {
   this.timeout(20_000)
   const clock = new MonotonicClock()
-  let endpoints: BreakingEndpoints
+  let endpoints: ScriptedEndpoints
   let directory: Map<string, EndpointEntry>
   let poison: PoisonList
   let coordinators: Coordinators
   let dispatcher: Dispatcher
 
   beforeEach(() => {
-    endpoints = new BreakingEndpoints()
+    endpoints = new ScriptedEndpoints()
+    endpoints.behaviour = 'breaks'
+    endpoints.probeResult = 'refused'
     directory = new Map(['e1', 'e2', 'e3'].map(id => [id, entry(id)]))
     poison = new PoisonList(clock)
+    const peers = new ScriptedPeers()
+    peers.lost.add('vm-2')
     poison.ensureSalt()
     coordinators = new Coordinators()
-    dispatcher = new Dispatcher({ vm: 'vm-1', coordinators, peers: new LostPeer(), transport: endpoints, directory: () => directory, clock, loopDelay: new LoopDelay(clock), random: new Random(1), metrics: new RouterMetrics(), leaving: new LeavingEndpoints(clock), poison, reach: { isCutOff: () => false, isInDoubt: () => false, doubt: () => {}, isUnreached: () => false } })
+    dispatcher = new Dispatcher({ vm: 'vm-1', coordinators, peers, transport: endpoints, directory: () => directory, clock, loopDelay: new LoopDelay(clock), random: new Random(1), metrics: new RouterMetrics(), leaving: new LeavingEndpoints(clock), poison, reach: { isCutOff: () => false, isInDoubt: () => false, doubt: () => {}, isUnreached: () => false } })
   })
 
   const dispatch = async (id: string, target?: string, signal = new AbortController().signal): Promise<Answer> => await dispatcher.dispatch(entry(id), forward(id, target), signal)
 
   it('suspects all requests that were in flight at an endpoint whose address refuses connections, also those given up shortly before', async () => {
-    endpoints.reply = undefined
+    endpoints.behaviour = 'hangs'
     const caller = new AbortController()
     const givenUp = dispatch('e1', '/given-up', caller.signal)
     caller.abort()
     await givenUp
     void dispatch('e1', '/in-flight')
-    endpoints.reply = { kind: 'broken', reason: 'connection_broken' }
+    endpoints.behaviour = 'breaks'
     await dispatch('e1')
     await delay(confirmMilliseconds)
     for (const target of ['/poison', '/in-flight', '/given-up']) expect(poison.isSuspect(forward('e1', target)), target).to.equal(true)
@@ -123,7 +103,7 @@
     }
     await delay(500)
     expect(await dispatcher.accept(forward('e1'), new AbortController().signal)).to.include({ outcome: Outcome.OUTCOME_NOT_RUN, reason: 'crashes_endpoints' })
-    endpoints.reply = { kind: 'answered', status: 200, headers: [], body: Buffer.alloc(0), lengthKnown: true, load: undefined, limit: 'none' }
+    endpoints.behaviour = 'answers'
     expect((await dispatcher.accept(forward('e1', '/harmless'), new AbortController().signal)).outcome).to.equal(Outcome.OUTCOME_ANSWERED)
   })
 })
--- a/packages/router/src/request/detours.test.ts
+++ b/packages/router/src/request/detours.test.ts
@@ -1,52 +1,27 @@
 import { expect } from 'chai'
 import { delay, LoopDelay, MonotonicClock, Random } from '@briarsaddle/common'
-import { Answer, Forward, notRunAnswer, Outcome } from '@briarsaddle/protocol'
+import { Forward, Outcome, type Answer } from '@briarsaddle/protocol'
 import type { VmEntry } from '@briarsaddle/key-ranges'
 import type { EndpointEntry } from '../endpoint-entry.js'
-import { EndpointTransport, type EndpointReply, type GrantReply, type ReleaseReply } from '../endpoint-transport.js'
 import { LeavingEndpoints } from '../leaving-endpoints.js'
 import { PoisonList } from '../poison/poison-list.js'
 import { RouterMetrics } from '../router-metrics.js'
+import { ScriptedEndpoints } from '../stand-ins/scripted-endpoints.js'
+import { ScriptedPeers } from '../stand-ins/scripted-peers.js'
 import { Coordinators } from './coordinators.js'
-import { Dispatcher, PeerForwarder } from './dispatcher.js'
+import { Dispatcher } from './dispatcher.js'
 
 const entry: EndpointEntry = { id: 'e1', pool: 'ponds', host: '127.0.0.1', port: 1, dataCentre: 'a', slots: 2, leaving: false, life: 1, warmUpMilliseconds: 0 }
 const forward: Forward = { ...Forward.create(), endpoint: 'e1', pool: 'ponds', bucket: 7, deadlineMilliseconds: 1_000, objectiveMilliseconds: 500 }
 const vms: readonly VmEntry[] = ['vm-1', 'vm-2', 'vm-3', 'vm-4'].map(id => ({ id, host: '127.0.0.1', port: 1, dataCentre: 'a' }))
 
-/** VMs that refuse with a reason; those without one answer. */
-class Peers extends PeerForwarder {
-  readonly refusals = new Map<string, string>()
-  readonly asked: string[] = []
-  override async forward (vm: string): Promise<Answer> {
-    this.asked.push(vm)
-    const reason = this.refusals.get(vm)
-    return reason === undefined ? { ...Answer.create(), outcome: Outcome.OUTCOME_ANSWERED, status: 200 } : notRunAnswer(reason)
-  }
-}
-
-class Unreachable extends EndpointTransport {
-  /** While true, requests hang until they are cancelled. */
-  hangs = false
-  override async send (_endpoint: unknown, _request: unknown, signal: AbortSignal): Promise<EndpointReply> {
-    if (!this.hangs) return { kind: 'unreachable' }
-    await new Promise(resolve => signal.addEventListener('abort', resolve))
-    return { kind: 'broken', reason: 'deadline_exceeded' }
-  }
-
-  override async grant (): Promise<GrantReply> { return { kind: 'unreachable' } }
-  override async release (): Promise<ReleaseReply> { return { kind: 'failed' } }
-  override async reach (): Promise<boolean> { return false }
-  override keepOnly (): void {}
-}
-
 describe('Ways round a coordinator', () => {
   const clock = new MonotonicClock()
-  let peers: Peers
+  let peers: ScriptedPeers
   let coordinators: Coordinators
   let cutOff: boolean
   let unreached: boolean
-  let endpoints: Unreachable
+  let endpoints: ScriptedEndpoints
   let order: string[]
 
   function dispatcherOf (vm: string): Dispatcher {
@@ -57,8 +32,9 @@
 
   beforeEach(() => {
     cutOff = unreached = false
-    endpoints = new Unreachable()
-    peers = new Peers()
+    endpoints = new ScriptedEndpoints()
+    endpoints.behaviour = 'unreachable'
+    peers = new ScriptedPeers()
     coordinators = new Coordinators()
     coordinators.update(vms)
     order = []
@@ -102,7 +78,7 @@
   // Guards against requests that wait behind others which hang at an endpoint that this VM does not reach, until their deadlines pass.
   it('gives up what waits for an endpoint that it does not reach, so that senders use another VM', async () => {
     const dispatcher = dispatcherOf(order[0] as string)
-    endpoints.hangs = true
+    endpoints.behaviour = 'hangs'
     const accept = async (idempotent: boolean): Promise<Answer> => await dispatcher.accept({ ...forward, idempotent }, new AbortController().signal)
     const answers = [accept(true), accept(false), accept(true), accept(false)]
     await delay(50)
