Keep the list of requests that crash endpoints within a record of the log

A full list with many crashes of each request could exceed the 262,144 bytes of a record and would not have been kept. It holds 8 crashes of each request, by a short hash of the process, and the time of the last one; later crashes renew the refusal by that time. The new test of a full list has 256 requests with 20 crashes each.

--- a/packages/router/src/control/candidacy.ts
+++ b/packages/router/src/control/candidacy.ts
@@ -19,6 +19,7 @@
   readonly mayBegin: boolean
   /** Whether this VM leads and cannot hand over, because no other candidate is there or moves are under way. */
   readonly mustLead: () => boolean
+  /** Whether this VM leads. */
   readonly isLeading: () => boolean
   /** Whether this VM is a member of the group of candidates. */
   readonly isMember: () => boolean
--- a/packages/router/src/poison/poison-list.test.ts
+++ b/packages/router/src/poison/poison-list.test.ts
@@ -112,6 +112,22 @@
     expect(list.size).to.equal(2)
   })
 
+  // Guards against a list that cannot be written because a record of the log has at most 262,144 bytes.
+  it('fits into a record of the log when it is full, and still renews refusals', () => {
+    const targets = Array.from({ length: 256 }, (_, number) => `/"${number}${'x'.repeat(1_000)}`)
+    for (const target of targets) crash(request(target, { pool: 'p'.repeat(60) }), 20)
+    expect(list.size).to.equal(256)
+    expect(list.encode().length).to.be.lessThan(262_144)
+    const other = new PoisonList(clock)
+    other.merge(list.encode())
+    const last = request(targets[255] as string, { pool: 'p'.repeat(60) })
+    clock.advance(60 * 60_000)
+    expect(list.refusedFor(last)).to.equal(undefined)
+    list.recordCrash(last, endpoint(99), true)
+    other.merge(list.encode())
+    for (const each of [list, other]) expect(each.refusedFor(last)).to.be.greaterThan(0)
+  })
+
   it('does not pass requests to and fro between two VMs with full lists', () => {
     const other = new PoisonList(clock)
     other.merge(list.encode())
--- a/packages/router/src/poison/poison-list.ts
+++ b/packages/router/src/poison/poison-list.ts
@@ -2,7 +2,7 @@
 import { describeError, Logger, type Clock } from '@briarsaddle/common'
 import { z } from 'zod'
 import type { EndpointEntry } from '../endpoint-entry.js'
-import { fingerprintOf, type RequestContent } from './request-fingerprint.js'
+import { fingerprintOf, processFingerprintOf, type RequestContent } from './request-fingerprint.js'
 
 const logger = new Logger('poison')
 
@@ -19,17 +19,18 @@
 // After the refusal a single further crash renews it, as long as the request is remembered.
 const rememberRefusedMilliseconds = 24 * 60 * 60_000
 const rememberSuspectMilliseconds = 10 * 60_000
+// The whole list fits into a record of the log.
 const mostRequests = 256
-const mostCrashes = 32
-const longestTargetCharacters = 200
+const mostCrashes = 8
+const longestTargetCharacters = 100
 // Clocks of VMs are not compared; ages grow by the time on the way between VMs.
 const ageSlackMilliseconds = 1_000
 // The leader asks for changes once a second; another one may have to ask again.
 const recentMilliseconds = 10_000
 
 const crashSchema = z.object({
-  /** Id and life of the endpoint that crashed. */
-  endpoint: z.string(),
+  /** Fingerprint of the process that crashed. */
+  process: z.string(),
   /** Whether the run began when an earlier crash under the request was known, so that both were not one event. */
   sequential: z.boolean(),
   /** Whether the request has been answered since, or an operator has lifted the refusal. */
@@ -53,7 +54,7 @@
 
 /** A request under which endpoints crashed. */
 interface Suspect extends Pick<RequestRecord, 'fingerprint' | 'bodyBytes' | 'pool' | 'target'> {
-  /** Crashes by endpoint process. */
+  /** Crashes by process of an endpoint. */
   readonly crashes: Map<string, Crash>
   lastCrashAt: number
   /** When this VM learned of enough crashes to refuse the request; undefined before. */
@@ -111,14 +112,13 @@
   /** Records that a process of an endpoint crashed while the request was in flight there. `sequential`: see `crashSchema`. */
   recordCrash (request: RequestContent, { id, life }: Pick<EndpointEntry, 'id' | 'life'>, sequential: boolean): void {
     if (this.#salt === undefined) return logger.warning('an endpoint crashed under a request, but there is no salt yet to identify it', { endpoint: id, pool: request.pool })
-    const endpoint = `${id} ${life}`
     const record = {
       fingerprint: fingerprintOf(this.#salt, request),
       bodyBytes: request.body.length,
       pool: request.pool,
       target: request.target.slice(0, longestTargetCharacters),
       ageMilliseconds: 0,
-      crashes: [{ endpoint, sequential, cleared: false }]
+      crashes: [{ process: processFingerprintOf(this.#salt, id, life), sequential, cleared: false }]
     }
     if (this.#apply(record)) this.#changed()
     const suspect = this.#suspects.get(record.fingerprint)
@@ -193,13 +193,17 @@
       this.#suspects.set(fingerprint, suspect)
     }
     let changed = false
+    // After the first crashes only the time of the last one matters. Ages are not exact.
+    if (record.crashes.some(crash => !crash.cleared) && lastCrashAt > suspect.lastCrashAt + ageSlackMilliseconds) {
+      suspect.lastCrashAt = lastCrashAt
+      changed = true
+    }
     for (const crash of record.crashes) {
-      const known = suspect.crashes.get(crash.endpoint)
-      const merged = known === undefined ? crash : { endpoint: crash.endpoint, sequential: known.sequential || crash.sequential, cleared: known.cleared || crash.cleared }
+      const known = suspect.crashes.get(crash.process)
+      const merged = known === undefined ? crash : { process: crash.process, sequential: known.sequential || crash.sequential, cleared: known.cleared || crash.cleared }
       if (known === undefined && suspect.crashes.size >= mostCrashes) continue
       if (known?.sequential === merged.sequential && known.cleared === merged.cleared) continue
-      if (known === undefined) suspect.lastCrashAt = Math.max(suspect.lastCrashAt, lastCrashAt)
-      suspect.crashes.set(crash.endpoint, merged)
+      suspect.crashes.set(crash.process, merged)
       changed = true
     }
     if (changed) this.#judge(suspect)
@@ -218,7 +222,7 @@
   #clear (suspect: Suspect, reason: string): void {
     const open = openCrashes(suspect)
     if (open.length === 0) return
-    for (const crash of open) suspect.crashes.set(crash.endpoint, { ...crash, cleared: true })
+    for (const crash of open) suspect.crashes.set(crash.process, { ...crash, cleared: true })
     suspect.observedAt = this.#clock.now()
     logger.info('request is not suspected any more to crash endpoints', { reason, pool: suspect.pool, target: suspect.target, fingerprint: suspect.fingerprint, crashes: open.length })
     this.#judge(suspect)
--- a/packages/router/src/poison/request-fingerprint.ts
+++ b/packages/router/src/poison/request-fingerprint.ts
@@ -15,3 +15,10 @@
   const caller = callerHeaders.map(name => headers.filter(header => header.name.toLowerCase() === name).map(header => header.value))
   return createHmac('sha256', salt).update(JSON.stringify([method, target, bucket, caller])).update(body).digest('base64url')
 }
+
+const processCharacters = 16
+
+/** Returns a short hash of a process of an endpoint. */
+export function processFingerprintOf (salt: string, endpoint: string, life: number): string {
+  return createHmac('sha256', salt).update(JSON.stringify([endpoint, life])).digest('base64url').slice(0, processCharacters)
+}
