--- a/packages/router/src/request/endpoint-gate.ts
+++ b/packages/router/src/request/endpoint-gate.ts
@@ -157,7 +157,8 @@
   }
 
   #refuseAsUnreachable (reason: string): Answer {
-    return notRunAnswer(reason, { retryAfterMilliseconds: fullRetryMilliseconds, outstanding: this.outstanding, requestsPerSecond: this.#limit ?? Infinity })
+    // A VM that has not reached the endpoint does not know whether it names a limit.
+    return notRunAnswer(reason, { retryAfterMilliseconds: fullRetryMilliseconds, outstanding: this.outstanding, ...(this.#limit === undefined ? {} : { requestsPerSecond: this.#limit }) })
   }
 
   #refuseAsLeaving (): Answer {
