--- a/packages/router/src/endpoint-entry.ts
+++ b/packages/router/src/endpoint-entry.ts
@@ -18,6 +18,11 @@
 /** The endpoint directory: endpoints by id. */
 export type Directory = ReadonlyMap<string, EndpointEntry>
 
+/** Returns a key of one process of an endpoint; a later process under the same id has another one. */
+export function processKeyOf ({ id, life }: Pick<EndpointEntry, 'id' | 'life'>): string {
+  return `${id} ${life}`
+}
+
 /** Returns `host:port` of an endpoint. */
 export function addressOf ({ host, port }: EndpointEntry): string {
   return `${host}:${port}`
--- a/packages/router/src/endpoint-reach.ts
+++ b/packages/router/src/endpoint-reach.ts
@@ -1,6 +1,6 @@
 import { delay, Logger, type Clock, type LifeCycle, type Random } from '@briarsaddle/common'
 import type { Holder, KeyRange } from '@briarsaddle/key-ranges'
-import { addressOf, type Directory, type EndpointEntry } from './endpoint-entry.js'
+import { addressOf, processKeyOf, type Directory, type EndpointEntry } from './endpoint-entry.js'
 import { EndpointTransport, type EndpointReply, type EndpointRequest, type Grant, type GrantReply, type ProbeResult, type ReleaseReply } from './endpoint-transport.js'
 
 const logger = new Logger('reach')
@@ -94,7 +94,7 @@
 
   /** Whether this VM has lately not reached a process of an endpoint, whatever it reaches of the pool. */
   isUnreached (endpoint: EndpointEntry): boolean {
-    return this.#endpoints.get(processKey(endpoint))?.unreached === true
+    return this.#endpoints.get(processKeyOf(endpoint))?.unreached === true
   }
 
   /** Calls the listener with the id of an endpoint that this VM does not reach any more. */
@@ -161,7 +161,7 @@
   }
 
   #historyOf (entry: EndpointEntry): EndpointHistory {
-    const key = processKey(entry)
+    const key = processKeyOf(entry)
     let history = this.#endpoints.get(key)
     if (history === undefined) this.#endpoints.set(key, history = { entry, waiting: new Set(), lastReachedAt: -Infinity, probing: false, restsUntil: -Infinity, unreached: false })
     return history
@@ -185,7 +185,7 @@
     history.probing = true
     const { entry } = history
     const holder = { endpoint: entry.id, life: entry.life, address: addressOf(entry) }
-    while (!await transport.reach(holder) && !this.#closed && this.#endpoints.get(processKey(entry)) === history) {
+    while (!await transport.reach(holder) && !this.#closed && this.#endpoints.get(processKeyOf(entry)) === history) {
       if (!history.unreached) {
         history.unreached = true
         logger.info('this VM does not reach an endpoint', { endpoint: entry.id, pool: entry.pool, life: entry.life, waiting: history.waiting.size })
@@ -251,7 +251,3 @@
     return { reached: results.filter(Boolean).length, probed: sample.length }
   }
 }
-
-function processKey ({ id, life }: EndpointEntry): string {
-  return `${id} ${life}`
-}
--- a/packages/router/src/poison/crash-witness.ts
+++ b/packages/router/src/poison/crash-witness.ts
@@ -1,5 +1,5 @@
 import { delay, Logger, type Clock } from '@briarsaddle/common'
-import { addressOf, type Directory, type EndpointEntry } from '../endpoint-entry.js'
+import { addressOf, processKeyOf, type Directory, type EndpointEntry } from '../endpoint-entry.js'
 import type { EndpointReach } from '../endpoint-reach.js'
 import type { EndpointTransport } from '../endpoint-transport.js'
 import type { PoisonList } from './poison-list.js'
@@ -89,7 +89,7 @@
 
   async #investigate (endpoint: EndpointEntry, brokenAt: number): Promise<void> {
     const { clock } = this.#options
-    const key = processKey(endpoint)
+    const key = processKeyOf(endpoint)
     const present = this.#investigations.get(key)
     if (present !== undefined) {
       present.lastBrokenAt = brokenAt
@@ -126,8 +126,8 @@
 
   /** Requests that were in flight at the crash, or had been given up shortly before, are suspects. */
   #report (endpoint: EndpointEntry, { lastBrokenAt }: Investigation, proof: string): void {
-    const key = processKey(endpoint)
-    const ofProcess = (run: WitnessedRun): boolean => processKey(run.endpoint) === key
+    const key = processKeyOf(endpoint)
+    const ofProcess = (run: WitnessedRun): boolean => processKeyOf(run.endpoint) === key
     const lost = this.#lost.filter(run => ofProcess(run) && run.lostAt >= lastBrokenAt - givenUpMilliseconds)
     this.#lost = this.#lost.filter(run => !ofProcess(run))
     const suspects = [...lost, ...[...this.#running].filter(ofProcess)]
@@ -135,7 +135,3 @@
     for (const { request, sequential } of suspects) this.#options.poison.recordCrash(request, endpoint, sequential)
   }
 }
-
-function processKey ({ id, life }: EndpointEntry): string {
-  return `${id} ${life}`
-}
--- a/packages/router/src/request/detours.ts
+++ b/packages/router/src/request/detours.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@briarsaddle/common'
-import type { EndpointEntry } from '../endpoint-entry.js'
+import { processKeyOf, type EndpointEntry } from '../endpoint-entry.js'
 
 // After this time a VM that did not reach an endpoint is tried again; until then it costs no request more time.
 const avoidMilliseconds = 2_000
@@ -26,26 +26,26 @@
 
   /** Avoids a VM for one process of an endpoint. */
   avoidForEndpoint (vm: string, endpoint: EndpointEntry): void {
-    if (this.#avoid(processKey(endpoint), vm) >= vmsToCountAsLost) this.countAsLost(endpoint)
+    if (this.#avoid(processKeyOf(endpoint), vm) >= vmsToCountAsLost) this.countAsLost(endpoint)
   }
 
   /** Records that no VM reaches an endpoint, so that no other way to it is tried for a while. */
   countAsLost (endpoint: EndpointEntry): void {
     const now = this.#clock.now()
     for (const [key, until] of this.#lostUntil) if (until <= now) this.#lostUntil.delete(key)
-    this.#lostUntil.set(processKey(endpoint), now + lostMilliseconds)
-    this.#avoidedUntil.delete(processKey(endpoint))
+    this.#lostUntil.set(processKeyOf(endpoint), now + lostMilliseconds)
+    this.#avoidedUntil.delete(processKeyOf(endpoint))
   }
 
   /** Whether a VM is avoided for an endpoint. */
   isAvoided (vm: string, endpoint: EndpointEntry): boolean {
     const now = this.#clock.now()
-    return [poolKey(endpoint.pool), processKey(endpoint)].some(key => (this.#avoidedUntil.get(key)?.get(vm) ?? -Infinity) > now)
+    return [poolKey(endpoint.pool), processKeyOf(endpoint)].some(key => (this.#avoidedUntil.get(key)?.get(vm) ?? -Infinity) > now)
   }
 
   /** Whether an endpoint counts as lost. */
   isLost (endpoint: EndpointEntry): boolean {
-    return (this.#lostUntil.get(processKey(endpoint)) ?? -Infinity) > this.#clock.now()
+    return (this.#lostUntil.get(processKeyOf(endpoint)) ?? -Infinity) > this.#clock.now()
   }
 
   /** Returns the number of VMs that are avoided under the key. */
@@ -61,10 +61,6 @@
   }
 }
 
-function processKey ({ id, life }: EndpointEntry): string {
-  return `endpoint ${id} ${life}`
-}
-
 function poolKey (pool: string): string {
   return `pool ${pool}`
 }
