--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -36,16 +36,42 @@
   /** Decides from the call whether it gets no answer, `lose` (done, no answer), `busy` (503), or undefined. */
   trouble = () => undefined
 
+  /** Number of times that the store came back from a copy. */
+  era = 0
+  #listeners = []
+
+  /** Listens on one more address. A call knows the address that it came to (`request.socket.localAddress`). */
   async listen (host, port) {
-    this.server = createServer({ keepAliveTimeout: 60_000 }, (request, response) => {
+    const server = createServer({ keepAliveTimeout: 60_000 }, (request, response) => {
       this.#handle(request, response).catch(() => response.destroy())
     })
-    await new Promise(resolve => this.server.listen(port, host, resolve))
+    this.#listeners.push(server)
+    await new Promise(resolve => server.listen(port, host, resolve))
   }
 
   close () {
-    this.server.closeAllConnections()
-    this.server.close()
+    for (const server of this.#listeners) {
+      server.closeAllConnections()
+      server.close()
+    }
+  }
+
+  /** Comes back from a copy of the given age. What the operator and the servers wrote since is written again soon. */
+  restore (milliseconds) {
+    const copiedAt = performance.now() - milliseconds
+    this.era++
+    this.#members.clear()
+    this.#generation = 0
+    for (const server of this.#listeners) server.closeAllConnections()
+    for (const [name, topic] of [...this.#topics]) {
+      const kept = topic.records.filter(({ at }) => at <= copiedAt)
+      const lost = topic.records.slice(kept.length)
+      this.#topics.set(name, { records: [], newest: new Map(), waiters: new Set() })
+      const copy = this.#topic(name)
+      for (const { content, at } of kept) this.#add(copy, content, at)
+      if (name === 'keyed.op') for (const { content } of lost) this.#add(copy, content)
+      for (const wake of [...topic.waiters]) wake()
+    }
   }
 
   /** Appends a record as the operator or a server would. */
@@ -64,11 +90,11 @@
     return topic
   }
 
-  #add (topic, content) {
+  #add (topic, content, at = performance.now()) {
     const { key, value } = parseKeyed(content)
     if (value.length > 0) topic.newest.set(key, { value, offset: topic.records.length })
     else topic.newest.delete(key)
-    topic.records.push(content)
+    topic.records.push({ content, at })
     for (const wake of [...topic.waiters]) wake()
   }
 
@@ -77,8 +103,14 @@
     const body = await readAll(request)
     await new Promise(resolve => setTimeout(resolve, this.delayMilliseconds))
     const trouble = this.trouble(request, url, body)
+    response.setHeader('Store-Era', String(this.era))
     if (trouble === 'silent') return
     if (trouble === 'busy') return this.#send(response, 503, {})
+    if (typeof trouble === 'number') {
+      setTimeout(() => this.#call(url, body, response), trouble)
+      return
+    }
+    if (trouble === 'away') return response.destroy()
     const answer = await this.#call(url, body, response)
     if (trouble === 'lose') return
     if (Buffer.isBuffer(answer.body)) response.writeHead(answer.status).end(answer.body)
@@ -134,7 +166,7 @@
     }
     const head = Buffer.alloc(16)
     head.writeBigUInt64BE(BigInt(topic.records.length), 0)
-    return { status: 200, body: Buffer.concat([head, ...topic.records.slice(from).map(frame)]) }
+    return { status: 200, body: Buffer.concat([head, ...topic.records.slice(from).map(({ content }) => frame(content))]) }
   }
 
   #newest (topic) {
