--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -24,7 +24,7 @@
 
 /** Returns the first of `count` neighbouring ports that are free on all hosts. */
 async function freePorts (count, hosts) {
-  for (let base = 20_000 + Math.floor(Math.random() * 20_000); ; base += count) {
+  for (let base = 20_000 + Math.floor(Math.random() * 10_000); ; base += count) {
     const free = await Promise.all(hosts.flatMap(host => Array.from({ length: count }, async (_, index) => await isFree(host, base + index))))
     if (free.every(Boolean)) return base
   }
