--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -70,6 +70,7 @@
   for (const connection of connections) {
     for (const entry of connection.sent) {
       sent++
+      deployment.note(`sent ${entry.requestId} ${Math.round(entry.sentAt - stoppedAt)} ms after the signal: ${entry.whole ? entry.status : 'no answer'}`)
       if (entry.whole) answered++
       else if (seen.get(entry.requestId)?.ran === true && entry.sentAt >= stoppedAt - 3_000) lost.push({ connection, entry })
     }
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -74,6 +74,7 @@
   for (const { connection, machine } of connections) {
     for (const [index, entry] of connection.sent.entries()) {
       sent++
+      deployment.note(`sent ${entry.requestId} to ${machine.name}: ${entry.whole ? entry.status : 'no answer'}`)
       if (entry.whole) {
         answered++
         continue
