--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -53,15 +53,9 @@
     writeFileSync(path, this.#lines.join('\n') + '\n')
   }
 
-  /** Each machine reaches the store at an address of its own, so that the store can tell them apart. */
-  storeHostOf (index) {
-    return `127.0.3.${index + 1}`
-  }
-
   async start (servers, config) {
-    this.base = await freePorts(8, [storeHost, ...this.machineHosts, ...this.machineHosts.map((_, index) => this.storeHostOf(index)), ...servers.map((_, index) => `127.0.2.${index + 1}`)])
+    this.base = await freePorts(8, [storeHost, ...this.machineHosts, ...servers.map((_, index) => `127.0.2.${index + 1}`)])
     await this.store.listen(storeHost, this.base)
-    for (const [index] of this.machineHosts.entries()) await this.store.listen(this.storeHostOf(index), this.base)
     this.configure(config)
     for (const options of servers) await this.addServer(options)
     for (const [index] of this.machineHosts.entries()) this.startMachine(index)
@@ -79,10 +73,9 @@
   }
 
   async addServer ({ service, zone = this.zones[0], ...options }) {
-    const server = new Server({ host: options.host ?? `127.0.2.${this.servers.length + 1}`, port: this.base + 6, note: text => this.note(text), ...options })
+    const server = new Server({ host: `127.0.2.${this.servers.length + 1}`, port: this.base + 6, note: text => this.note(text), ...options })
     await server.listen()
     this.servers.push(server)
-    server.service = service
     const entry = { service, address: `${server.host}:${server.port}`, zone, version: 'v1', capacity: server.slots, state: 'ready', warmupLeft: '0ms', born: Date.now() }
     let sequence = 0
     server.beat = (changes = {}) => {
@@ -108,7 +101,7 @@
       'listen.ready': `${host}:${this.base + 2}`,
       'listen.control': `${host}:${this.base + 3}`,
       'internalPorts.0': this.base + 4,
-      'platform.address': `${this.storeHostOf(index)}:${this.base}`,
+      'platform.address': `${storeHost}:${this.base}`,
       seeds: this.machineHosts.slice(0, 3).map(seed => `${seed}:${this.base + 3}`).join(',')
     }
     for (const [name, value] of Object.entries(bounds)) values[`bounds.${name}`] = value
@@ -152,11 +145,6 @@
     return false
   }
 
-  async state (machine) {
-    const response = await fetch(`http://${machine.host}:${machine.controlPort}/state`)
-    return await response.json()
-  }
-
   async stop () {
     for (const { child, ended } of this.machines) if (ended === undefined) child.kill('SIGKILL')
     for (const server of this.servers) {
--- a/review/lib/server.mjs
+++ b/review/lib/server.mjs
@@ -18,8 +18,8 @@
   /** All requests that reached this server: id, when, whether it ran, when it ended and how. */
   seen = []
 
-  constructor ({ id, host, port, slots = 3, queue = 12, sharded = true, work = () => 50, body = id => `done ${id}`, answer, note = () => {}, ownership, clockSlack = 1, orderTrouble = () => undefined }) {
-    Object.assign(this, { id, host, port, slots, queue, sharded, work, bodyOf: body, answer, note, ownership, clockSlack, orderTrouble })
+  constructor ({ id, host, port, slots = 3, queue = 12, sharded = true, work = () => 50, body = id => `done ${id}`, answer, note = () => {} }) {
+    Object.assign(this, { id, host, port, slots, queue, sharded, work, bodyOf: body, answer, note })
   }
 
   async listen () {
@@ -30,19 +30,10 @@
   }
 
   close () {
-    this.ended = true
-    this.#held = []
-    this.ownership?.ended(this)
     this.server.closeAllConnections()
     this.server.close()
   }
 
-  /** Ranges that the server holds now. */
-  get held () {
-    const now = performance.now()
-    return this.ended === true ? [] : this.#held.filter(({ until }) => until > now)
-  }
-
   holds (key) {
     return this.#held.some(({ from, to, until }) => from <= key && key <= to && until > performance.now())
   }
@@ -52,34 +43,24 @@
     const expected = request.headers['x-briarsaddle-expected-instance']
     const requestId = request.headers['x-briarsaddle-request-id'] ?? ''
     if (expected !== undefined && expected !== this.id) return response.writeHead(421, { 'X-Briarsaddle-Request-Id': requestId, 'X-Briarsaddle-Not-Executed': '1' }).end()
-    if (request.method === 'POST' && request.url === '/grant') return await this.#grant(JSON.parse(body.toString()), response)
+    if (request.method === 'POST' && request.url === '/grant') return this.#grant(JSON.parse(body.toString()), response)
     if (request.method === 'POST' && request.url === '/release') return await this.#release(JSON.parse(body.toString()), response)
     if (request.url === '/health') return response.writeHead(200, { 'X-Briarsaddle-Instance-Id': this.id }).end()
     await this.#run(request, response, requestId, body)
   }
 
-  async #grant ({ from, to, fence, hold_time: hold }, response) {
-    const until = performance.now() + Number.parseFloat(hold) * this.clockSlack
-    const late = this.orderTrouble(this, 'grant')
-    if (late !== undefined) await new Promise(resolve => setTimeout(resolve, late))
-    if (this.ended === true) return
+  #grant ({ from, to, fence, hold_time: hold }, response) {
     if (this.#fences.subarray(from, to + 1).some(seen => seen > fence)) return response.writeHead(409).end()
     this.#fences.fill(fence, from, to + 1)
     this.#remove(from, to)
-    if (until > performance.now()) {
-      this.#held.push({ from, to, fence, until })
-      this.ownership?.granted(this, { from, to, fence, until })
-    }
-    if (late === undefined) response.writeHead(200).end()
+    this.#held.push({ from, to, fence, until: performance.now() + Number.parseFloat(hold) })
+    response.writeHead(200).end()
   }
 
   async #release ({ from, to }, response) {
-    const late = this.orderTrouble(this, 'release')
-    if (late !== undefined) await new Promise(resolve => setTimeout(resolve, late))
-    if (this.ended === true) return
     this.#remove(from, to)
     while ([...this.#running].some(({ key }) => key >= from && key <= to)) await new Promise(resolve => setTimeout(resolve, 2))
-    if (late === undefined) response.writeHead(200, { 'X-Briarsaddle-Handover': `from-${this.id}` }).end()
+    response.writeHead(200, { 'X-Briarsaddle-Handover': `from-${this.id}` }).end()
   }
 
   #remove (from, to) {
@@ -102,7 +83,7 @@
     if (this.#running.size >= this.slots) {
       if (this.#waiting.length >= this.queue) return refuse(503)
       await new Promise(resolve => this.#waiting.push(resolve))
-      if (response.destroyed || this.ended === true) return this.#next()
+      if (response.destroyed) return this.#next()
       if (this.sharded && !this.holds(key)) {
         this.#next()
         return refuse(421)
@@ -110,9 +91,7 @@
     }
     const run = { key }
     this.#running.add(run)
-    if (this.ended === true) return
     entry.ran = true
-    if (this.sharded) this.ownership?.begins(this, key, requestId)
     this.note(`server ${this.id} runs ${requestId}`)
     let cut = false
     response.on('close', () => { if (!response.writableFinished) cut = true })
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -33,14 +33,9 @@
   #generation = 0
   /** Milliseconds that the store waits before it handles a call. */
   delayMilliseconds = 2
-  /** Decides from the call whether it gets no answer, `lose` (done, no answer), `busy` (503), or undefined. */
-  trouble = () => undefined
-
-  /** Number of times that the store came back from a copy. */
-  era = 0
   #listeners = []
 
-  /** Listens on one more address. A call knows the address that it came to (`request.socket.localAddress`). */
+  /** Listens on one more address. */
   async listen (host, port) {
     const server = createServer({ keepAliveTimeout: 60_000 }, (request, response) => {
       this.#handle(request, response).catch(() => response.destroy())
@@ -56,24 +51,6 @@
     }
   }
 
-  /** Comes back from a copy of the given age. What the operator and the servers wrote since is written again soon. */
-  restore (milliseconds) {
-    const copiedAt = performance.now() - milliseconds
-    this.era++
-    this.#members.clear()
-    this.#generation = 0
-    for (const server of this.#listeners) server.closeAllConnections()
-    for (const [name, topic] of [...this.#topics]) {
-      const kept = topic.records.filter(({ at }) => at <= copiedAt)
-      const lost = topic.records.slice(kept.length)
-      this.#topics.set(name, { records: [], newest: new Map(), waiters: new Set() })
-      const copy = this.#topic(name)
-      for (const { content, at } of kept) this.#add(copy, content, at)
-      if (name === 'keyed.op') for (const { content } of lost) this.#add(copy, content)
-      for (const wake of [...topic.waiters]) wake()
-    }
-  }
-
   /** Appends a record as the operator or a server would. */
   put (topicName, key, value) {
     this.#add(this.#topic(topicName), keyedContent(key, value === undefined ? Buffer.alloc(0) : Buffer.from(JSON.stringify(value))))
@@ -90,11 +67,11 @@
     return topic
   }
 
-  #add (topic, content, at = performance.now()) {
+  #add (topic, content) {
     const { key, value } = parseKeyed(content)
     if (value.length > 0) topic.newest.set(key, { value, offset: topic.records.length })
     else topic.newest.delete(key)
-    topic.records.push({ content, at })
+    topic.records.push(content)
     for (const wake of [...topic.waiters]) wake()
   }
 
@@ -102,17 +79,7 @@
     const url = new URL(request.url, 'http://store')
     const body = await readAll(request)
     await new Promise(resolve => setTimeout(resolve, this.delayMilliseconds))
-    const trouble = this.trouble(request, url, body)
-    response.setHeader('Store-Era', String(this.era))
-    if (trouble === 'silent') return
-    if (trouble === 'busy') return this.#send(response, 503, {})
-    if (typeof trouble === 'number') {
-      setTimeout(() => this.#call(url, body, response), trouble)
-      return
-    }
-    if (trouble === 'away') return response.destroy()
     const answer = await this.#call(url, body, response)
-    if (trouble === 'lose') return
     if (Buffer.isBuffer(answer.body)) response.writeHead(answer.status).end(answer.body)
     else this.#send(response, answer.status, answer.body)
   }
@@ -166,7 +133,7 @@
     }
     const head = Buffer.alloc(16)
     head.writeBigUInt64BE(BigInt(topic.records.length), 0)
-    return { status: 200, body: Buffer.concat([head, ...topic.records.slice(from).map(({ content }) => frame(content))]) }
+    return { status: 200, body: Buffer.concat([head, ...topic.records.slice(from).map(frame)]) }
   }
 
   #newest (topic) {
