--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -57,7 +57,7 @@
   await delay(stopMilliseconds)
   phase.sending = false
   await delay(1_500)
-  for (const { socket } of connections) socket.end()
+  for (const connection of connections) connection.leave()
   await Promise.race([Promise.all(clients), delay(2_000)])
   return judge(connections, signalAt)
 }
@@ -72,7 +72,7 @@
       sent++
       deployment.note(`sent ${entry.requestId} ${Math.round(entry.sentAt - stoppedAt)} ms after the signal: ${entry.whole ? entry.status : 'no answer'}`)
       if (entry.whole) answered++
-      else if (seen.get(entry.requestId)?.ran === true && entry.sentAt >= stoppedAt - 3_000) lost.push({ connection, entry })
+      else if (seen.get(entry.requestId)?.end === 'answered' && connection.cutOff(entry) && entry.sentAt >= stoppedAt - 3_000) lost.push({ connection, entry })
     }
   }
   deployment.note(`${sent} requests sent, ${answered} answered whole, ${lost.length} run by a server and cut without an answer`)
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -7,7 +7,7 @@
 const connectionCount = 20
 const sendEveryMilliseconds = 150
 const garbledShare = 0.05
-const troubleMilliseconds = 5_500
+const troubleMilliseconds = 5_000
 const troubleTimes = 4
 const garblingServers = ['i-ledger-1', 'i-ledger-2', 'i-ledger-3']
 const allowed = 3
@@ -61,7 +61,7 @@
   }
   phase.sending = false
   await delay(1_500)
-  for (const { connection } of connections) connection.socket.end()
+  for (const { connection } of connections) connection.leave()
   await Promise.race([Promise.all(clients), delay(2_000)])
   return judge(connections)
 }
@@ -80,7 +80,7 @@
         continue
       }
       const run = seen.get(entry.requestId)
-      if (run?.ran !== true || garblingServers.includes(run.server)) continue
+      if (run?.end !== 'answered' || !connection.cutOff(entry) || garblingServers.includes(run.server)) continue
       const before = connection.sent.slice(0, index).findLast(other => other.whole)
       lostBy.set(machine.name, (lostBy.get(machine.name) ?? 0) + 1)
       deployment.note(`LOST ${entry.requestId} by ${machine.name}: number ${index + 1} on its connection, sent ${Math.round(entry.sentAt - connection.sent[0].sentAt)} ms after the first; ${run.server} ran it (${run.end}); the last answer before it was ${before?.requestId}, ${garbled.has(before?.requestId) ? 'without a length' : 'with a length'}, received ${Math.round((before?.answeredAt ?? NaN) - entry.sentAt)} ms after this one was sent`)
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -10,6 +10,8 @@
 
 const root = new URL('../../', import.meta.url).pathname
 const storeHost = '127.0.0.1'
+// The script ends by itself after this time, whatever happens.
+const longestMilliseconds = 115_000
 const bounds = { grace: '6s', retryBudgetRatio: 0.2, budgetWindow: '10s', retrySlack: 58, holdMax: '10000ms' }
 
 export const delay = milliseconds => new Promise(resolve => setTimeout(resolve, milliseconds))
@@ -43,6 +45,12 @@
   constructor ({ machines = 2, zones = ['zone-a'] } = {}) {
     this.machineHosts = Array.from({ length: machines }, (_, index) => `127.0.1.${index + 1}`)
     this.zones = zones
+    const giveUp = reason => {
+      this.note(`given up: ${reason}`)
+      this.stop().finally(() => process.exit(2))
+    }
+    setTimeout(giveUp, longestMilliseconds, 'took too long').unref()
+    for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, giveUp)
   }
 
   note (text) {
--- a/review/lib/pipeline.mjs
+++ b/review/lib/pipeline.mjs
@@ -10,6 +10,10 @@
   /** True once an answer said that it closes the connection, or the connection ended. */
   closing = false
   ended = false
+  /** When the connection ended; undefined before. */
+  endedAt = undefined
+  /** True once this client has closed the connection itself. */
+  left = false
   #buffer = Buffer.alloc(0)
 
   constructor (host, port) {
@@ -26,8 +30,19 @@
     await new Promise((resolve, reject) => this.socket.once('connect', resolve).once('error', reject))
   }
 
+  /** Closes the connection. */
+  leave () {
+    this.left ||= !this.ended
+    this.socket.end()
+  }
+
+  /** Whether the other side closed the connection without a whole answer to the request, well before its deadline. */
+  cutOff (entry) {
+    return !entry.whole && !this.left && this.ended && this.endedAt - entry.sentAt < 0.9 * entry.deadline
+  }
+
   send (requestId, path, key, deadline = 2_500) {
-    const entry = { requestId, sentAt: performance.now(), status: undefined, whole: false, body: undefined }
+    const entry = { requestId, deadline, sentAt: performance.now(), status: undefined, whole: false, body: undefined }
     this.sent.push(entry)
     this.socket.write(`GET ${path} HTTP/1.1\r\nHost: app.example\r\nX-Briarsaddle-Request-Id: ${requestId}\r\nX-Briarsaddle-Deadline-Ms: ${deadline}\r\nX-Briarsaddle-Shard-Key: ${key}\r\n\r\n`)
     return entry
@@ -61,6 +76,7 @@
 
   #finish () {
     this.ended = this.closing = true
+    this.endedAt = performance.now()
     const entry = this.sent[this.answered]
     const end = this.#buffer.indexOf(endOfHead)
     // An answer without a length ends with its connection.
