--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -286,7 +286,7 @@
   /** Returns undefined when the request counts as not read, or when the caller has disconnected. */
   async #route ({ connection, turn, response, controller }: Exchange<Accepted>, accepted: Accepted, body: Buffer): Promise<CallerAnswer | undefined> {
     if (!connection.sequence.passOn(turn)) return undefined
-    const answer = await this.#handler.route(accepted, body, controller.signal)
+    const answer = await this.#handler.route(accepted, body, controller.signal, () => connection.sequence.closeAfter(turn))
     return response.closed ? undefined : answer
   }
 
@@ -307,9 +307,10 @@
     if (exchange.answered || !connection.exchanges.has(exchange)) return
     exchange.answered = true
     if (hasBody(request) && (bodyTooLarge || !request.complete)) connection.sequence.closeAfter(turn)
-    if (answer.endsWithConnection === true) connection.sequence.closeAfter(turn)
-    const bytes = answer.body.length
-    connection.answer(turn, bytes, closes => this.#send(exchange, answer, closes), this.#stopping !== undefined)
+    const mustStayOpen = answer.endsWithConnection === true && !connection.sequence.closeAfter(turn)
+    const final = mustStayOpen ? this.#handler.unknownOutcome('length_unknown', exchange.accepted) : answer
+    const bytes = final.body.length
+    connection.answer(turn, bytes, closes => this.#send(exchange, final, closes), this.#stopping !== undefined)
   }
 
   #send (exchange: Exchange<Accepted>, answer: CallerAnswer, closes: boolean): void {
--- a/packages/entry/src/pipelining.test.ts
+++ b/packages/entry/src/pipelining.test.ts
@@ -19,13 +19,14 @@
 
   override accept (request: CallerRequest): CallerRequest { return request }
 
-  override async route ({ target }: CallerRequest, _body: Buffer, signal: AbortSignal): Promise<CallerAnswer> {
+  override async route ({ target }: CallerRequest, _body: Buffer, signal: AbortSignal, mayEndConnection?: () => boolean): Promise<CallerAnswer> {
     const [name = '', milliseconds] = target.slice(1).split('-')
     this.routed.push(name)
     signal.addEventListener('abort', () => { this.cancelled++ })
     await delay(Number(milliseconds ?? 0), signal)
     if (name.startsWith('large')) return { status: 200, headers: [{ name: 'Content-Length', value: String(largeBytes) }, { name: 'Answer-To', value: name }], body: Buffer.alloc(largeBytes, 'x') }
     if (!name.startsWith('unframed')) return answerTo(name)
+    if (!name.endsWith('.unasked') && mayEndConnection?.() === false) return answerTo(name, 502)
     return { status: 200, headers: [{ name: 'Answer-To', value: name }], body: Buffer.from(name), endsWithConnection: true }
   }
 
@@ -56,6 +57,11 @@
   }
 }
 
+async function waitFor (condition: () => boolean, milliseconds: number): Promise<void> {
+  const until = performance.now() + milliseconds
+  while (!condition() && performance.now() < until) await delay(5)
+}
+
 describe('EntryServer, with requests that are sent one behind the other', () => {
   let handler: TimedHandler
   let server: EntryServer<CallerRequest>
@@ -116,6 +122,24 @@
     expect(milliseconds).to.be.lessThan(1_500)
   })
 
+  // Guards against answers that are dropped behind one that ends with the connection (LOST, review case 3).
+  it('does not end the connection with an answer while requests behind it have been passed on', async () => {
+    const caller = await start()
+    caller.send('unframed-50', 'behind-100')
+    await waitFor(() => caller.answers.length === 2, 2_000)
+    expect(caller.answers).to.deep.equal(['unframed 502', 'behind 200'])
+    caller.send('next-1')
+    await waitFor(() => caller.answers.at(-1) === 'next 200', 2_000)
+    expect(caller.answers.at(-1)).to.equal('next 200')
+  })
+
+  it('does not let a handler end the connection without asking', async () => {
+    const caller = await start()
+    caller.send('unframed.unasked-50', 'behind-100')
+    await waitFor(() => caller.answers.length === 2, 2_000)
+    expect(caller.answers).to.deep.equal(['length_unknown 502', 'behind 200'])
+  })
+
   it('does not run requests that arrive after it is decided that an answer ends the connection', async () => {
     const caller = await start()
     caller.send('slow-200', 'unframed-50')
--- a/packages/entry/src/request-handler.ts
+++ b/packages/entry/src/request-handler.ts
@@ -31,8 +31,11 @@
 export abstract class CallerRequestHandler<Accepted extends object> {
   /** Checks a request before its body is read. Returns the final answer when the request is refused. */
   abstract accept (request: CallerRequest): Accepted | CallerAnswer
-  /** Routes an accepted request. Always resolves to the final answer; after an abort at once, with the outcome known by then. */
-  abstract route (accepted: Accepted, body: Buffer, signal: AbortSignal): Promise<CallerAnswer>
+  /**
+   * Routes an accepted request. Always resolves to the final answer; after an abort at once, with the outcome known by then. An answer
+   * that ends with the connection may be returned only after `mayEndConnection` has returned true, which makes it the last answer.
+   */
+  abstract route (accepted: Accepted, body: Buffer, signal: AbortSignal, mayEndConnection: () => boolean): Promise<CallerAnswer>
   /** Creates the answer to a request that certainly did not run. `accepted` is missing when the request was not accepted yet. */
   abstract refusal (reason: string, accepted?: Accepted): CallerAnswer
   /** Creates the answer to a request that may have run. */
--- a/packages/router/src/request/range-router.ts
+++ b/packages/router/src/request/range-router.ts
@@ -1,7 +1,7 @@
 import { Logger, withTimeLimit, type Clock, type LogFields, type Random } from '@briarsaddle/common'
 import { CallerRequestHandler, endToEndHeaders, headerPairs, headerValue, isValidHeader, type CallerAnswer, type CallerHeader, type CallerRequest } from '@briarsaddle/entry'
 import { segmentAt, type KeyMap, type Segment } from '@briarsaddle/key-ranges'
-import { notRunAnswer, Outcome, ServiceClass, type Answer, type Forward } from '@briarsaddle/protocol'
+import { notRunAnswer, Outcome, ServiceClass, unknownAnswer, type Answer, type Forward } from '@briarsaddle/protocol'
 import { FastQuantile } from '@briarsaddle/scheduling'
 import type { StateAges } from '../control/state-ages.js'
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
@@ -57,6 +57,8 @@
   readonly routed: RoutedRequest
   readonly body: Buffer
   readonly signal: AbortSignal
+  /** Asks whether the caller's connection may end with the answer; once it has said so, it does. */
+  readonly mayEndConnection: () => boolean
   /** Endpoints that it was sent to without success. */
   readonly excluded: Set<string>
   /** Number of times that it was sent. */
@@ -146,9 +148,9 @@
     return { request, fields, route, pool, deadlineAt: request.arrivedAt + timeLimitMilliseconds, objectiveMilliseconds }
   }
 
-  override async route (routed: RoutedRequest, body: Buffer, signal: AbortSignal): Promise<CallerAnswer> {
+  override async route (routed: RoutedRequest, body: Buffer, signal: AbortSignal, mayEndConnection: () => boolean): Promise<CallerAnswer> {
     return await withTimeLimit(routed.deadlineAt - this.#clock.now(), signal, async limited => {
-      const state: RoutingState = { routed, body, signal: limited, excluded: new Set(), sent: 0, mayHaveRun: false, segment: undefined, endpoint: undefined, retriesSpent: false }
+      const state: RoutingState = { routed, body, signal: limited, mayEndConnection, excluded: new Set(), sent: 0, mayHaveRun: false, segment: undefined, endpoint: undefined, retriesSpent: false }
       const answer = await this.#run(state)
       return this.#finish(state, state.mayHaveRun && answer.outcome === Outcome.OUTCOME_NOT_RUN ? { ...answer, outcome: Outcome.OUTCOME_UNKNOWN } : answer)
     })
@@ -224,8 +226,9 @@
     state.sent++
     state.endpoint = endpoint.id
     if (pool.keyed) this.#chooser.started(pool.name, endpoint.id)
-    const answer = await this.#options.dispatcher.dispatch(endpoint, this.#forward(state, endpoint), state.signal)
-    this.#chooser.finished(pool.name, endpoint.id, answer, this.#clock.now() - startedAt)
+    const received = await this.#options.dispatcher.dispatch(endpoint, this.#forward(state, endpoint), state.signal)
+    this.#chooser.finished(pool.name, endpoint.id, received, this.#clock.now() - startedAt)
+    const answer = usableAnswer(received, state)
     if (answer.outcome === Outcome.OUTCOME_UNKNOWN) state.mayHaveRun = true
     // Endpoints end a request at its deadline with an error, which says nothing of the time that it takes.
     else if (answer.outcome === Outcome.OUTCOME_ANSWERED && answer.status < firstServerErrorStatus) this.#recordAnswerTime(state.routed.route, answer.serviceMilliseconds)
@@ -292,7 +295,7 @@
     state.retriesSpent = reached && !this.#options.retries.take(pool.name)
     if (state.retriesSpent) return false
     if (answer.reason === 'not_owner' || answer.reason === 'endpoint_unreachable' || answer.reason === leavingReason) await this.#options.changes.waitForChange(ownerWaitMilliseconds, state.signal)
-    else if (pool.keyed) await this.#options.changes.waitForChange(freeSlotWaitMilliseconds, state.signal)
+    else if (pool.keyed && answer.reason !== lengthUnknown) await this.#options.changes.waitForChange(freeSlotWaitMilliseconds, state.signal)
     return true
   }
 
@@ -358,6 +361,14 @@
   return outcome === Outcome.OUTCOME_NOT_RUN ? 'not-run' : 'unknown'
 }
 
+/**
+ * Only the end of the caller's connection can say how an answer without a length ended. When the connection has to stay open for requests
+ * behind this one, the outcome of this one is not known.
+ */
+function usableAnswer (answer: Answer, { mayEndConnection }: RoutingState): Answer {
+  return answer.outcome === Outcome.OUTCOME_ANSWERED && answer.reason === lengthUnknown && !mayEndConnection() ? unknownAnswer(lengthUnknown) : answer
+}
+
 function callerAnswer (answer: Answer, method: string, ownHeaders: readonly CallerHeader[]): CallerAnswer {
   const headers: CallerHeader[] = [...ownHeaders, ...answer.headers.filter(header => header.name.toLowerCase() !== 'content-length' && isValidHeader(header))]
   // With a Content-Length, a body that was cut off would look complete.
