Answer the requests before one that cannot be read (LOST)

Callers saw: a malformed, too large or late request, or one without a host or for a tunnel, ended the connection, and the requests before it, which endpoints were running, got no answer. Cause: clientError closed the connection when others were open on it; Node.js closed it by itself for CONNECT and a missing host. Change: the refusal has its place in the order of answers and is the last one of the connection. A missing host is refused by the entry.

--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -19,6 +19,7 @@
   /** Length of the answers that wait for answers before them, in bytes. */
   #waitingBytes = 0
   #paused = false
+  #finalBytes = ''
 
   constructor (socket: Socket) {
     this.#socket = socket
@@ -45,6 +46,13 @@
   /** Removes a request whose answer has been sent. */
   remove (exchange: Exchange): void {
     this.exchanges.delete(exchange)
+    if (this.exchanges.size === 0 && this.#finalBytes !== '') this.close()
+  }
+
+  /** Sends `bytes` once all answers have been sent, and closes the connection. */
+  closeAfterAnswers (bytes: string): void {
+    this.#finalBytes = bytes
+    if (this.exchanges.size === 0) this.close()
   }
 
   /** Closes the sending side, and the connection when the caller does so too, at the latest after `lingerMilliseconds`. */
@@ -52,7 +60,7 @@
     this.sequence.end()
     const socket = this.#socket
     if (socket.destroyed || socket.writableEnded) return
-    socket.end()
+    socket.end(this.#finalBytes)
     socket.resume()
     const timer = setTimeout(() => socket.destroy(), lingerMilliseconds)
     socket.once('close', () => clearTimeout(timer))
--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -67,6 +67,8 @@
   readingBody: boolean
   /** The body exceeds the limit. The connection is closed after the refusal, even if the whole body has arrived meanwhile. */
   bodyTooLarge: boolean
+  /** Reason of the refusal of a request whose body is not valid HTTP or did not arrive in time. */
+  invalidReason: string | undefined
   answered: boolean
 }
 
@@ -95,6 +97,8 @@
     const { maximumUnreadBytes = defaultMaximumUnreadBytes, unreadMilliseconds = defaultUnreadMilliseconds, clock } = options
     this.#unread = new UnreadAnswers({ maximumBytes: maximumUnreadBytes, silenceMilliseconds: unreadMilliseconds }, clock)
     this.#server = createServer({
+      // Node.js would answer by itself and close the connection.
+      requireHostHeader: false,
       maxHeaderSize: options.maximumHeaderBytes,
       headersTimeout: options.headersMilliseconds ?? defaultHeadersMilliseconds,
       requestTimeout: options.requestMilliseconds ?? defaultRequestMilliseconds,
@@ -106,6 +110,8 @@
     this.#server.on('connection', socket => this.#onConnection(socket))
     this.#server.on('drop', () => this.#onConnectionDropped())
     this.#server.on('clientError', (error, socket) => this.#onClientError(error, socket as Socket))
+    // Without this listener, Node.js would close the connection at once.
+    this.#server.on('connect', (_request, socket) => this.#refuseUnreadable(socket.resume() as Socket, 'bad_request'))
     const application = polka({ server: this.#server, onNoMatch: (request, response) => this.#handle(request, response) })
     // polka adds its properties to the request itself and creates `next` when it is missing.
     const onRequest = application.handler as unknown as (request: IncomingMessage, response: ServerResponse) => void
@@ -230,6 +236,7 @@
       accepted: undefined,
       readingBody: false,
       bodyTooLarge: false,
+      invalidReason: undefined,
       answered: false
     }
     this.#exchanges.add(exchange)
@@ -258,6 +265,8 @@
   /** Returns the final answer, or undefined when the caller has disconnected. */
   async #answer (exchange: Exchange<Accepted>): Promise<CallerAnswer | undefined> {
     const { request, response, controller } = exchange
+    if (exchange.invalidReason !== undefined) return this.#handler.refusal(exchange.invalidReason)
+    if (request.headers.host === undefined && request.httpVersion === '1.1') return this.#handler.refusal('bad_request')
     const accepted = this.#handler.accept(this.#toCallerRequest(exchange))
     if (isAnswer(accepted)) return accepted
     exchange.accepted = accepted
@@ -336,18 +345,30 @@
     logger.warning('connection of a caller refused: the limit of open connections is reached', { limit: this.#options.maximumCallerConnections, refused: this.#refusedConnections, inFlight: this.#exchanges.size })
   }
 
-  /** Answers a request that is not valid HTTP or did not arrive in time. */
+  /** Refuses a request that is not valid HTTP or did not arrive in time, after the answers to the requests before it. */
   #onClientError (error: Error, socket: Socket): void {
-    const open = [...this.#exchanges].filter(exchange => exchange.request.socket === socket)
-    // With other requests open on the connection, the caller would take this answer for the answer to an earlier one.
-    const answerable = open.length === 0 || (open.length === 1 && open[0]?.readingBody === true && !open[0].response.headersSent)
-    if (!socket.writable || !answerable || errorCode(error) === 'ECONNRESET') {
-      socket.destroy()
+    const code = errorCode(error)
+    if (code === 'ECONNRESET') socket.destroy()
+    if (!socket.writable) return
+    const reason = clientErrorReasons.get(code) ?? 'bad_request'
+    const newest = [...this.#connections.get(socket)?.exchanges ?? []].at(-1)
+    if (newest === undefined || newest.request.complete) {
+      this.#refuseUnreadable(socket, reason)
       return
     }
-    const answer = this.#handler.refusal(clientErrorReasons.get(errorCode(error)) ?? 'bad_request', open[0]?.accepted)
+    newest.invalidReason = reason
+    if (newest.readingBody) this.#write(newest, this.#handler.refusal(reason, newest.accepted))
+  }
+
+  /** Refuses a request whose head could not be read, and closes the connection. */
+  #refuseUnreadable (socket: Socket, reason: string): void {
+    const connection = this.#connections.get(socket)
+    const turn = connection?.sequence.add()
+    if (connection === undefined || turn === undefined) return
+    connection.sequence.closeAfter(turn)
+    const answer = this.#handler.refusal(reason)
     const head = answer.headers.map(({ name, value }) => `${name}: ${value}\r\n`).join('')
-    socket.end(`HTTP/1.1 ${answer.status} Refused\r\n${head}Connection: close\r\n\r\n${answer.body.toString()}`)
+    connection.closeAfterAnswers(`HTTP/1.1 ${answer.status} Refused\r\n${head}Connection: close\r\n\r\n${answer.body.toString()}`)
   }
 }
 
--- a/packages/entry/src/pipelining.test.ts
+++ b/packages/entry/src/pipelining.test.ts
@@ -150,6 +150,34 @@
     expect(handler.routed).to.deep.equal(['slow', 'unframed'])
   })
 
+  // Guards against answers that are dropped because a later request on the connection cannot be read (LOST).
+  for (const [what, bytes] of [
+    ['is malformed', 'BAD BAD BAD\r\n\r\n'],
+    ['has too large a head', `GET /x HTTP/1.1\r\nHost: a\r\nX: ${'x'.repeat(20_000)}\r\n\r\n`],
+    ['is for a tunnel', 'CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n'],
+    ['has no host', 'GET /nohost HTTP/1.1\r\n\r\n'],
+    ['has a malformed body', 'POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nno length\r\n']
+  ] as const) {
+    it(`answers the requests before one that ${what}, then refuses that one`, async () => {
+      const caller = await start()
+      caller.send('slow-150', 'ready-1')
+      caller.socket.write(bytes)
+      await waitFor(() => caller.answers.length === 3, 2_000)
+      expect(caller.answers.slice(0, 2)).to.deep.equal(['slow 200', 'ready 200'])
+      expect(caller.answers[2]).to.match(/ 503$/)
+      expect(handler.routed).to.deep.equal(['slow', 'ready'])
+    })
+  }
+
+  it('answers the requests before one that does not arrive in time', async function () {
+    this.timeout(10_000)
+    const caller = await start({ headersMilliseconds: 500 })
+    caller.send('slow-3000')
+    caller.socket.write('GET /half HTTP/1.1\r\n')
+    await closed(caller)
+    expect(caller.answers).to.deep.equal(['slow 200', 'request_timeout 503'])
+  })
+
   it('answers the requests before one that asks for a close, and ignores what is sent after it', async () => {
     const caller = await start()
     caller.send('slow-150')
