Do not cut off answers that are being sent when the lame-duck time ends (LOST)

Callers saw: in a planned stop, one that read a large answer slowly lost its end and the answers behind it. Cause: Server.close of Node.js closes idle connections, and counts one as idle when its answer is ended, though not sent. Change: the server closes no connections by itself; those without a request in flight are closed gracefully. Result: "sends the rest of an answer" fails before (the answer behind is missing) and passes.

--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -1,4 +1,4 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { Server, type IncomingMessage, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import polka from 'polka'
 import { BriarsaddleError, delay, processTurnQueue, Logger, describeError, errorCode, type Clock, type LoopDelay } from '@briarsaddle/common'
@@ -72,6 +72,11 @@
   answered: boolean
 }
 
+/** Its `close` does not close connections: Node.js takes one for idle whose answer is ended and not yet sent. */
+class ListeningServer extends Server {
+  override closeIdleConnections (): void {}
+}
+
 /** HTTP/1.1 server for callers. A `CallerRequestHandler` routes the requests. */
 export class EntryServer<Accepted extends object> {
   readonly #options: EntryServerOptions
@@ -96,7 +101,7 @@
     this.#maximumBodyBytes = options.maximumBodyBytes
     const { maximumUnreadBytes = defaultMaximumUnreadBytes, unreadMilliseconds = defaultUnreadMilliseconds, clock } = options
     this.#unread = new UnreadAnswers({ maximumBytes: maximumUnreadBytes, silenceMilliseconds: unreadMilliseconds }, clock)
-    this.#server = createServer({
+    this.#server = new ListeningServer({
       // Node.js would answer by itself and close the connection.
       requireHostHeader: false,
       maxHeaderSize: options.maximumHeaderBytes,
--- a/packages/entry/src/pipelining.test.ts
+++ b/packages/entry/src/pipelining.test.ts
@@ -5,13 +5,18 @@
 import { EntryServer, type EntryServerOptions } from './entry-server.js'
 import { CallerRequestHandler, type CallerAnswer, type CallerRequest } from './request-handler.js'
 
-// Fits into the buffers of the kernel.
+// The former fits into the buffers of the kernel, the latter does not.
 const largeBytes = 1_000_000
+const hugeBytes = 16_000_000
 
 function answerTo (name: string, status = 200): CallerAnswer {
   return { status, headers: [{ name: 'Content-Length', value: String(name.length) }, { name: 'Answer-To', value: name }], body: Buffer.from(name) }
 }
 
+function answerOf (name: string, bytes: number): CallerAnswer {
+  return { status: 200, headers: [{ name: 'Content-Length', value: String(bytes) }, { name: 'Answer-To', value: name }], body: Buffer.alloc(bytes, 'x') }
+}
+
 /** Answers `/NAME-MILLISECONDS` after that time. The answer to a request of `unframed` ends with the connection where that is allowed. */
 class TimedHandler extends CallerRequestHandler<CallerRequest> {
   readonly routed: string[] = []
@@ -24,7 +29,8 @@
     this.routed.push(name)
     signal.addEventListener('abort', () => { this.cancelled++ })
     await delay(Number(milliseconds ?? 0), signal)
-    if (name.startsWith('large')) return { status: 200, headers: [{ name: 'Content-Length', value: String(largeBytes) }, { name: 'Answer-To', value: name }], body: Buffer.alloc(largeBytes, 'x') }
+    if (name.startsWith('large')) return answerOf(name, largeBytes)
+    if (name.startsWith('huge')) return answerOf(name, hugeBytes)
     if (!name.startsWith('unframed')) return answerTo(name)
     if (!name.endsWith('.unasked') && mayEndConnection?.() === false) return answerTo(name, 502)
     return { status: 200, headers: [{ name: 'Answer-To', value: name }], body: Buffer.from(name), endsWithConnection: true }
@@ -198,6 +204,21 @@
     expect(handler.routed).to.deep.equal(['slow'])
   })
 
+  // Guards against the end of an answer that is cut off by a planned stop while it is sent, with those behind it (LOST).
+  it('sends the rest of an answer, and those behind it, when a stop begins while a caller reads slowly', async function () {
+    this.timeout(10_000)
+    const caller = await start()
+    caller.socket.pause()
+    caller.send('huge-1', 'behind-400')
+    await delay(100)
+    const stopped = server.stop(3_000, 100)
+    await delay(300)
+    caller.socket.resume()
+    await closed(caller)
+    await stopped
+    expect(caller.answers).to.deep.equal(['huge 200', 'behind 200'])
+  })
+
   // Guards against answers that the caller loses because the connection is closed, and thereby reset, while it still sends.
   it('sends the last answer completely to a caller that reads slowly and goes on sending', async () => {
     const caller = await start()
