Cancel all requests of a connection that is reset

Cause: when a connection ends without a FIN of the caller, Node.js reports it only to the answer that is being sent. Requests behind it ran on for a caller that had left (GONE), and were counted as in flight for good, so that a stop waited for the whole grace period. Change: the end of the connection cancels and removes all of its requests.

--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -211,7 +211,12 @@
     processTurnQueue.connectionAccepted()
     const connection = new CallerConnection<Exchange<Accepted>>(socket)
     this.#connections.set(socket, connection)
-    socket.once('close', () => this.#connections.delete(socket))
+    socket.once('close', () => {
+      this.#connections.delete(socket)
+      // Node.js reports the end of the connection only to the answer that is being sent, not to those that wait behind it.
+      connection.abort()
+      for (const exchange of connection.exchanges) this.#remove(exchange)
+    })
   }
 
   #remove (exchange: Exchange<Accepted>): void {
--- a/packages/entry/src/pipelining.test.ts
+++ b/packages/entry/src/pipelining.test.ts
@@ -219,6 +219,19 @@
     expect(caller.answers).to.deep.equal(['huge 200', 'behind 200'])
   })
 
+  // Guards against work that goes on for callers that have left (GONE), and a stop that waits for them.
+  it('cancels all requests of a connection that is reset, and forgets them', async () => {
+    const caller = await start()
+    caller.send('slow-2000', 'slow-2000', 'slow-2000')
+    await waitFor(() => handler.routed.length === 3, 2_000)
+    caller.socket.resetAndDestroy()
+    await waitFor(() => handler.cancelled === 3, 500)
+    expect(handler.cancelled).to.equal(3)
+    await waitFor(() => server.inFlight === 0, 500)
+    expect(server.inFlight).to.equal(0)
+    expect(server.unreadBytes).to.equal(0)
+  })
+
   // Guards against answers that the caller loses because the connection is closed, and thereby reset, while it still sends.
   it('sends the last answer completely to a caller that reads slowly and goes on sending', async () => {
     const caller = await start()
