Count answers that wait for an earlier one on their connection

Cause: an answer held behind an unanswered request was not in the bytes that bound unread answers. Change: an answer counts from when it is ready; the caller's silence counts only while it is being sent. Waiting answers are the last to be closed for memory.

--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -70,6 +70,8 @@
   /** Reason of the refusal of a request whose body is not valid HTTP or did not arrive in time. */
   invalidReason: string | undefined
   answered: boolean
+  /** Ends the count of the bytes of the answer. */
+  releaseAnswer: () => void
 }
 
 /** Its `close` does not close connections: Node.js takes one for idle whose answer is ended and not yet sent. */
@@ -221,6 +223,7 @@
 
   #remove (exchange: Exchange<Accepted>): void {
     const { connection } = exchange
+    exchange.releaseAnswer()
     connection.remove(exchange)
     this.#exchanges.delete(exchange)
     if (this.#exchanges.size === 0) this.#onIdle?.()
@@ -247,7 +250,8 @@
       readingBody: false,
       bodyTooLarge: false,
       invalidReason: undefined,
-      answered: false
+      answered: false,
+      releaseAnswer: () => {}
     }
     this.#exchanges.add(exchange)
     connection.exchanges.add(exchange)
@@ -322,13 +326,14 @@
 
   /** Writes the answer to a request as soon as the answers before it on its connection have been written. */
   #write (exchange: Exchange<Accepted>, answer: CallerAnswer): void {
-    const { request, connection, turn, bodyTooLarge } = exchange
+    const { request, response, connection, turn, bodyTooLarge } = exchange
     if (exchange.answered || !connection.exchanges.has(exchange)) return
     exchange.answered = true
     if (hasBody(request) && (bodyTooLarge || !request.complete)) connection.sequence.closeAfter(turn)
     const mustStayOpen = answer.endsWithConnection === true && !connection.sequence.closeAfter(turn)
     const final = mustStayOpen ? this.#handler.unknownOutcome('length_unknown', exchange.accepted) : answer
     const bytes = final.body.length
+    exchange.releaseAnswer = this.#unread.add(response, request.socket, bytes)
     connection.answer(turn, bytes, closes => this.#send(exchange, final, closes), this.#stopping !== undefined)
   }
 
@@ -345,7 +350,6 @@
       if (response.headersSent) request.socket.destroy()
       else this.#send(exchange, this.#handler.unknownOutcome('internal_error', exchange.accepted), closes)
     }
-    this.#unread.add(response, answer.body.length)
     // Drops what is left of a body that is not read.
     request.resume()
   }
--- a/packages/entry/src/pipelining.test.ts
+++ b/packages/entry/src/pipelining.test.ts
@@ -232,6 +232,28 @@
     expect(server.unreadBytes).to.equal(0)
   })
 
+  // Guards against a connection that is taken for one whose caller does not read, because an answer waits for an earlier one.
+  it('keeps a connection on which an answer waits longer for an earlier one than callers may take to read', async function () {
+    this.timeout(10_000)
+    const caller = await start({ unreadMilliseconds: 500 })
+    caller.send('slow-2500', 'ready-1')
+    await waitFor(() => caller.answers.length === 2, 4_000)
+    expect(caller.answers).to.deep.equal(['slow 200', 'ready 200'])
+  })
+
+  // Guards against memory that answers hold while they wait for an earlier one, which no limit counts.
+  it('counts answers that wait, and reads no further requests of their connection', async () => {
+    const caller = await start()
+    caller.send('slow-1000', 'large-1')
+    await waitFor(() => server.unreadBytes > 0, 1_000)
+    expect(server.unreadBytes).to.equal(largeBytes)
+    caller.send('later-1')
+    await delay(200)
+    expect(handler.routed).to.deep.equal(['slow', 'large'])
+    await waitFor(() => caller.answers.length === 3, 3_000)
+    expect(caller.answers).to.deep.equal(['slow 200', 'large 200', 'later 200'])
+  })
+
   // Guards against answers that the caller loses because the connection is closed, and thereby reset, while it still sends.
   it('sends the last answer completely to a caller that reads slowly and goes on sending', async () => {
     const caller = await start()
--- a/packages/entry/src/unread-answers.ts
+++ b/packages/entry/src/unread-answers.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { Logger, type Clock } from '@briarsaddle/common'
 
 const logger = new Logger('entry')
@@ -13,6 +14,7 @@
 
 interface UnreadAnswer {
   readonly response: ServerResponse
+  readonly socket: Socket
   readonly bytes: number
   /** Bytes that the connection had sent when it was last looked at. */
   sent: number
@@ -38,42 +40,47 @@
   /** Total length of the answers that are not sent completely, in bytes. */
   get bytes (): number { return this.#bytes }
 
-  /** Counts an answer whose end has been written, until the operating system has taken all of it. */
-  add (response: ServerResponse, bytes: number): void {
-    if (response.writableFinished || response.destroyed) return
-    const answer: UnreadAnswer = { response, bytes, sent: sentBytes(response), readAt: this.#clock.now() }
+  /** Counts an answer, also while it waits for others on its connection. Returns a function that ends the count. */
+  add (response: ServerResponse, socket: Socket, bytes: number): () => void {
+    const answer: UnreadAnswer = { response, socket, bytes, sent: sentBytes(socket), readAt: this.#clock.now() }
     this.#unread.add(answer)
     this.#bytes += bytes
-    const end = (): void => {
-      if (this.#unread.delete(answer)) this.#bytes -= bytes
-    }
-    response.once('finish', end).once('close', end)
     while (this.#bytes > this.#limits.maximumBytes) this.#close(this.#slowest(), 'memory')
+    return () => this.#remove(answer)
   }
 
   /** Closes the connections of callers that have read nothing for too long. Called periodically. */
   closeSilent (): void {
     const now = this.#clock.now()
     for (const answer of this.#unread) {
-      const sent = sentBytes(answer.response)
-      if (sent !== answer.sent) Object.assign(answer, { sent, readAt: now })
+      const sent = sentBytes(answer.socket)
+      // The caller cannot read an answer that waits for others.
+      if (sent !== answer.sent || !isBeingSent(answer.response)) Object.assign(answer, { sent, readAt: now })
       else if (now - answer.readAt >= this.#limits.silenceMilliseconds) this.#close(answer, 'silence')
     }
   }
 
-  /** The answer whose caller has read nothing for longest, by the last look; the largest among equals. */
+  /** The answer whose caller has read nothing for longest, by the last look; the largest among equals. Answers that wait for others come last. */
   #slowest (): UnreadAnswer {
-    return [...this.#unread].sort((one, other) => one.readAt - other.readAt || other.bytes - one.bytes)[0] as UnreadAnswer
+    const waits = ({ response }: UnreadAnswer): number => Number(!isBeingSent(response))
+    return [...this.#unread].sort((one, other) => waits(one) - waits(other) || one.readAt - other.readAt || other.bytes - one.bytes)[0] as UnreadAnswer
+  }
+
+  #remove (answer: UnreadAnswer): void {
+    if (this.#unread.delete(answer)) this.#bytes -= answer.bytes
   }
 
   #close (answer: UnreadAnswer, limit: 'memory' | 'silence'): void {
     logger.warning('connection closed: its caller does not read the answer', { limit, answerBytes: answer.bytes, unreadBytes: this.#bytes, silentMilliseconds: Math.round(this.#clock.now() - answer.readAt) })
-    this.#unread.delete(answer)
-    this.#bytes -= answer.bytes
-    answer.response.destroy()
+    this.#remove(answer)
+    answer.socket.destroy()
   }
 }
 
-function sentBytes ({ socket }: ServerResponse): number {
-  return socket === null ? 0 : socket.bytesWritten - socket.writableLength
+function isBeingSent ({ headersSent, socket }: ServerResponse): boolean {
+  return headersSent && socket !== null
+}
+
+function sentBytes (socket: Socket): number {
+  return socket.bytesWritten - socket.writableLength
 }
