Bound the requests of a connection that wait for answers

Cause: a caller that sends many requests behind a slow one made the VM hold all of them; only answers that waited were bounded, by their bytes, and since the order of answers is kept here, those without a body not at all. Change: with 100 open requests, a connection is not read until some have been answered.

--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -4,6 +4,8 @@
 // After its last answer, a connection is read for up to this time. Closing it with unread bytes would reset it, and its caller could
 // lose answers that are still on their way.
 const lingerMilliseconds = 1_000
+// Requests of a connection that may wait for their answers. Callers that send more are read when some have been answered.
+const maximumOpenRequests = 100
 
 /** What a connection needs to know of a request whose answer has not been sent completely. */
 export interface ConnectionExchange {
@@ -13,8 +15,7 @@
 /** One connection of a caller. It closes gracefully: all answers are sent, then the rest of what the caller sends is dropped. */
 export class CallerConnection<Exchange extends ConnectionExchange> {
   readonly sequence = new AnswerSequence()
-  /** Requests whose answers have not been sent completely, oldest first. */
-  readonly exchanges = new Set<Exchange>()
+  readonly #exchanges = new Set<Exchange>()
   readonly #socket: Socket
   /** Length of the answers that wait for answers before them, in bytes. */
   #waitingBytes = 0
@@ -28,9 +29,19 @@
     socket.on('end', () => this.abort())
   }
 
+  /** Requests whose answers have not been sent completely, oldest first. */
+  get exchanges (): ReadonlySet<Exchange> { return this.#exchanges }
+
   /** Aborts all requests. */
   abort (): void {
-    for (const { controller } of this.exchanges) controller.abort()
+    for (const { controller } of this.#exchanges) controller.abort()
+  }
+
+  /** Adds a request that has been read. */
+  add (exchange: Exchange): void {
+    this.#exchanges.add(exchange)
+    // Node.js resumes the connection at the end of each request that it parses, so a pause now would not last.
+    if (this.#isFull) process.nextTick(() => this.#pauseOrResume())
   }
 
   /** Writes an answer of the given length as soon as the answers before it have been written; see `AnswerSequence`. */
@@ -45,14 +56,15 @@
 
   /** Removes a request whose answer has been sent. */
   remove (exchange: Exchange): void {
-    this.exchanges.delete(exchange)
-    if (this.exchanges.size === 0 && this.#finalBytes !== '') this.close()
+    this.#exchanges.delete(exchange)
+    this.#pauseOrResume()
+    if (this.#exchanges.size === 0 && this.#finalBytes !== '') this.close()
   }
 
   /** Sends `bytes` once all answers have been sent, and closes the connection. */
   closeAfterAnswers (bytes: string): void {
     this.#finalBytes = bytes
-    if (this.exchanges.size === 0) this.close()
+    if (this.#exchanges.size === 0) this.close()
   }
 
   /** Closes the sending side, and the connection when the caller does so too, at the latest after `lingerMilliseconds`. */
@@ -66,12 +78,15 @@
     socket.once('close', () => clearTimeout(timer))
   }
 
-  /** Stops reading requests while many bytes of answers wait for an earlier one, as Node.js does for answers that it holds. */
+  get #isFull (): boolean {
+    return this.#exchanges.size >= maximumOpenRequests || this.#waitingBytes >= this.#socket.writableHighWaterMark
+  }
+
+  /** Stops reading while many requests are open, or many bytes of answers wait for an earlier one. */
   #pauseOrResume (): void {
-    const isFull = this.#waitingBytes >= this.#socket.writableHighWaterMark
-    if (isFull === this.#paused) return
-    this.#paused = isFull
-    if (isFull) this.#socket.pause()
+    if (this.#isFull === this.#paused) return
+    this.#paused = this.#isFull
+    if (this.#paused) this.#socket.pause()
     else this.#socket.resume()
   }
 }
--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -254,7 +254,7 @@
       releaseAnswer: () => {}
     }
     this.#exchanges.add(exchange)
-    connection.exchanges.add(exchange)
+    connection.add(exchange)
     response.on('close', () => {
       if (!response.writableFinished) exchange.controller.abort()
       this.#remove(exchange)
--- a/packages/entry/src/pipelining.test.ts
+++ b/packages/entry/src/pipelining.test.ts
@@ -30,6 +30,7 @@
     signal.addEventListener('abort', () => { this.cancelled++ })
     await delay(Number(milliseconds ?? 0), signal)
     if (name.startsWith('large')) return answerOf(name, largeBytes)
+    if (name.startsWith('empty')) return answerOf(name, 0)
     if (name.startsWith('huge')) return answerOf(name, hugeBytes)
     if (!name.startsWith('unframed')) return answerTo(name)
     if (!name.endsWith('.unasked') && mayEndConnection?.() === false) return answerTo(name, 502)
@@ -254,6 +255,22 @@
     expect(caller.answers).to.deep.equal(['slow 200', 'large 200', 'later 200'])
   })
 
+  // Guards against memory that requests without an answer hold, without a limit for one connection.
+  it('reads no further requests while many of a connection are open, and answers all in the end', async function () {
+    this.timeout(10_000)
+    const caller = await start()
+    const requests = 10_000
+    const readBytes = 65_536
+    const requestBytes = 'GET /empty-300 HTTP/1.1\r\nHost: a\r\n\r\n'.length
+    caller.send(...Array.from({ length: requests }, () => 'empty-300'))
+    await waitFor(() => handler.routed.length > 0, 2_000)
+    await delay(200)
+    expect(handler.routed.length).to.be.within(1, 100 + Math.ceil(readBytes / requestBytes))
+    await waitFor(() => handler.routed.length === requests, 8_000)
+    await waitFor(() => caller.answers.length === requests, 2_000)
+    expect(caller.answers).to.have.length(requests)
+  })
+
   // Guards against answers that the caller loses because the connection is closed, and thereby reset, while it still sends.
   it('sends the last answer completely to a caller that reads slowly and goes on sending', async () => {
     const caller = await start()
