End requests for status pages that do not end

Node.js reads and drops the body of such a request for five minutes, as fast as it comes, in the process that serves callers. Change: a request for a status page may take 5 s. listen returns the port.

--- a/packages/router/src/status-server.ts
+++ b/packages/router/src/status-server.ts
@@ -1,9 +1,13 @@
 import { createServer, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import polka from 'polka'
 import { BriarsaddleError, describeError, Logger, type LifeCycle } from '@briarsaddle/common'
 import type { ListenAddress } from './node-settings.js'
 
 const logger = new Logger('status')
+// A request that does not end is not read on. Node.js would read and drop its body for five minutes.
+const requestMilliseconds = 5_000
+const connectionCheckMilliseconds = 1_000
 
 /** Response of a status page. */
 export interface StatusPage {
@@ -23,9 +27,9 @@
     this.#actions = actions
   }
 
-  /** Starts to listen. Throws `listen_failed`. */
-  async listen ({ host, port }: ListenAddress, lifeCycle: LifeCycle): Promise<void> {
-    const server = createServer()
+  /** Starts to listen and returns the port. Throws `listen_failed`. */
+  async listen ({ host, port }: ListenAddress, lifeCycle: LifeCycle): Promise<number> {
+    const server = createServer({ requestTimeout: requestMilliseconds, headersTimeout: requestMilliseconds, connectionsCheckingInterval: connectionCheckMilliseconds })
     const application = polka({ server })
     for (const [path, page] of Object.entries(this.#pages)) {
       application.get(path, async (_request, response) => send(response, await contentOf(path, page)))
@@ -44,6 +48,7 @@
       server.close()
       server.closeAllConnections()
     })
+    return (server.address() as AddressInfo).port
   }
 }
 
