--- a/packages/router/src/request/range-router.ts
+++ b/packages/router/src/request/range-router.ts
@@ -61,6 +61,8 @@
   readonly mayEndConnection: () => boolean
   /** Endpoints that it was sent to without success. */
   readonly excluded: Set<string>
+  /** Endpoints that it has reached; their number is limited by the route. */
+  readonly reached: Set<string>
   /** Number of times that it was sent. */
   sent: number
   /** Whether a send had an unknown outcome. */
@@ -91,6 +93,8 @@
 // A request with this share of its route's time left is sent, however long answers take.
 const alwaysSentShare = 0.5
 const firstServerErrorStatus = 500
+// A request that has reached no endpoint is sent once more, also on a route that allows one endpoint.
+const leastSends = 2
 
 /** Routes the requests of callers to the endpoints that own their keys, or to any endpoint of a pool without keys. */
 export class RangeRouter extends CallerRequestHandler<RoutedRequest> {
@@ -150,7 +154,7 @@
 
   override async route (routed: RoutedRequest, body: Buffer, signal: AbortSignal, mayEndConnection: () => boolean): Promise<CallerAnswer> {
     return await withTimeLimit(routed.deadlineAt - this.#clock.now(), signal, async limited => {
-      const state: RoutingState = { routed, body, signal: limited, mayEndConnection, excluded: new Set(), sent: 0, mayHaveRun: false, segment: undefined, endpoint: undefined, retriesSpent: false }
+      const state: RoutingState = { routed, body, signal: limited, mayEndConnection, excluded: new Set(), reached: new Set(), sent: 0, mayHaveRun: false, segment: undefined, endpoint: undefined, retriesSpent: false }
       const answer = await this.#run(state)
       return this.#finish(state, state.mayHaveRun && answer.outcome === Outcome.OUTCOME_NOT_RUN ? { ...answer, outcome: Outcome.OUTCOME_UNKNOWN } : answer)
     })
@@ -170,15 +174,20 @@
   }
 
   async #run (state: RoutingState): Promise<Answer> {
+    let previous: { readonly answer: Answer, readonly fence: number | undefined } | undefined
     for (;;) {
       const { poison } = this.#options
       const refusedMilliseconds = poison.size === 0 ? undefined : poison.refusedFor(this.#content(state))
       if (refusedMilliseconds !== undefined) return notRunAnswer(poisonReason, { retryAfterMilliseconds: refusedMilliseconds })
       const endpoint = await this.#locate(state)
       if ('outcome' in endpoint) return endpoint
+      if (previous !== undefined) {
+        if (!mayReach(state, endpoint)) return previous.answer
+        this.#recordRepeat(state, previous.answer, previous.fence)
+      }
       const answer = await this.#send(state, endpoint)
+      previous = { answer, fence: state.segment?.fence }
       if (!await this.#maySendAgain(state, endpoint, answer)) return answer
-      this.#recordRepeat(state, answer)
     }
   }
 
@@ -229,6 +238,7 @@
     const received = await this.#options.dispatcher.dispatch(endpoint, this.#forward(state, endpoint), state.signal)
     this.#chooser.finished(pool.name, endpoint.id, received, this.#clock.now() - startedAt)
     const answer = usableAnswer(received, state)
+    if (hasReached(answer)) state.reached.add(endpoint.id)
     if (answer.outcome === Outcome.OUTCOME_UNKNOWN) state.mayHaveRun = true
     // Endpoints end a request at its deadline with an error, which says nothing of the time that it takes.
     else if (answer.outcome === Outcome.OUTCOME_ANSWERED && answer.status < firstServerErrorStatus) this.#recordAnswerTime(state.routed.route, answer.serviceMilliseconds)
@@ -286,11 +296,13 @@
   async #maySendAgain (state: RoutingState, endpoint: EndpointEntry, answer: Answer): Promise<boolean> {
     if (answer.outcome === Outcome.OUTCOME_ANSWERED || answer.reason === poisonReason || state.signal.aborted) return false
     const { route, pool } = state.routed
-    if (state.sent >= Math.max(2, route.attempts) || this.#remaining(state) < Math.max(minimumRemainingMilliseconds, this.#leastTime(route))) return false
-    if (answer.outcome === Outcome.OUTCOME_UNKNOWN && !route.idempotent) return false
+    if (state.sent >= Math.max(leastSends, route.attempts) || this.#remaining(state) < Math.max(minimumRemainingMilliseconds, this.#leastTime(route))) return false
+    if (answer.outcome === Outcome.OUTCOME_UNKNOWN && (!route.idempotent || state.sent >= route.attempts)) return false
+    // A repeat would go to another endpoint.
+    if ((!pool.keyed || answer.reason === 'not_owner') && state.reached.size >= route.attempts) return false
     state.excluded.add(endpoint.id)
     // A request that was refused before it reached the endpoint does not count against the retry budget.
-    const reached = answer.outcome === Outcome.OUTCOME_UNKNOWN || answer.reason === 'endpoint_full' || answer.reason === 'not_owner'
+    const reached = hasReached(answer)
     if (pool.keyed && !reached && answer.reason !== 'endpoint_unreachable' && answer.reason !== leavingReason) return false
     state.retriesSpent = reached && !this.#options.retries.take(pool.name)
     if (state.retriesSpent) return false
@@ -316,10 +328,10 @@
     return this.#renderOwn(own, fields.requestId)
   }
 
-  #recordRepeat (state: RoutingState, { reason }: Answer): void {
-    const { routed: { fields, pool }, sent, endpoint, segment } = state
+  #recordRepeat (state: RoutingState, { reason }: Answer, fence: number | undefined): void {
+    const { routed: { fields, pool }, sent, endpoint } = state
     this.#options.metrics.resent(pool.name, reason)
-    logger.info('request is sent again', { request: fields.requestId, pool: pool.name, key: fields.key, endpoint, fence: segment?.fence, reason, sent, remainingMilliseconds: Math.round(this.#remaining(state)) })
+    logger.info('request is sent again', { request: fields.requestId, pool: pool.name, key: fields.key, endpoint, fence, reason, sent, remainingMilliseconds: Math.round(this.#remaining(state)) })
   }
 
   /** Refuses a request that is not routed. `inputs` are log fields with the data that decided the refusal. */
@@ -345,6 +357,16 @@
   }
 }
 
+/** Whether the endpoint may have received the request, even if it has refused it. */
+function hasReached ({ outcome, reason }: Answer): boolean {
+  return outcome !== Outcome.OUTCOME_NOT_RUN || reason === 'endpoint_full' || reason === 'not_owner'
+}
+
+/** Whether the route allows the request to reach this endpoint besides those that it has reached. */
+function mayReach ({ reached, routed: { route } }: RoutingState, { id }: EndpointEntry): boolean {
+  return reached.has(id) || reached.size < route.attempts
+}
+
 /** Log fields of the routing decision: the last endpoint, and the owner of the key with its fencing token in the key map. */
 function routingFields ({ segment, endpoint, retriesSpent }: RoutingState): LogFields {
   return {
--- a/packages/router/src/stand-ins/single-endpoint-router.ts
+++ b/packages/router/src/stand-ins/single-endpoint-router.ts
@@ -30,9 +30,11 @@
   reply: EndpointReply = { kind: 'broken', reason: 'connection_broken' }
   readonly next: EndpointReply[] = []
   workMilliseconds = 0
-  received = 0
-  override async send (): Promise<EndpointReply> {
-    this.received++
+  /** Ids of the endpoints that requests were sent to. */
+  readonly sentTo: string[] = []
+  get received (): number { return this.sentTo.length }
+  override async send ({ id }: EndpointEntry): Promise<EndpointReply> {
+    this.sentTo.push(id)
     if (this.workMilliseconds > 0) await delay(this.workMilliseconds)
     return this.next.shift() ?? this.reply
   }
@@ -48,7 +50,8 @@
 }
 
 const entry: EndpointEntry = { id: 'e1', pool: 'ponds', host: '127.0.0.1', port: 1, dataCentre: 'a', slots: 2, leaving: false, life: 1, warmUpMilliseconds: 0 }
-const directory: Directory = new Map([['e1', entry]])
+const plainEntries = ['d1', 'd2'].map((id, index): EndpointEntry => ({ ...entry, id, pool: 'desk', port: 2 + index }))
+const directory: Directory = new Map([entry, ...plainEntries].map(listed => [listed.id, listed]))
 const owner = { endpoint: 'e1', life: 1, address: '127.0.0.1:1' }
 const map: KeyMap = { author: 'vm-1', fence: 44, vms: [], pools: { ponds: [{ from: 0, to: 65_535, owner, fence: 43, moving: false, former: [], handover: '' }] } }
 /** Routing table whose only route repeats requests once. */
@@ -58,7 +61,7 @@
   pools: [{ name: 'ponds', keyed: true, maximumConnections: 100 }]
 }
 
-/** A router in front of one endpoint that holds all keys. The retry budget grants `repeats` repeats. */
+/** A router in front of one endpoint that holds all keys, and a pool `desk` of two endpoints without keys. The retry budget grants `repeats` repeats. */
 export class SingleEndpointRouter {
   readonly metrics = new RouterMetrics()
   readonly endpoint = new FixedEndpoint()
