--- a/packages/daemon/src/coordinator/answers.ts
+++ b/packages/daemon/src/coordinator/answers.ts
@@ -35,8 +35,8 @@
   return { ...emptyAnswer, outcome: Outcome.OUTCOME_UNKNOWN, reason, retryAfterMilliseconds: defaultRetryAfterMilliseconds }
 }
 
-/** Creates the answer that carries the endpoint's response. */
-export function answered (content: Pick<Answer, 'status' | 'headers' | 'body' | 'serviceMilliseconds'>): Answer {
+/** Creates the answer that carries the endpoint's response. The reason is `lengthUnknown` or empty. */
+export function answered (content: Pick<Answer, 'status' | 'headers' | 'body' | 'serviceMilliseconds' | 'reason'>): Answer {
   return { ...emptyAnswer, outcome: Outcome.OUTCOME_ANSWERED, ...content }
 }
 
--- a/packages/daemon/src/coordinator/endpoint-client.ts
+++ b/packages/daemon/src/coordinator/endpoint-client.ts
@@ -1,6 +1,6 @@
 import { BriarsaddleError, describeError, errorCode } from '@briarsaddle/common'
 import type { EndpointDescription } from '@briarsaddle/ownership'
-import { AnswerLimitError, BoundedClient, httpExchange, readAnswer } from '@briarsaddle/platform'
+import { AnswerLimitError, BoundedClient, httpExchange, readAnswer, statesLength } from '@briarsaddle/platform'
 import { Pool, type Dispatcher } from 'undici'
 import { z } from 'zod'
 
@@ -77,6 +77,8 @@
   readonly status: number
   readonly headers: ReadonlyArray<readonly [string, string]>
   readonly body: Uint8Array
+  /** False when the answer ended with its connection. */
+  readonly lengthKnown: boolean
 }
 
 /** Settings of the connections to one endpoint. */
@@ -153,7 +155,7 @@
       mayWrite: request.mayWrite
     }
     const { status, rawHeaders, body } = await readAnswer(this.#requests, options)
-    return { status, headers: pairs(rawHeaders), body }
+    return { status, headers: pairs(rawHeaders), body, lengthKnown: statesLength(request.method, status, rawHeaders) }
   }
 
   /**
--- a/packages/daemon/src/coordinator/request-sender.test.ts
+++ b/packages/daemon/src/coordinator/request-sender.test.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { MonotonicClock, delay } from '@briarsaddle/common'
-import { Forward, Outcome, type Answer } from '@briarsaddle/protocol'
+import { Forward, lengthUnknown, Outcome, type Answer } from '@briarsaddle/protocol'
 import { expect } from 'chai'
 import { EndpointClient } from './endpoint-client.js'
 import type { GrantKeeper } from './grant-keeper.js'
@@ -35,6 +35,15 @@
     await new Promise(resolve => server.close(resolve))
   })
 
+  // Guards against a part that gets a length and looks whole, when an endpoint crashes within an answer without one.
+  it('reports that an answer states no length', async () => {
+    const sender = await start({})
+    server.removeAllListeners('request').on('request', (_request, response) => response.socket?.end('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole'))
+    const forward = Forward.create({ requestId: 'r', method: 'POST', target: '/dispatches', bucket: -1 })
+    const answer = await sender.send(forward, -1, performance.now() + 1_000, new AbortController().signal)
+    expect(answer).to.include({ outcome: Outcome.OUTCOME_ANSWERED, status: 200, reason: lengthUnknown })
+  })
+
   // Guards against a second attempt that is aborted within milliseconds and turns "not run" into the outcome "unknown".
   it('does not send a request again that the endpoint refused because its deadline had passed', async () => {
     const sender = await start({ 'briarsaddle-not-run': 'deadline-past' })
--- a/packages/daemon/src/coordinator/request-sender.ts
+++ b/packages/daemon/src/coordinator/request-sender.ts
@@ -1,5 +1,5 @@
 import { delay, errorCode, Logger, type Clock } from '@briarsaddle/common'
-import type { Answer, Forward } from '@briarsaddle/protocol'
+import { lengthUnknown, type Answer, type Forward } from '@briarsaddle/protocol'
 import { AnswerLimitError, answerLimitLogFields } from '@briarsaddle/platform'
 import { answered, notRun, unknown } from './answers.js'
 import { failedBeforeWrite, writeDenied, type EndpointAnswer, type EndpointClient } from './endpoint-client.js'
@@ -112,7 +112,7 @@
     const refusal = answer.headers.find(([name]) => name === 'briarsaddle-not-run')?.[1]
     if (refusal === undefined) {
       const headers = answer.headers.map(([name, value]) => ({ name, value }))
-      return answered({ status: answer.status, headers, body: Buffer.from(answer.body), serviceMilliseconds })
+      return answered({ status: answer.status, headers, body: Buffer.from(answer.body), reason: answer.lengthKnown ? '' : lengthUnknown, serviceMilliseconds })
     }
     if (refusal === 'effect-refused') return notRun('effect_refused')
     // A second attempt would be aborted within milliseconds, and its outcome would be unknown.
--- a/packages/daemon/src/entry/caller-answer.ts
+++ b/packages/daemon/src/entry/caller-answer.ts
@@ -1,6 +1,6 @@
 import type { Random } from '@briarsaddle/common'
 import { headerValue, type CallerAnswer } from '@briarsaddle/entry'
-import { Outcome, type Answer, type Header } from '@briarsaddle/protocol'
+import { lengthUnknown, Outcome, type Answer, type Header } from '@briarsaddle/protocol'
 import { callerHeaders } from './headers.js'
 
 /** The answer to a caller, with its outcome and reason as plain fields. */
@@ -41,17 +41,23 @@
   return ownAnswer(504, 'unknown', reason, random, retryAfterMilliseconds)
 }
 
-/** Converts the answer of a coordinator to the answer for the caller. */
-export function callerAnswer (answer: Answer, method: string, random: Random): OutcomeAnswer {
+/**
+ * Converts the answer of a coordinator to the answer for the caller. One without a length ends the caller's connection if
+ * `mayEndConnection` says so; otherwise its outcome is not known.
+ */
+export function callerAnswer (answer: Answer, method: string, random: Random, mayEndConnection: () => boolean): OutcomeAnswer {
   const retryAfter = answer.retryAfterMilliseconds > 0 ? answer.retryAfterMilliseconds : defaultRetryAfterMilliseconds
   if (answer.outcome === Outcome.OUTCOME_NOT_RUN) return refusal(answer.reason, random, retryAfter)
   if (answer.outcome === Outcome.OUTCOME_UNKNOWN) return unknownOutcome(answer.reason, random, retryAfter)
   if (answer.status < 200 || answer.status > 999) return unknownOutcome('invalid_status', random, retryAfter)
+  const endsWithConnection = answer.reason === lengthUnknown
+  if (endsWithConnection && !mayEndConnection()) return unknownOutcome(lengthUnknown, random, retryAfter)
   return {
     status: answer.status,
     outcome: 'answered',
     reason: '',
-    headers: [...callerHeaders(answer.headers), ...lengthHeader(answer, method), { name: 'Briarsaddle-Outcome', value: 'answered' }],
+    endsWithConnection,
+    headers: [...callerHeaders(answer.headers), ...(endsWithConnection ? [] : lengthHeader(answer, method)), { name: 'Briarsaddle-Outcome', value: 'answered' }],
     body: answer.body
   }
 }
--- a/packages/daemon/src/entry/request-router.ts
+++ b/packages/daemon/src/entry/request-router.ts
@@ -105,10 +105,10 @@
     return { request, rule: match.rule, key: match.key, idempotencyKey, deadlineAt: request.arrivedAt + milliseconds }
   }
 
-  override async route (accepted: AcceptedRequest, body: Buffer, signal: AbortSignal): Promise<OutcomeAnswer> {
+  override async route (accepted: AcceptedRequest, body: Buffer, signal: AbortSignal, mayEndConnection: () => boolean): Promise<OutcomeAnswer> {
     const { request, rule, deadlineAt } = accepted
     const answer = await this.#run(this.#createTemplate(accepted, body), deadlineAt, signal)
-    const final = callerAnswer(answer, request.method, this.#options.random)
+    const final = callerAnswer(answer, request.method, this.#options.random, mayEndConnection)
     this.#options.metrics.request({
       pool: rule.pool,
       serviceClass: rule.serviceClass,
--- a/packages/protocol/src/answers.ts
+++ b/packages/protocol/src/answers.ts
@@ -20,6 +20,9 @@
   internalError: 'internal_error'
 } as const
 
+/** Reason of an answer that states no length, so that nothing shows whether it is whole. */
+export const lengthUnknown = 'length_unknown'
+
 /** Creates the answer to a request that certainly did not run. */
 export function notRunAnswer (reason: string, fields: Partial<Omit<Answer, 'outcome' | 'reason'>> = {}): Answer {
   return { ...Answer.create(), ...fields, outcome: Outcome.OUTCOME_NOT_RUN, reason }
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -4,7 +4,7 @@
   ControlUpdate, VmRecord, WatchControlRequest, Watcher,
   BucketImport, JournalEntry, JournalStage, KeyLoad, Outcome, ServiceClass
 } from './generated/inner.js'
-export { answerBytes, forwardBytes, notRunAnswer, peerReasons, unknownAnswer } from './answers.js'
+export { answerBytes, forwardBytes, lengthUnknown, notRunAnswer, peerReasons, unknownAnswer } from './answers.js'
 export { ControlWatch, ControlWatcher, type ControlWatchEvents } from './control-watch.js'
 export { ControlHandler, FrameHandler, unsupported } from './handlers.js'
 export { InnerServer, type InnerServerOptions } from './inner-server.js'
--- a/packages/router/src/request/endpoint-gate.ts
+++ b/packages/router/src/request/endpoint-gate.ts
@@ -1,5 +1,5 @@
 import { BriarsaddleError, Logger, withTimeLimit, type Clock, type Random } from '@briarsaddle/common'
-import { Answer, notRunAnswer, Outcome, ServiceClass, unknownAnswer, type Forward } from '@briarsaddle/protocol'
+import { lengthUnknown, Answer, notRunAnswer, Outcome, ServiceClass, unknownAnswer, type Forward } from '@briarsaddle/protocol'
 import { ClassPolicy, EndpointQueue, RefusalError, type ServiceClass as QueueClass } from '@briarsaddle/scheduling'
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
 import type { EndpointReach } from '../endpoint-reach.js'
@@ -254,9 +254,6 @@
   }
 }
 
-/** Reason of an answer without a Content-Length, whose end was the close of its connection. */
-export const lengthUnknown = 'length_unknown'
-
 /** Reason of a reply when the connection to the endpoint ended before the answer was complete. */
 export const connectionBroken = 'connection_broken'
 
