--- a/packages/common/src/turn-queue.ts
+++ b/packages/common/src/turn-queue.ts
@@ -12,13 +12,16 @@
  */
 export class TurnQueue {
   readonly #clock: Clock
-  readonly #waiting: Array<() => void> = []
+  readonly #waiting: Array<{ readonly since: number, readonly run: () => void }> = []
   #scheduled = false
   /** Whether a connection was accepted since the last pass. */
   #accepted = false
   #acceptingSince: number | undefined
   /** Until when tasks run even if connections are accepted. */
   #tasksUntil = -Infinity
+  #longestWait = 0
+  #held = 0
+  #heldSince: number | undefined
 
   constructor (clock: Clock = new MonotonicClock()) {
     this.#clock = clock
@@ -37,11 +40,19 @@
   /** Resolves when the caller may run its task, after events that are already due. */
   async turn (): Promise<void> {
     await new Promise<void>(resolve => {
-      this.#waiting.push(resolve)
+      this.#waiting.push({ since: this.#clock.now(), run: resolve })
       this.#schedule()
     })
   }
 
+  /** Returns the longest wait of a task, and how long tasks waited because connections were accepted, since the last call. */
+  takeWaits (): { readonly longestTurnMilliseconds: number, readonly heldMilliseconds: number } {
+    const waits = { longestTurnMilliseconds: this.#longestWait, heldMilliseconds: this.#held }
+    this.#longestWait = 0
+    this.#held = 0
+    return waits
+  }
+
   #schedule (): void {
     if (this.#scheduled || this.#waiting.length === 0) return
     this.#scheduled = true
@@ -51,7 +62,16 @@
 
   #pass (): void {
     this.#scheduled = false
-    if (!this.#mustAcceptFirst()) for (const run of this.#waiting.splice(0, tasksPerPass)) run()
+    const now = this.#clock.now()
+    if (this.#heldSince !== undefined) this.#held += now - this.#heldSince
+    this.#heldSince = undefined
+    if (this.#mustAcceptFirst()) this.#heldSince = now
+    else {
+      for (const { since, run } of this.#waiting.splice(0, tasksPerPass)) {
+        this.#longestWait = Math.max(this.#longestWait, now - since)
+        run()
+      }
+    }
     this.#schedule()
   }
 
--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -94,6 +94,7 @@
   /** True once requests that have not been passed on are refused, because there may be no time to finish them. */
   #refusing = false
   #onIdle: (() => void) | undefined
+  #requests = 0
   #acceptedConnections = 0
   #refusedConnections = 0
 
@@ -132,6 +133,11 @@
     return this.#exchanges.size
   }
 
+  /** Number of requests that were read since the start. */
+  get requests (): number {
+    return this.#requests
+  }
+
   /** Number of connections that were accepted since the start. */
   get acceptedConnections (): number {
     return this.#acceptedConnections
@@ -238,6 +244,7 @@
       request.resume()
       return
     }
+    this.#requests++
     if (!response.shouldKeepAlive) connection.sequence.closeAfter(turn)
     const exchange: Exchange<Accepted> = {
       request,
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -3,6 +3,7 @@
 import { EntryServer } from '@briarsaddle/entry'
 import type { KeyMap, VmEntry } from '@briarsaddle/key-ranges'
 import { InnerServer, PeerPool, type Answer, type Forward } from '@briarsaddle/protocol'
+import { LoadMonitor } from './load-monitor.js'
 import { stateAges, type StateAges } from './control/state-ages.js'
 import { Candidacy } from './control/candidacy.js'
 import { ControlFeed } from './control/control-feed.js'
@@ -58,6 +59,7 @@
 const maximumHeaderBytes = 64 * 1024
 const maximumBodyBytes = 64 * 1024 * 1024
 const reportMilliseconds = 2_000
+const loadMilliseconds = 1_000
 // After this time a VM that cannot read the log accepts connections all the same, and refuses the requests with a reason.
 const longestPreparationMilliseconds = 2_000
 // Streams between VMs that fail are replaced before the usual deadline of a request passes.
@@ -82,6 +84,7 @@
   readonly #clock: Clock = new MonotonicClock()
   readonly #loopDelay = new LoopDelay(this.#clock)
   readonly #random = new Random(randomInt(2 ** 31))
+  readonly #load = new LoadMonitor(this.#clock, processTurnQueue)
   readonly #changes = new ChangeNotifier()
   readonly #leavingEndpoints = new LeavingEndpoints(this.#clock, () => ({ feed: this.#feed.source, leading: this.#leader.leading, directoryAgeMilliseconds: this.#stateAges.directoryAgeMilliseconds }))
   readonly #poison = new PoisonList(this.#clock)
@@ -177,6 +180,7 @@
     new PoisonArchive({ list: this.#poison, topic: this.#platform.poisonRequests, callMilliseconds: this.#settings.timing.logCallMilliseconds, isLeading: () => this.#leader.leading, era: () => eraOf(this.#map.current?.position ?? 0) }).start(this.#lifeCycle)
     new ControlRelay({ peers: this.#peers, map: this.#map, routing: this.#routing, random: this.#random, isFed: () => this.#feed.source !== undefined }).start(this.#lifeCycle)
     this.#lifeCycle.every('state metrics', reportMilliseconds, () => this.#reportState(), error => logger.error('state metrics failed', { error: String(error) }))
+    this.#lifeCycle.every('load', loadMilliseconds, () => this.#reportLoad(), error => logger.error('load report failed', { error: String(error) }))
     await this.#listenWhenPrepared()
     logger.info('started', { dataCentre: this.#self.dataCentre, inner: `${this.#self.host}:${this.#self.port}`, routingVersion: this.#router.version, ...this.#stateAges })
   }
@@ -400,6 +404,23 @@
     return { status: 200, type: 'text/plain', text: 'lifted\n' }
   }
 
+  #reportLoad (): void {
+    const { milliseconds, busyShare, processorMilliseconds, longestTurnMilliseconds, heldMilliseconds } = this.#load.take()
+    this.#metrics.state({ busyShare, longestTurnSeconds: longestTurnMilliseconds / 1000, heldSeconds: heldMilliseconds / 1000 })
+    logger.info('load', {
+      milliseconds: Math.round(milliseconds),
+      busyShare: Number(busyShare.toFixed(3)),
+      processorMilliseconds: Math.round(processorMilliseconds),
+      longestTurnMilliseconds: Math.round(longestTurnMilliseconds),
+      heldMilliseconds: Math.round(heldMilliseconds),
+      waitingRequests: processTurnQueue.length,
+      inFlight: this.#entry.inFlight,
+      requests: this.#entry.requests,
+      forwarded: this.#dispatcher.accepted,
+      acceptedConnections: this.#entry.acceptedConnections
+    })
+  }
+
   #reportState (): void {
     const { user, system } = process.cpuUsage()
     const { keyMapAgeMilliseconds, routingAgeMilliseconds, directoryAgeMilliseconds } = this.#stateAges
--- a/packages/router/src/request/dispatcher.ts
+++ b/packages/router/src/request/dispatcher.ts
@@ -46,12 +46,16 @@
   readonly #options: DispatcherOptions
   readonly #gates = new Map<string, EndpointGate>()
   readonly #detours: Detours
+  #accepted = 0
 
   constructor (options: DispatcherOptions) {
     this.#options = options
     this.#detours = new Detours(options.clock)
   }
 
+  /** Number of requests that other VMs forwarded to this one since the start. */
+  get accepted (): number { return this.#accepted }
+
   /** Gates that this VM has created, by endpoint id. */
   get gates (): ReadonlyMap<string, EndpointGate> { return this.#gates }
 
@@ -105,6 +109,7 @@
 
   /** Handles a request that another VM forwarded. Never rejects. */
   async accept (forward: Forward, signal: AbortSignal): Promise<Answer> {
+    this.#accepted++
     const waited = this.#options.loopDelay.milliseconds
     // Lets a cancellation that arrived right after the request take effect first.
     const startedAt = this.#options.clock.now()
