Bound the wait of requests on a full VM, and refuse at once what it cannot serve (SHORT)

Cause: on a VM without spare processor time, requests waited for their turn first come, first served, for up to half of their objective and then for as long as it took to refuse those before them. Change: the turn queue orders by urgency, refuses with the next pass what would wait for more than an eighth of its objective, on the VM of the caller and at the coordinator, and holds requests back for connections for no more than half of that. Evidence: turn-queue.test.ts, the longest wait of the urgent ones of twice the requests that there is time for: 3,998 ms before, bound 35 ms; entry-server.test.ts, the ninth tenth of answers 1,472 ms before, bound 105 ms; overload.test.ts: nothing was refused before.

A test of EntryServer did the work of a request in accept, which runs before the turn now. It does that work in route, and half a millisecond in accept; its bound is the same.

--- a/packages/common/src/turn-queue.test.ts
+++ b/packages/common/src/turn-queue.test.ts
@@ -64,3 +64,54 @@
     expect(ran).to.be.at.least(iterations / 3 * 0.9)
   })
 })
+
+describe('TurnQueue of a VM that is short of processor time', () => {
+  const longestWaitMilliseconds = 25
+  const iterationMilliseconds = 1
+  const taskMilliseconds = 4
+  const refusalMilliseconds = 0.5
+  const arrivalMilliseconds = 2.5
+  const seconds = 5
+
+  interface Outcome { readonly urgency: number, readonly ran: boolean, readonly waited: number }
+
+  /** Simulates a VM that gets twice the requests that it has processor time for, a third of each urgency, and a connection in each iteration. */
+  async function overload (): Promise<Outcome[]> {
+    const clock = new ManualClock()
+    const queue = new TurnQueue(clock)
+    const outcomes: Outcome[] = []
+    const arrive = async (urgency: number): Promise<void> => {
+      const since = clock.now()
+      const ran = await queue.turn({ urgency, longestWaitMilliseconds })
+      outcomes.push({ urgency, ran, waited: clock.now() - since })
+      clock.advance(ran ? taskMilliseconds : refusalMilliseconds)
+    }
+    let next = 0
+    for (let arrivals = 0; clock.now() < 1_000 * seconds;) {
+      queue.connectionAccepted()
+      clock.advance(iterationMilliseconds)
+      for (; next <= clock.now(); next += arrivalMilliseconds) void arrive(arrivals++ % 3)
+      await new Promise(resolve => setImmediate(resolve))
+    }
+    return outcomes
+  }
+
+  // Guards against a full VM that keeps what it cannot serve, and is late with all that it serves (SHORT).
+  it('runs the most urgent tasks in time, refuses the others at once, and uses its time', async () => {
+    const outcomes = await overload()
+    const ran = outcomes.filter(outcome => outcome.ran)
+    const urgent = outcomes.filter(({ urgency }) => urgency === 0)
+    expect(urgent.filter(outcome => outcome.ran).length).to.be.at.least(0.95 * urgent.length)
+    // Waits are checked at the beginning of a pass, and refused tasks are told at the latest with the next one.
+    const pass = 2 * (iterationMilliseconds + taskMilliseconds)
+    expect(Math.max(...ran.map(({ waited }) => waited))).to.be.at.most(longestWaitMilliseconds + pass)
+    expect(Math.max(...outcomes.map(({ waited }) => waited))).to.be.at.most(longestWaitMilliseconds + 2 * pass)
+    expect(ran.length).to.be.at.least(0.8 * 1_000 * seconds / (iterationMilliseconds + taskMilliseconds))
+  })
+
+  it('refuses nothing when there is time for all', async () => {
+    const queue = new TurnQueue()
+    const results = await Promise.all(Array.from({ length: 20 }, async () => await queue.turn({ longestWaitMilliseconds: 1_000 })))
+    expect(results.every(Boolean)).to.equal(true)
+  })
+})
--- a/packages/entry/src/entry-server.test.ts
+++ b/packages/entry/src/entry-server.test.ts
@@ -3,7 +3,7 @@
 import { once } from 'node:events'
 import { setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
-import { delay, MonotonicClock } from '@briarsaddle/common'
+import { delay, MonotonicClock, type TurnOptions } from '@briarsaddle/common'
 import { EntryServer } from './entry-server.js'
 import { CallerRequestHandler, type CallerAnswer, type CallerRequest } from './request-handler.js'
 
@@ -224,24 +224,90 @@
   })
 })
 
-/** Refuses every request after the given processor time. */
+/** Uses the given processor time to check a request, and to route it. */
 class BusyHandler extends SlowHandler {
-  readonly #milliseconds: number
+  readonly #checkMilliseconds: number
+  readonly #routeMilliseconds: number
 
-  constructor (milliseconds: number) {
+  constructor (checkMilliseconds: number, routeMilliseconds: number) {
     super()
-    this.#milliseconds = milliseconds
+    this.#checkMilliseconds = checkMilliseconds
+    this.#routeMilliseconds = routeMilliseconds
   }
 
   override accept (request: CallerRequest): CallerRequest {
-    const until = performance.now() + this.#milliseconds
-    while (performance.now() < until) { /* The work of a request. */ }
+    spin(this.#checkMilliseconds)
     return request
   }
+
+  override async route (): Promise<CallerAnswer> {
+    this.routed++
+    spin(this.#routeMilliseconds)
+    return this.answer
+  }
+}
+
+function spin (milliseconds: number): void {
+  const until = performance.now() + milliseconds
+  while (performance.now() < until) { /* The work of a request. */ }
+}
+
+/** Requests for /urgent go first, and all wait for their turn for 25 ms at most. */
+class TurnLimitHandler extends BusyHandler {
+  override turnOf (request: CallerRequest): TurnOptions {
+    return { urgency: request.target === '/urgent' ? 0 : 1, longestWaitMilliseconds: 25 }
+  }
+}
+
+describe('EntryServer on a VM that has half of the processor time that its callers ask for', () => {
+  const callMilliseconds = 10
+  const calls = 200
+  const routeMilliseconds = 20
+
+  // Guards against a full VM that reads and keeps what it cannot serve, so that callers wait in silence until their deadline (SHORT).
+  it('serves urgent requests at once, and refuses at once what it cannot serve', async function () {
+    this.timeout(20_000)
+    const handler = new TurnLimitHandler(0, routeMilliseconds)
+    const server = new EntryServer({ host: '127.0.0.1', port: 0, maximumHeaderBytes: 8_192, maximumBodyBytes: 1_000, maximumCallerConnections: 1_000, clock: new MonotonicClock() }, handler)
+    const port = await server.listen()
+    const answers: Array<{ readonly urgent: boolean, readonly status: number, readonly milliseconds: number }> = []
+    const call = async (urgent: boolean): Promise<void> => {
+      const startedAt = performance.now()
+      // Callers that were refused come again on new connections.
+      const socket = connect(port, '127.0.0.1')
+      socket.on('error', () => {})
+      socket.write(`GET ${urgent ? '/urgent' : '/other'} HTTP/1.1\r\nHost: a\r\n\r\n`)
+      const [data] = await once(socket, 'data') as [Buffer]
+      socket.destroy()
+      answers.push({ urgent, status: Number(data.toString().split(' ')[1]), milliseconds: performance.now() - startedAt })
+    }
+    const running: Array<Promise<void>> = []
+    const startedAt = performance.now()
+    for (let index = 0; index < calls; index++) {
+      await delay(Math.max(0, startedAt + index * callMilliseconds - performance.now()))
+      running.push(call(index % 4 === 0))
+    }
+    await Promise.all(running)
+    await server.stop(0)
+    const served = answers.filter(({ status }) => status === 200)
+    const refused = answers.filter(({ status }) => status === 503)
+    expect(served.length + refused.length).to.equal(calls)
+    // The processor time suffices for half of the requests at most.
+    expect(served.length).to.be.at.least(0.35 * calls)
+    const urgent = answers.filter(answer => answer.urgent)
+    expect(urgent.filter(({ status }) => status === 200).length).to.be.at.least(0.9 * urgent.length)
+    // The wait for a turn, two requests before it, and the iteration of the event loop in which the answer is written.
+    expect(quantile(answers.map(({ milliseconds }) => milliseconds), 0.9)).to.be.lessThan(25 + 4 * routeMilliseconds)
+  })
+})
+
+function quantile (values: readonly number[], share: number): number {
+  return [...values].sort((one, other) => one - other)[Math.floor(share * values.length)] as number
 }
 
 describe('EntryServer, with many connections that wait to be accepted', () => {
   const waitingConnections = 400
+  const checkMilliseconds = 0.5
   const workMilliseconds = 10
   // A VM that says ready takes a new connection within 3 s; the smallest VM has 0.27 of a core.
   const processorMilliseconds = 3_000 * 0.27
@@ -250,7 +316,7 @@
   // for the work of two requests.
   it('accepts the last one before the time in which a VM that says ready must take it', async function () {
     this.timeout(20_000)
-    const server = new EntryServer({ host: '127.0.0.1', port: 0, maximumHeaderBytes: 8_192, maximumBodyBytes: 1_000, maximumCallerConnections: 1_000, clock: new MonotonicClock() }, new BusyHandler(workMilliseconds))
+    const server = new EntryServer({ host: '127.0.0.1', port: 0, maximumHeaderBytes: 8_192, maximumBodyBytes: 1_000, maximumCallerConnections: 1_000, clock: new MonotonicClock() }, new BusyHandler(checkMilliseconds, workMilliseconds))
     const port = await server.listen()
     const sockets = Array.from({ length: waitingConnections }, () => {
       const socket = connect(port, '127.0.0.1')
--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -95,6 +95,7 @@
   #refusing = false
   #onIdle: (() => void) | undefined
   #requests = 0
+  #abandonedRequests = 0
   #acceptedConnections = 0
   #refusedConnections = 0
 
@@ -138,6 +139,11 @@
     return this.#requests
   }
 
+  /** Number of requests whose caller disconnected before the answer since the start. */
+  get abandonedRequests (): number {
+    return this.#abandonedRequests
+  }
+
   /** Number of connections that were accepted since the start. */
   get acceptedConnections (): number {
     return this.#acceptedConnections
@@ -264,16 +270,11 @@
     connection.add(exchange)
     response.on('close', () => {
       if (!response.writableFinished) exchange.controller.abort()
+      if (!exchange.answered) this.#abandonedRequests++
       this.#remove(exchange)
     })
     response.on('error', () => {})
     try {
-      // The caller may have disconnected before the request was read; its disconnect is handled before this turn.
-      await processTurnQueue.turn()
-      if (exchange.controller.signal.aborted) {
-        this.#remove(exchange)
-        return
-      }
       const answer = await this.#answer(exchange)
       if (answer !== undefined) this.#write(exchange, answer)
       else if (!exchange.answered) this.#remove(exchange)
@@ -291,6 +292,11 @@
     const accepted = this.#handler.accept(this.#toCallerRequest(exchange))
     if (isAnswer(accepted)) return accepted
     exchange.accepted = accepted
+    const mayRun = await processTurnQueue.turn(this.#handler.turnOf(accepted))
+    // The caller may have disconnected before the request was read; its disconnect is handled before the turn.
+    if (controller.signal.aborted) return undefined
+    if (!mayRun) return this.#handler.refusal('overloaded', accepted)
+    if (exchange.invalidReason !== undefined) return this.#handler.refusal(exchange.invalidReason)
     if (this.#refusing) return this.#handler.refusal('stopping', accepted)
     if (!hasBody(request)) return await this.#route(exchange, accepted, Buffer.alloc(0))
     const { maximumBufferedBytes = defaultMaximumBufferedBytes } = this.#options
@@ -326,7 +332,8 @@
       target: originForm(request.url ?? '/'),
       headers: request.headersDistinct as CallerRequest['headers'],
       rawHeaders: request.rawHeaders,
-      remoteAddress: request.socket.remoteAddress ?? 'unknown',
+      // A system call, which most handlers do not need.
+      get remoteAddress () { return request.socket.remoteAddress ?? 'unknown' },
       arrivedAt
     }
   }
--- a/packages/entry/src/request-handler.ts
+++ b/packages/entry/src/request-handler.ts
@@ -1,3 +1,5 @@
+import type { TurnOptions } from '@briarsaddle/common'
+
 /** A caller's request without its body. */
 export interface CallerRequest {
   readonly method: string
@@ -31,6 +33,8 @@
 export abstract class CallerRequestHandler<Accepted extends object> {
   /** Checks a request before its body is read. Returns the final answer when the request is refused. */
   abstract accept (request: CallerRequest): Accepted | CallerAnswer
+  /** How urgent an accepted request is, and how long it may wait for its turn on a process that is short of processor time. Default: no limit. */
+  turnOf (_accepted: Accepted): TurnOptions { return {} }
   /**
    * Routes an accepted request. Always resolves to the final answer; after an abort at once, with the outcome known by then. An answer
    * that ends with the connection may be returned only after `mayEndConnection` has returned true, which makes it the last answer.
--- a/packages/router/src/request/dispatcher.ts
+++ b/packages/router/src/request/dispatcher.ts
@@ -1,5 +1,5 @@
-import { Logger, processTurnQueue, type Clock, type LoopDelay, type Random } from '@briarsaddle/common'
-import { notRunAnswer, Outcome, peerReasons, type Answer, type Forward } from '@briarsaddle/protocol'
+import { Logger, processTurnQueue, type Clock, type LoopDelay, type Random, type TurnOptions } from '@briarsaddle/common'
+import { notRunAnswer, Outcome, peerReasons, ServiceClass, type Answer, type Forward } from '@briarsaddle/protocol'
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
 import type { EndpointReach } from '../endpoint-reach.js'
 import type { EndpointTransport } from '../endpoint-transport.js'
@@ -9,6 +9,7 @@
 import type { Coordinators } from './coordinators.js'
 import { Detours } from './detours.js'
 import { EndpointGate, endpointUnreachable, leavingReason, outOfReachReason } from './endpoint-gate.js'
+import { longestTurnWait, overloadedReason } from './turn-limits.js'
 
 const logger = new Logger('dispatch')
 
@@ -47,6 +48,7 @@
   readonly #gates = new Map<string, EndpointGate>()
   readonly #detours: Detours
   #accepted = 0
+  #coordinated = 0
 
   constructor (options: DispatcherOptions) {
     this.#options = options
@@ -56,6 +58,9 @@
   /** Number of requests that other VMs forwarded to this one since the start. */
   get accepted (): number { return this.#accepted }
 
+  /** Number of requests that this VM queued for endpoints since the start. */
+  get coordinated (): number { return this.#coordinated }
+
   /** Gates that this VM has created, by endpoint id. */
   get gates (): ReadonlyMap<string, EndpointGate> { return this.#gates }
 
@@ -91,7 +96,7 @@
   }
 
   async #sendThrough (coordinator: string, endpoint: EndpointEntry, forward: Forward, signal: AbortSignal): Promise<Answer> {
-    if (coordinator === this.#options.vm) return await this.#gate(endpoint).handle(forward, signal)
+    if (coordinator === this.#options.vm) return await this.#handle(endpoint, forward, signal)
     const answer = await this.#options.peers.forward(coordinator, forward, signal)
     this.#adoptLimit(endpoint, answer)
     if (answer.endpointLeaving === true) this.#options.leaving.add(endpoint, answer.reason === leavingReason ? 'coordinator' : 'answer')
@@ -104,7 +109,7 @@
       return notRunAnswer('endpoint_limited')
     }
     logger.info('coordinator unavailable, sending to the endpoint directly', { request: forward.requestId, endpoint: endpoint.id, coordinator, reason: answer.reason })
-    return await this.#gate(endpoint).handle(forward, signal)
+    return await this.#handle(endpoint, forward, signal)
   }
 
   /** Handles a request that another VM forwarded. Never rejects. */
@@ -113,13 +118,13 @@
     const waited = this.#options.loopDelay.milliseconds
     // Lets a cancellation that arrived right after the request take effect first.
     const startedAt = this.#options.clock.now()
-    await processTurnQueue.turn()
+    if (!await processTurnQueue.turn(turnOf(forward))) return refuseForwarded(forward, overloadedReason, waited)
     const endpoint = this.#options.directory().get(forward.endpoint)
     if (endpoint === undefined) return refuseForwarded(forward, 'endpoint_unknown', waited)
     const deadlineMilliseconds = forward.deadlineMilliseconds - waited - (this.#options.clock.now() - startedAt)
     if (deadlineMilliseconds <= 0) return refuseForwarded(forward, 'deadline_exceeded', waited)
     if (this.#options.reach.isCutOff(endpoint.pool)) return refuseForwarded(forward, outOfReachReason, waited)
-    return await this.#gate(endpoint).handle({ ...forward, deadlineMilliseconds }, signal)
+    return await this.#handle(endpoint, { ...forward, deadlineMilliseconds }, signal)
   }
 
   /** Applies a new directory: updates the gates, and removes those of endpoints that are gone once nothing is outstanding. */
@@ -153,6 +158,11 @@
     else this.#gates.get(endpoint.id)?.adoptLimit(undefined)
   }
 
+  async #handle (endpoint: EndpointEntry, forward: Forward, signal: AbortSignal): Promise<Answer> {
+    this.#coordinated++
+    return await this.#gate(endpoint).handle(forward, signal)
+  }
+
   #gate (entry: EndpointEntry): EndpointGate {
     let gate = this.#gates.get(entry.id)
     if (gate === undefined) this.#gates.set(entry.id, gate = new EndpointGate({ ...this.#options, entry }))
@@ -160,6 +170,11 @@
   }
 }
 
+/** VMs of earlier versions do not state the objective. */
+function turnOf ({ serviceClass, objectiveMilliseconds }: Forward): TurnOptions {
+  return { urgency: serviceClass === ServiceClass.SERVICE_CLASS_PROMPT ? 0 : 1, ...(objectiveMilliseconds > 0 ? { longestWaitMilliseconds: longestTurnWait(objectiveMilliseconds) } : {}) }
+}
+
 /** Refuses a request of another VM. `waited` is the event loop delay, by which this VM may have read it late, in milliseconds. */
 function refuseForwarded ({ requestId, endpoint, pool, bucket, deadlineMilliseconds }: Forward, reason: string, waited: number): Answer {
   logger.info('request of another VM refused', { request: requestId, endpoint, pool, key: bucket < 0 ? undefined : bucket, reason, remainingMilliseconds: Math.round(deadlineMilliseconds), loopDelayMilliseconds: Math.round(waited) })
--- a/packages/router/src/request/range-router.ts
+++ b/packages/router/src/request/range-router.ts
@@ -1,4 +1,4 @@
-import { Logger, withTimeLimit, type Clock, type LogFields, type Random } from '@briarsaddle/common'
+import { Logger, withTimeLimit, type Clock, type LogFields, type Random, type TurnOptions } from '@briarsaddle/common'
 import { CallerRequestHandler, endToEndHeaders, headerPairs, headerValue, isValidHeader, type CallerAnswer, type CallerHeader, type CallerRequest } from '@briarsaddle/entry'
 import { segmentAt, type KeyMap, type Segment } from '@briarsaddle/key-ranges'
 import { lengthUnknown, notRunAnswer, Outcome, ServiceClass, unknownAnswer, type Answer, type Forward } from '@briarsaddle/protocol'
@@ -16,6 +16,7 @@
 import type { ChangeNotifier } from './change-notifier.js'
 import type { Dispatcher } from './dispatcher.js'
 import { leavingReason } from './endpoint-gate.js'
+import { longestTurnWait, overloadedReason } from './turn-limits.js'
 import { refusalFor, renderOwnAnswer, unknownFor, type OwnAnswer } from './own-answer.js'
 import type { RequestContent } from '../poison/request-fingerprint.js'
 import { PoolChooser } from './pool-chooser.js'
@@ -88,6 +89,8 @@
 // A VM that reads requests this late, as a share of their objective, lacks processor time. It refuses them early, while that is
 // cheap, instead of working for callers who leave before the answer.
 const overloadShare = 0.5
+// Advised delay of a repeat after a refusal by a VM that is short of processor time. A repeat usually arrives at another VM.
+const overloadedRetryMilliseconds = 100
 // With less time left, a request is not sent.
 const minimumRemainingMilliseconds = 5
 // A request with this share of its route's time left is sent, however long answers take.
@@ -146,12 +149,17 @@
     const timeLimitMilliseconds = Math.min(fields.deadlineMilliseconds ?? Infinity, route.timeoutMilliseconds)
     const objectiveMilliseconds = Math.min(timeLimitMilliseconds, route.objectiveMilliseconds > 0 ? route.objectiveMilliseconds : timeLimitMilliseconds)
     if (waited > overloadShare * objectiveMilliseconds) {
-      return this.#refuse(request, fields, refusalFor('overloaded', waited), { route: route.name, pool: pool.name, limitMilliseconds: Math.round(overloadShare * objectiveMilliseconds) })
+      return this.#refuse(request, fields, refusalFor(overloadedReason, waited), { route: route.name, pool: pool.name, limitMilliseconds: Math.round(overloadShare * objectiveMilliseconds) })
     }
     this.#options.retries.recordRequest(pool.name)
     return { request, fields, route, pool, deadlineAt: request.arrivedAt + timeLimitMilliseconds, objectiveMilliseconds }
   }
 
+  override turnOf ({ request, route, objectiveMilliseconds }: RoutedRequest): TurnOptions {
+    const waited = this.#clock.now() - request.arrivedAt
+    return { urgency: route.rank, longestWaitMilliseconds: longestTurnWait(objectiveMilliseconds) - waited }
+  }
+
   override async route (routed: RoutedRequest, body: Buffer, signal: AbortSignal, mayEndConnection: () => boolean): Promise<CallerAnswer> {
     return await withTimeLimit(routed.deadlineAt - this.#clock.now(), signal, async limited => {
       const state: RoutingState = { routed, body, signal: limited, mayEndConnection, excluded: new Set(), reached: new Set(), sent: 0, mayHaveRun: false, segment: undefined, endpoint: undefined, retriesSpent: false }
@@ -161,7 +169,7 @@
   }
 
   override refusal (reason: string, accepted?: RoutedRequest): CallerAnswer {
-    return this.#answerForEntry('not-run', refusalFor(reason), accepted)
+    return this.#answerForEntry('not-run', refusalFor(reason, reason === overloadedReason ? overloadedRetryMilliseconds : undefined), accepted)
   }
 
   override unknownOutcome (reason: string, accepted?: RoutedRequest): CallerAnswer {
