--- a/packages/key-ranges/src/delta.ts
+++ b/packages/key-ranges/src/delta.ts
@@ -30,11 +30,11 @@
   return after
 }
 
-/** Whether two lists have the same VMs with the same addresses, weights and pools that they are cut off from, in the same order. */
+/** Whether two lists have the same VMs with the same addresses, weights, levels, coordinated endpoints and pools that they are cut off from, in the same order. */
 export function sameVmList (one: KeyMap['vms'], other: KeyMap['vms']): boolean {
   return one === other || (one.length === other.length && one.every((vm, index) => {
     const match = other[index]
-    return vm.id === match?.id && vm.host === match.host && vm.port === match.port && vm.dataCentre === match.dataCentre && vm.weight === match.weight && vm.cutFrom?.join() === match.cutFrom?.join()
+    return vm.id === match?.id && vm.host === match.host && vm.port === match.port && vm.dataCentre === match.dataCentre && vm.weight === match.weight && vm.level === match.level && vm.coordinates?.join() === match.coordinates?.join() && vm.cutFrom?.join() === match.cutFrom?.join()
   }))
 }
 
--- a/packages/key-ranges/src/key-map.ts
+++ b/packages/key-ranges/src/key-map.ts
@@ -16,6 +16,10 @@
   dataCentre: z.string(),
   /** Processor time of the VM, in cores; absent if it is not known. */
   weight: z.number().positive().optional(),
+  /** Feature level of the build of the VM; absent for builds without levels. */
+  level: z.int().optional(),
+  /** Ids of endpoints that the leader has given to the VM to queue their requests; absent if there are none. */
+  coordinates: z.array(z.string()).readonly().optional(),
   /** Names of the pools whose endpoints the VM does not reach although other VMs do; absent if there are none. */
   cutFrom: z.array(z.string()).readonly().optional()
 }).readonly()
--- a/packages/router/src/control/control-feed.ts
+++ b/packages/router/src/control/control-feed.ts
@@ -162,7 +162,7 @@
       onUpdate: update => this.#receive(source, update),
       onEnded: reason => this.#drop(source, reason)
     }
-    const watcher = { id: self.id, host: self.host, port: self.port, dataCentre: self.dataCentre, weight: self.weight ?? 0 }
+    const watcher = { id: self.id, host: self.host, port: self.port, dataCentre: self.dataCentre, weight: self.weight ?? 0, level: self.level ?? 0 }
     const watch = peers.get(vm)?.watchControl({ watcher }, events)
     if (watch === undefined) {
       this.#avoided.set(vm, clock.now() + avoidMilliseconds)
--- a/packages/router/src/control/peer-demand.test.ts
+++ b/packages/router/src/control/peer-demand.test.ts
@@ -6,8 +6,8 @@
 const answerMilliseconds = 5
 
 function report (vm: string): FetchKeyLoadsResponse {
-  const endpoint: EndpointKeyLoad = { endpoint: `endpoint of ${vm}`, busySlots: 1, queued: 0, serviceMilliseconds: 100, keys: [] }
-  return { keyMapPosition: 0, routingVersion: 0, endpoints: [endpoint], watchers: [], leaving: false, poisonRequests: '', cutOffPools: [], reachedPools: [] }
+  const endpoint: EndpointKeyLoad = { endpoint: `endpoint of ${vm}`, busySlots: 1, queued: 0, requestsPerSecond: 0, serviceMilliseconds: 100, keys: [] }
+  return { keyMapPosition: 0, routingVersion: 0, endpoints: [endpoint], watchers: [], leaving: false, poisonRequests: '', cutOffPools: [], reachedPools: [], load: undefined }
 }
 
 /** VMs that answer after a few milliseconds, or not at all. */
@@ -51,7 +51,7 @@
 
   // A key in two reports stood twice in the demand, and the plan cut an empty range in front of it.
   it('adds up the reports of two VMs on one endpoint, key by key', async () => {
-    const load = (busySlots: number, serviceMilliseconds: number, keys: EndpointKeyLoad['keys']): EndpointKeyLoad => ({ endpoint: 'e', busySlots, queued: 0, serviceMilliseconds, keys })
+    const load = (busySlots: number, serviceMilliseconds: number, keys: EndpointKeyLoad['keys']): EndpointKeyLoad => ({ endpoint: 'e', busySlots, queued: 0, requestsPerSecond: 0, serviceMilliseconds, keys })
     const reports = [load(1, 100, [{ key: 5, busySlots: 0.5 }, { key: 6, busySlots: 0.5 }]), load(3, 200, [{ key: 5, busySlots: 1.5 }]), load(0, 0, [])]
     const both: DemandPeers = { vms: ['vm-1', 'vm-2'], get: vm => ({ fetchKeyLoads: async () => ({ ...report(vm), endpoints: [reports[vm === 'vm-1' ? 1 : 2] as EndpointKeyLoad] }) }) }
     const self = { fetchKeyLoads: async () => ({ ...report('self'), endpoints: [reports[0] as EndpointKeyLoad] }) }
@@ -60,7 +60,7 @@
   })
 
   it('takes the lowest of the slots that a limit allows, when two VMs report on one endpoint', async () => {
-    const load = (usableSlots: number | undefined): EndpointKeyLoad => ({ endpoint: 'e', busySlots: 1, queued: 0, serviceMilliseconds: 100, keys: [], usableSlots })
+    const load = (usableSlots: number | undefined): EndpointKeyLoad => ({ endpoint: 'e', busySlots: 1, queued: 0, requestsPerSecond: 0, serviceMilliseconds: 100, keys: [], usableSlots })
     const both: DemandPeers = { vms: ['vm-1', 'vm-2'], get: vm => ({ fetchKeyLoads: async () => ({ ...report(vm), endpoints: [load(vm === 'vm-1' ? 0.4 : 0.2)] }) }) }
     const self = { fetchKeyLoads: async () => ({ ...report('self'), endpoints: [load(undefined)] }) }
     expect((await new PeerDemand(both, self, readPositions, { applyRound: () => {} }, { merge: () => {} }).collect()).get('e')).to.include({ usableSlots: 0.2 })
--- a/packages/router/src/control/peer-demand.ts
+++ b/packages/router/src/control/peer-demand.ts
@@ -66,17 +66,19 @@
   }
 }
 
-function rosterReport ({ watchers, leaving, cutOffPools, reachedPools }: FetchKeyLoadsResponse): RosterReport {
+function rosterReport ({ watchers, leaving, cutOffPools, reachedPools, load, endpoints }: FetchKeyLoadsResponse): RosterReport {
   return {
     leaving,
     cutOffPools,
     reachedPools,
+    load,
+    endpointRates: new Map(endpoints.map(({ endpoint, requestsPerSecond }) => [endpoint, requestsPerSecond])),
     watchers: watchers.flatMap(({ vm, openMilliseconds }) => vm === undefined ? [] : { vm: vmEntry(vm), openMilliseconds })
   }
 }
 
-function vmEntry ({ id, host, port, dataCentre, weight }: VmRecord): VmEntry {
-  return { id, host, port, dataCentre, ...(weight > 0 ? { weight } : {}) }
+function vmEntry ({ id, host, port, dataCentre, weight, level }: VmRecord): VmEntry {
+  return { id, host, port, dataCentre, ...(weight > 0 ? { weight } : {}), ...(level > 0 ? { level } : {}) }
 }
 
 /**
--- a/packages/router/src/control/vm-roster.ts
+++ b/packages/router/src/control/vm-roster.ts
@@ -1,5 +1,7 @@
 import type { VmEntry } from '@briarsaddle/key-ranges'
 import { Logger, type Clock } from '@briarsaddle/common'
+import type { CoordinatedEndpoint } from '../request/coordinator-assignment.js'
+import { planCoordination, type VmLoad } from './coordination-plan.js'
 
 const logger = new Logger('roster')
 
@@ -18,6 +20,10 @@
   readonly cutOffPools: readonly string[]
   /** Pools of which the VM has reached an endpoint lately. */
   readonly reachedPools: readonly string[]
+  /** Absent until it is measured. */
+  readonly load?: VmLoad | undefined
+  /** Requests a second that the VM queued, by endpoint. Absent: none. */
+  readonly endpointRates?: ReadonlyMap<string, number>
 }
 
 // A single call may fail because a VM was short of processor time.
@@ -27,6 +33,8 @@
 const silentRoundsAfterOwnFault = 5
 // A VM that others still hear is added again after this time. The stream of a lost VM stays open for up to 12 s (keepalive).
 const readmitMilliseconds = 15_000
+// Loads are measured over some seconds, so that a change shows in them after this time.
+const coordinationRestMilliseconds = 5_000
 
 /**
  * The leader's list of VMs. VMs are added when they are members of the group of candidates or when another VM reports that
@@ -35,22 +43,30 @@
 export class VmRoster {
   readonly #self: VmEntry
   readonly #clock: Clock
+  readonly #endpoints: () => readonly CoordinatedEndpoint[]
   readonly #silent = new Map<string, number>()
   readonly #removedAt = new Map<string, number>()
   /** Pools that VMs are cut off from while others reach them, by VM. */
   #cutFrom = new Map<string, readonly string[]>()
+  /** Last reported load of each VM. */
+  readonly #loads = new Map<string, VmLoad>()
+  /** VM by endpoint that was given to it. */
+  readonly #coordinators = new Map<string, string>()
+  #coordinationPlannedAt = -Infinity
   #vms = new Map<string, VmEntry>()
   #sorted: readonly VmEntry[] | undefined
 
-  constructor (self: VmEntry, clock: Clock) {
+  /** `endpoints` returns the endpoints whose coordinators are planned; without it none are. */
+  constructor (self: VmEntry, clock: Clock, endpoints: () => readonly CoordinatedEndpoint[] = () => []) {
     this.#self = self
     this.#clock = clock
+    this.#endpoints = endpoints
     this.reset([])
   }
 
   /** The VMs by id, in the order of their ids. The same object is returned until the list changes. */
   get vms (): readonly VmEntry[] {
-    this.#sorted ??= [...this.#vms.values()].map(vm => this.#withCutFrom(vm)).sort((one, other) => one.id < other.id ? -1 : 1)
+    this.#sorted ??= [...this.#vms.values()].map(vm => this.#withPlans(vm)).sort((one, other) => one.id < other.id ? -1 : 1)
     return this.#sorted
   }
 
@@ -58,6 +74,9 @@
   reset (vms: readonly VmEntry[]): void {
     this.#vms = new Map([...vms, this.#self].map(vm => [vm.id, vm]))
     this.#cutFrom = new Map(vms.flatMap(({ id, cutFrom }) => cutFrom === undefined ? [] : [[id, cutFrom]]))
+    this.#coordinators.clear()
+    for (const { id, coordinates = [] } of vms) for (const endpoint of coordinates) this.#coordinators.set(endpoint, id)
+    this.#loads.clear()
     this.#silent.clear()
     this.#removedAt.clear()
     this.#sorted = undefined
@@ -73,9 +92,30 @@
     return this.#cutFrom.has(vm)
   }
 
-  #withCutFrom ({ cutFrom: _former, ...vm }: VmEntry): VmEntry {
+  #withPlans ({ cutFrom: _formerCut, coordinates: _formerEndpoints, ...vm }: VmEntry): VmEntry {
     const cutFrom = this.#cutFrom.get(vm.id)
-    return cutFrom === undefined ? vm : { ...vm, cutFrom }
+    const coordinates = [...this.#coordinators].filter(([, coordinator]) => coordinator === vm.id).map(([endpoint]) => endpoint).sort()
+    return { ...vm, ...(coordinates.length === 0 ? {} : { coordinates }), ...(cutFrom === undefined ? {} : { cutFrom }) }
+  }
+
+  /** Gives endpoints of full VMs to VMs with room. */
+  #planCoordination (reports: ReadonlyMap<string, RosterReport | undefined>): void {
+    for (const [vm, report] of reports) if (report?.load !== undefined) this.#loads.set(vm, report.load)
+    const now = this.#clock.now()
+    if (now - this.#coordinationPlannedAt < coordinationRestMilliseconds) return
+    const endpoints = this.#endpoints()
+    const rates = new Map<string, number>()
+    for (const report of reports.values()) for (const [endpoint, rate] of report?.endpointRates ?? []) rates.set(endpoint, (rates.get(endpoint) ?? 0) + rate)
+    const moves = planCoordination({ vms: this.vms, endpoints, loads: this.#loads, rates })
+    if (moves.length === 0) return
+    this.#coordinationPlannedAt = now
+    this.#sorted = undefined
+    const present = new Set(endpoints.map(({ id }) => id))
+    for (const endpoint of this.#coordinators.keys()) if (!present.has(endpoint)) this.#coordinators.delete(endpoint)
+    for (const { endpoint, from, to } of moves) {
+      this.#coordinators.set(endpoint, to)
+      logger.info('endpoint gets another coordinator, because its VM is full', { endpoint, from, to, requestsPerSecond: rates.get(endpoint), fromBusyShare: this.#loads.get(from)?.busyShare, toBusyShare: this.#loads.get(to)?.busyShare })
+    }
   }
 
   /** A pool that no VM reaches has lost its endpoints; then no VM is better placed than another. */
@@ -110,7 +150,9 @@
       this.#silent.delete(vm)
       if (report.leaving) this.#remove(vm, 'stopping')
     }
-    this.#applyReach(new Map([...reports, [this.#self.id, own]]))
+    const all = new Map([...reports, [this.#self.id, own]])
+    this.#applyReach(all)
+    this.#planCoordination(all)
     for (const report of [own, ...reports.values()]) {
       for (const { vm, openMilliseconds } of report?.watchers ?? []) {
         // The stream of a VM that was removed may stay open for a while; only a later stream shows that the VM is back.
@@ -127,7 +169,7 @@
 
   #add (vm: VmEntry, reason: string): void {
     const known = this.#vms.get(vm.id)
-    if (known !== undefined && known.host === vm.host && known.port === vm.port && known.dataCentre === vm.dataCentre && known.weight === vm.weight) return
+    if (known !== undefined && known.host === vm.host && known.port === vm.port && known.dataCentre === vm.dataCentre && known.weight === vm.weight && known.level === vm.level) return
     this.#vms.set(vm.id, vm)
     this.#silent.delete(vm.id)
     this.#removedAt.delete(vm.id)
@@ -139,6 +181,8 @@
     if (vm === this.#self.id || !this.#vms.delete(vm)) return
     this.#silent.delete(vm)
     this.#cutFrom.delete(vm)
+    this.#loads.delete(vm)
+    for (const [endpoint, coordinator] of this.#coordinators) if (coordinator === vm) this.#coordinators.delete(endpoint)
     this.#removedAt.set(vm, this.#clock.now())
     this.#sorted = undefined
     logger.info('VM removed from the list', { peer: vm, reason, vms: this.#vms.size })
--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -3,7 +3,7 @@
 import { EntryServer } from '@briarsaddle/entry'
 import type { KeyMap, VmEntry } from '@briarsaddle/key-ranges'
 import { InnerServer, PeerPool, type Answer, type Forward } from '@briarsaddle/protocol'
-import { LoadMonitor } from './load-monitor.js'
+import { LoadMonitor, SmoothedLoad } from './load-monitor.js'
 import { stateAges, type StateAges } from './control/state-ages.js'
 import { Candidacy } from './control/candidacy.js'
 import { ControlFeed } from './control/control-feed.js'
@@ -29,6 +29,7 @@
 import type { ListenAddress, RangeNodeSettings } from './node-settings.js'
 import type { CallerProtocol } from './request/caller-protocol.js'
 import { ChangeNotifier } from './request/change-notifier.js'
+import { featureLevel } from './request/coordinator-assignment.js'
 import { Coordinators } from './request/coordinators.js'
 import { Dispatcher, PeerForwarder } from './request/dispatcher.js'
 import { RangeControlHandler, RangeFrameHandler } from './request/inner-handlers.js'
@@ -85,6 +86,8 @@
   readonly #loopDelay = new LoopDelay(this.#clock)
   readonly #random = new Random(randomInt(2 ** 31))
   readonly #load = new LoadMonitor(this.#clock, processTurnQueue)
+  readonly #smoothedLoad = new SmoothedLoad()
+  #requestsBefore = 0
   readonly #changes = new ChangeNotifier()
   readonly #leavingEndpoints = new LeavingEndpoints(this.#clock, () => ({ feed: this.#feed.source, leading: this.#leader.leading, directoryAgeMilliseconds: this.#stateAges.directoryAgeMilliseconds }))
   readonly #poison = new PoisonList(this.#clock)
@@ -122,8 +125,8 @@
     this.#transport = new EndpointReach({ clock: this.#clock, random: this.#random, transport: new MeasuredTransport(platform.transport, platform.metrics, this.#clock), directory: () => this.#endpoints })
     const { timing, listen } = settings
     const clock = this.#clock
-    this.#self = { ...settings.vm, host: listen.inner.host, port: listen.inner.port }
-    this.#roster = new VmRoster(this.#self, clock)
+    this.#self = { ...settings.vm, host: listen.inner.host, port: listen.inner.port, level: featureLevel }
+    this.#roster = new VmRoster(this.#self, clock, () => [...this.#endpoints.values()])
     this.#candidacy = new Candidacy({
       vm: settings.vm.id,
       clock,
@@ -157,7 +160,7 @@
     this.#feed = new ControlFeed({ self: this.#self, clock, peers: this.#peers, map: this.#map, routing: this.#routing, directory: this.#directory, poison: this.#poison, sources: () => this.#sources, onUpdate: () => this.#publisher.publishSoon() })
     this.#dispatcher = this.#createDispatcher()
     this.#router = this.#createRouter()
-    this.#control = new RangeControlHandler({ vm: settings.vm.id, dispatcher: this.#dispatcher, map: this.#map, routing: this.#routing, readPositions: this.#readPositions, publisher: this.#publisher, poison: this.#poison, reach: this.#transport, leaving: () => this.#stopping !== undefined })
+    this.#control = new RangeControlHandler({ vm: settings.vm.id, dispatcher: this.#dispatcher, map: this.#map, routing: this.#routing, readPositions: this.#readPositions, publisher: this.#publisher, poison: this.#poison, reach: this.#transport, leaving: () => this.#stopping !== undefined, load: () => this.#smoothedLoad.current })
     this.#leader = this.#createLeader()
     this.#inner = new InnerServer({ ...listen.inner }, new RangeFrameHandler(this.#dispatcher), this.#control)
     this.#entry = new EntryServer({ ...listen.callers, ...settings.limits, maximumHeaderBytes, maximumBodyBytes, clock, loopDelay: this.#loopDelay }, this.#router)
@@ -329,6 +332,7 @@
     this.#directory.onChange(directory => {
       this.#leavingEndpoints.update(directory)
       this.#directoryHistory.update(directory)
+      this.#coordinators.updateEndpoints(directory)
       this.#dispatcher.update(directory)
       this.#transport.keepOnly(directory)
       this.#changes.notify()
@@ -405,7 +409,11 @@
   }
 
   #reportLoad (): void {
-    const { milliseconds, busyShare, processorMilliseconds, longestTurnMilliseconds, heldMilliseconds } = this.#load.take()
+    const sample = this.#load.take()
+    this.#smoothedLoad.add(sample, this.#entry.requests - this.#requestsBefore)
+    this.#requestsBefore = this.#entry.requests
+    for (const gate of this.#dispatcher.gates.values()) gate.rate.endPeriod(sample.milliseconds)
+    const { milliseconds, busyShare, processorMilliseconds, longestTurnMilliseconds, heldMilliseconds } = sample
     this.#metrics.state({ busyShare, longestTurnSeconds: longestTurnMilliseconds / 1000, heldSeconds: heldMilliseconds / 1000 })
     logger.info('load', {
       milliseconds: Math.round(milliseconds),
@@ -416,7 +424,9 @@
       waitingRequests: processTurnQueue.length,
       inFlight: this.#entry.inFlight,
       requests: this.#entry.requests,
+      abandoned: this.#entry.abandonedRequests,
       forwarded: this.#dispatcher.accepted,
+      coordinatedPerSecond: Math.round([...this.#dispatcher.gates.values()].reduce((sum, gate) => sum + gate.rate.perSecond, 0)),
       acceptedConnections: this.#entry.acceptedConnections
     })
   }
--- a/packages/router/src/request/coordinators.ts
+++ b/packages/router/src/request/coordinators.ts
@@ -1,28 +1,46 @@
-import { createHash } from 'node:crypto'
 import { sameVmList, type VmEntry } from '@briarsaddle/key-ranges'
-import type { EndpointEntry } from '../endpoint-entry.js'
+import type { Directory, EndpointEntry } from '../endpoint-entry.js'
+import { coordinatorsOf, hashOf, spreadsCoordination } from './coordinator-assignment.js'
 
 /**
- * Orders the VMs that may queue the requests for an endpoint (its coordinator) by rendezvous hashing: VMs with the same list of
- * VMs choose the same coordinator, and the loss of a VM reassigns only the endpoints that it coordinated. A VM coordinates
- * endpoints in proportion to its weight. VMs in the endpoint's data centre come first, so that a request crosses between data
- * centres at most once, and VMs that are cut off from the endpoint's pool last.
+ * Chooses the VM that queues the requests for an endpoint, its coordinator. VMs with the same list of VMs and the same endpoints choose the same one,
+ * see `coordinatorsOf`. The other VMs follow in the order of rendezvous hashing, those in the endpoint's data centre first, so that a request
+ * crosses between data centres at most once, and those that are cut off from the endpoint's pool last.
  */
 export class Coordinators {
   readonly #ordered = new Map<string, readonly string[]>()
   #vms: readonly VmEntry[] = []
+  #endpoints: readonly EndpointEntry[] = []
+  /** Coordinator by endpoint; undefined until it is needed. */
+  #assigned: ReadonlyMap<string, string> | undefined
 
   /** Replaces the list of VMs. */
   update (vms: readonly VmEntry[]): void {
     if (sameVmList(vms, this.#vms)) return
     this.#vms = vms
     this.#ordered.clear()
+    this.#assigned = undefined
+  }
+
+  /** Replaces the endpoints. */
+  updateEndpoints (directory: Directory): void {
+    const endpoints = [...directory.values()]
+    if (sameEndpoints(endpoints, this.#endpoints)) return
+    this.#endpoints = endpoints
+    this.#assigned = undefined
   }
 
   /** Returns the id of the coordinating VM: the first one that is not avoided, or the first one of all. Undefined while no VM is known. */
   of (endpoint: EndpointEntry, isAvoided: (vm: string) => boolean = () => false): string | undefined {
+    const first = this.#assignment.get(endpoint.id)
+    if (first !== undefined && !isAvoided(first)) return first
     const ordered = this.#orderFor(endpoint)
-    return ordered.find(vm => !isAvoided(vm)) ?? ordered[0]
+    return ordered.find(vm => !isAvoided(vm)) ?? first ?? ordered[0]
+  }
+
+  get #assignment (): ReadonlyMap<string, string> {
+    this.#assigned ??= spreadsCoordination(this.#vms) ? coordinatorsOf(this.#vms, this.#endpoints) : new Map()
+    return this.#assigned
   }
 
   #orderFor ({ id, dataCentre, pool }: EndpointEntry): readonly string[] {
@@ -37,7 +55,14 @@
   }
 }
 
+function sameEndpoints (some: readonly EndpointEntry[], others: readonly EndpointEntry[]): boolean {
+  return some.length === others.length && some.every((entry, index) => {
+    const other = others[index]
+    return entry.id === other?.id && entry.pool === other.pool && entry.dataCentre === other.dataCentre
+  })
+}
+
 /** Returns a number between 0 and 1, both excluded, that depends on the text only. */
 function fractionOf (text: string): number {
-  return (createHash('sha256').update(text).digest().readUIntBE(0, 6) + 0.5) / 2 ** 48
+  return (hashOf(text) + 0.5) / 2 ** 48
 }
--- a/packages/router/src/request/dispatcher.ts
+++ b/packages/router/src/request/dispatcher.ts
@@ -48,7 +48,6 @@
   readonly #gates = new Map<string, EndpointGate>()
   readonly #detours: Detours
   #accepted = 0
-  #coordinated = 0
 
   constructor (options: DispatcherOptions) {
     this.#options = options
@@ -58,9 +57,6 @@
   /** Number of requests that other VMs forwarded to this one since the start. */
   get accepted (): number { return this.#accepted }
 
-  /** Number of requests that this VM queued for endpoints since the start. */
-  get coordinated (): number { return this.#coordinated }
-
   /** Gates that this VM has created, by endpoint id. */
   get gates (): ReadonlyMap<string, EndpointGate> { return this.#gates }
 
@@ -96,7 +92,7 @@
   }
 
   async #sendThrough (coordinator: string, endpoint: EndpointEntry, forward: Forward, signal: AbortSignal): Promise<Answer> {
-    if (coordinator === this.#options.vm) return await this.#handle(endpoint, forward, signal)
+    if (coordinator === this.#options.vm) return await this.#gate(endpoint).handle(forward, signal)
     const answer = await this.#options.peers.forward(coordinator, forward, signal)
     this.#adoptLimit(endpoint, answer)
     if (answer.endpointLeaving === true) this.#options.leaving.add(endpoint, answer.reason === leavingReason ? 'coordinator' : 'answer')
@@ -109,7 +105,7 @@
       return notRunAnswer('endpoint_limited')
     }
     logger.info('coordinator unavailable, sending to the endpoint directly', { request: forward.requestId, endpoint: endpoint.id, coordinator, reason: answer.reason })
-    return await this.#handle(endpoint, forward, signal)
+    return await this.#gate(endpoint).handle(forward, signal)
   }
 
   /** Handles a request that another VM forwarded. Never rejects. */
@@ -124,7 +120,7 @@
     const deadlineMilliseconds = forward.deadlineMilliseconds - waited - (this.#options.clock.now() - startedAt)
     if (deadlineMilliseconds <= 0) return refuseForwarded(forward, 'deadline_exceeded', waited)
     if (this.#options.reach.isCutOff(endpoint.pool)) return refuseForwarded(forward, outOfReachReason, waited)
-    return await this.#handle(endpoint, { ...forward, deadlineMilliseconds }, signal)
+    return await this.#gate(endpoint).handle({ ...forward, deadlineMilliseconds }, signal)
   }
 
   /** Applies a new directory: updates the gates, and removes those of endpoints that are gone once nothing is outstanding. */
@@ -158,11 +154,6 @@
     else this.#gates.get(endpoint.id)?.adoptLimit(undefined)
   }
 
-  async #handle (endpoint: EndpointEntry, forward: Forward, signal: AbortSignal): Promise<Answer> {
-    this.#coordinated++
-    return await this.#gate(endpoint).handle(forward, signal)
-  }
-
   #gate (entry: EndpointEntry): EndpointGate {
     let gate = this.#gates.get(entry.id)
     if (gate === undefined) this.#gates.set(entry.id, gate = new EndpointGate({ ...this.#options, entry }))
--- a/packages/router/src/request/endpoint-gate.ts
+++ b/packages/router/src/request/endpoint-gate.ts
@@ -4,6 +4,7 @@
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
 import type { EndpointReach } from '../endpoint-reach.js'
 import type { EndpointReply, EndpointTransport, ReportedLimit } from '../endpoint-transport.js'
+import { SmoothedRate } from '../load-monitor.js'
 import type { LeavingEndpoints } from '../leaving-endpoints.js'
 import type { RouterMetrics } from '../router-metrics.js'
 import { CrashWitness, type RunEnd } from '../poison/crash-witness.js'
@@ -48,6 +49,8 @@
   /** Measures the demand at this endpoint. */
   readonly demand: KeyDemandMeter
   readonly #witness: CrashWitness
+  /** Requests of all VMs for this endpoint, counted on arrival. */
+  readonly rate = new SmoothedRate()
   #entry: EndpointEntry
   /** Requests a second that the endpoint takes from all VMs together; undefined when it names no limit. */
   #limit: number | undefined
@@ -118,6 +121,7 @@
     const { clock } = this.#options
     const arrivedAt = clock.now()
     const deadlineAt = arrivedAt + forward.deadlineMilliseconds
+    this.rate.count()
     this.demand.recordArrival(forward.rule, forward.bucket)
     if (this.#options.leaving.isClosed(this.#entry)) return this.#refuseAsLeaving()
     if (this.#options.reach.isUnreached(this.#entry)) return this.#refuseAsUnreachable(endpointUnreachable)
--- a/packages/router/src/request/inner-handlers.ts
+++ b/packages/router/src/request/inner-handlers.ts
@@ -4,6 +4,7 @@
   type FetchStateResponse, type Forward, type HeartbeatResponse, type JournalAcknowledgement
 } from '@briarsaddle/protocol'
 import { encodeKeyMap, segmentAt, type KeyMap } from '@briarsaddle/key-ranges'
+import type { VmLoad } from '../control/coordination-plan.js'
 import type { ControlPublisher } from '../control/control-publisher.js'
 import type { ReadPositionMonitor } from '../control/read-position-monitor.js'
 import type { TopicState } from '../control/state-topic.js'
@@ -45,6 +46,8 @@
   readonly poison: PoisonList
   readonly reach: Pick<EndpointReach, 'cutOffPools' | 'reachedPools'>
   readonly leaving: () => boolean
+  /** Load of this VM; undefined until it has been measured. */
+  readonly load: () => VmLoad | undefined
 }
 
 /** Serves the control calls of other VMs; those that this router does not use are rejected as unsupported. */
@@ -62,8 +65,8 @@
 
   override async fetchKeyLoads (request: FetchKeyLoadsRequest): Promise<FetchKeyLoadsResponse> {
     this.#options.readPositions.observePeer(request)
-    const { publisher, leaving, reach } = this.#options
-    return { ...this.#options.readPositions.own, watchers: [...publisher.watchers], leaving: leaving(), poisonRequests: this.#options.poison.encodeRecent(), cutOffPools: [...reach.cutOffPools], reachedPools: [...reach.reachedPools], endpoints: [...this.#options.dispatcher.gates].map(([endpoint, gate]) => this.#keyLoad(endpoint, gate)) }
+    const { publisher, leaving, reach, load } = this.#options
+    return { ...this.#options.readPositions.own, watchers: [...publisher.watchers], leaving: leaving(), load: load(), poisonRequests: this.#options.poison.encodeRecent(), cutOffPools: [...reach.cutOffPools], reachedPools: [...reach.reachedPools], endpoints: [...this.#options.dispatcher.gates].map(([endpoint, gate]) => this.#keyLoad(endpoint, gate)) }
   }
 
   override async fetchControl ({ keyMapPosition, routingVersion, knownPosition, knownFence }: FetchControlRequest): Promise<FetchControlResponse> {
@@ -94,7 +97,7 @@
     const remainingSlots = Math.max(0, busySlots - movedAwaySlots)
     const usableSlots = gate.usableSlots(serviceMilliseconds)
     const busy = remainingSlots > keyReportThreshold * (usableSlots ?? Math.max(1, gate.slots))
-    return { endpoint, busySlots: remainingSlots, queued: gate.queued, serviceMilliseconds, keys: busy ? owned.slice(0, maximumReportedKeys) : [], usableSlots }
+    return { endpoint, requestsPerSecond: gate.rate.perSecond, busySlots: remainingSlots, queued: gate.queued, serviceMilliseconds, keys: busy ? owned.slice(0, maximumReportedKeys) : [], usableSlots }
   }
 
   override async confirm (): Promise<ConfirmResponse> { throw unsupported('confirm') }
