--- a/packages/router/src/compatibility.test.ts
+++ b/packages/router/src/compatibility.test.ts
@@ -21,8 +21,11 @@
   { id: 'vm-1', host: '10.0.1.1', port: 7720, dataCentre: 'a', weight: 0.54 },
   { id: 'vm-2', host: '10.0.1.2', port: 7720, dataCentre: 'b', weight: 0.54 }
 ]
-const map: KeyMap = { author: 'vm-1', fence: 9, vms, pools: { ponds: segments } }
-const before: KeyMap = { ...map, pools: { ponds: segments.map((segment, index) => index === 0 ? segment : { ...segment, fence: 1 }) } }
+const leveledVms: KeyMap['vms'] = vms.map((vm, index) => ({ ...vm, level: 1, ...(index === 0 ? { coordinates: ['ponds-2'] } : {}) }))
+/** Lists of VMs as builds wrote them first. */
+const vmsByBuild: ReadonlyMap<string, KeyMap['vms']> = new Map([['b0b7189', vms], ['11e7692', leveledVms]])
+const mapOf = (build: string): KeyMap => ({ author: 'vm-1', fence: 9, vms: vmsByBuild.get(build) ?? vms, pools: { ponds: segments } })
+const beforeOf = (map: KeyMap): KeyMap => ({ ...map, pools: { ponds: segments.map((segment, index) => index === 0 ? segment : { ...segment, fence: 1 }) } })
 const entry: EndpointEntry = { id: 'ponds-1', pool: 'ponds', host: '10.0.0.1', port: 8080, dataCentre: 'a', slots: 2, leaving: false, life: 1, warmUpMilliseconds: 0 }
 const directoryBefore = new Map([['ponds-0', entry]])
 
@@ -41,6 +44,8 @@
 describe('Records of the control state, with VMs of different builds', () => {
   for (const file of readdirSync(folder)) {
     const build = file.replace('.json', '')
+    const map = mapOf(build)
+    const before = beforeOf(map)
     const records = JSON.parse(readFileSync(new URL(file, folder), 'utf8')) as Records
 
     it(`reads those of ${build}, also with fields that it does not know`, () => {
