--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -20,6 +20,7 @@
   /** Length of the answers that wait for answers before them, in bytes. */
   #waitingBytes = 0
   #paused = false
+  #isNew = true
   #finalBytes = ''
 
   constructor (socket: Socket) {
@@ -32,6 +33,9 @@
   /** Requests whose answers have not been sent completely, oldest first. */
   get exchanges (): ReadonlySet<Exchange> { return this.#exchanges }
 
+  /** Whether no request has been read on the connection. */
+  get isNew (): boolean { return this.#isNew }
+
   /** Aborts all requests. */
   abort (): void {
     for (const { controller } of this.#exchanges) controller.abort()
@@ -39,6 +43,7 @@
 
   /** Adds a request that has been read. */
   add (exchange: Exchange): void {
+    this.#isNew = false
     this.#exchanges.add(exchange)
     // Node.js resumes the connection at the end of each request that it parses, so a pause now would not last.
     if (this.#isFull) process.nextTick(() => this.#pauseOrResume())
--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -5,6 +5,7 @@
 import type { Turn } from './answer-sequence.js'
 import { hasBody, readBody } from './body.js'
 import { CallerConnection } from './caller-connection.js'
+import { StaleBacklog } from './stale-backlog.js'
 import { UnreadAnswers } from './unread-answers.js'
 import { originForm, type CallerAnswer, type CallerRequest, type CallerRequestHandler } from './request-handler.js'
 
@@ -62,6 +63,8 @@
   readonly turn: Turn
   readonly controller: AbortController
   readonly arrivedAt: number
+  /** Whether it is the first request of its connection. */
+  readonly isFirst: boolean
   /** Undefined until the request has been accepted. */
   accepted: Accepted | undefined
   readingBody: boolean
@@ -87,6 +90,7 @@
   readonly #exchanges = new Set<Exchange<Accepted>>()
   readonly #connections = new Map<Socket, CallerConnection<Exchange<Accepted>>>()
   readonly #unread: UnreadAnswers
+  readonly #backlog: StaleBacklog
   #unreadCheck: NodeJS.Timeout | undefined
   #maximumBodyBytes: number
   #bufferedBytes = 0
@@ -116,6 +120,8 @@
       noDelay: true
     })
     this.#server.maxConnections = options.maximumCallerConnections
+    // With a negative limit, Node.js closes all connections as soon as it accepts them.
+    this.#backlog = new StaleBacklog(clock, { setClosing: closing => { this.#server.maxConnections = closing ? -1 : options.maximumCallerConnections } })
     this.#server.on('connection', socket => this.#onConnection(socket))
     this.#server.on('drop', () => this.#onConnectionDropped())
     this.#server.on('clientError', (error, socket) => this.#onClientError(error, socket as Socket))
@@ -259,6 +265,7 @@
       turn,
       controller: new AbortController(),
       arrivedAt: this.#options.clock.now() - (this.#options.loopDelay?.milliseconds ?? 0),
+      isFirst: connection.isNew,
       accepted: undefined,
       readingBody: false,
       bodyTooLarge: false,
@@ -294,6 +301,7 @@
     exchange.accepted = accepted
     const mayRun = await processTurnQueue.turn(this.#handler.turnOf(accepted))
     // The caller may have disconnected before the request was read; its disconnect is handled before the turn.
+    if (exchange.isFirst) this.#backlog.observe(controller.signal.aborted)
     if (controller.signal.aborted) return undefined
     if (!mayRun) return this.#handler.refusal('overloaded', accepted)
     if (exchange.invalidReason !== undefined) return this.#handler.refusal(exchange.invalidReason)
@@ -369,6 +377,7 @@
   }
 
   #onConnectionDropped (): void {
+    if (this.#backlog.discarding) return this.#backlog.discarded()
     this.#refusedConnections++
     logger.warning('connection of a caller refused: the limit of open connections is reached', { limit: this.#options.maximumCallerConnections, refused: this.#refusedConnections, inFlight: this.#exchanges.size })
   }
