--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,4 +1,4 @@
-import { describeError } from '@briarsaddle/common'
+import { describeError, ignoreClosedOutput } from '@briarsaddle/common'
 import { Builtins, Cli, type Command } from 'clipanion'
 import { z } from 'zod'
 import { DrainCommand, MatchCommand, OwnerCommand, StateCommand, WitnessesReleaseCommand } from './commands/administration.js'
@@ -28,6 +28,7 @@
 
 /** Runs one command line and returns its exit code. `overrides` replaces parts of the context, for tests. */
 export async function main (args: readonly string[], overrides: Partial<CliContext> = {}): Promise<number> {
+  ignoreClosedOutput(process.stdout, process.stderr)
   const context: CliContext = { ...Cli.defaultContext, openLog: openHttpLog, ...overrides }
   const cli = Cli.from<CliContext>(commands, { binaryLabel: 'briarsaddle', binaryName: 'briarsaddle', binaryVersion: version, enableColors: process.stdout.isTTY === true })
   if (args.length === 0) {
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from 'node:fs'
 import { Builtins, Cli, Command, Option, UsageError } from 'clipanion'
-import { describeError, enableLogs, Logger } from '@briarsaddle/common'
+import { describeError, enableLogs, ignoreClosedOutput, Logger } from '@briarsaddle/common'
 import { administrationToken, loadSettings } from '@briarsaddle/settings'
 import { Daemon } from './daemon.js'
 
@@ -57,6 +57,7 @@
 
 /** Runs the daemon with command-line arguments and returns the exit code. */
 export async function main (args: readonly string[]): Promise<number> {
+  ignoreClosedOutput(process.stdout, process.stderr)
   const cli = new Cli({ binaryName: 'briarsaddled', binaryLabel: 'briarsaddle daemon', binaryVersion: version })
   cli.register(RunCommand)
   cli.register(Builtins.HelpCommand)
