--- a/packages/router/src/node-settings.ts
+++ b/packages/router/src/node-settings.ts
@@ -9,6 +9,8 @@
 
 /** Settings of one VM; times in milliseconds. */
 export interface RangeNodeSettings {
+  /** Name of the build, which other VMs and operators may compare; absent in tests. */
+  readonly build?: string
   readonly vm: {
     readonly id: string
     readonly dataCentre: string
--- a/packages/settings/src/parse-settings.ts
+++ b/packages/settings/src/parse-settings.ts
@@ -1,5 +1,6 @@
 import { readFile } from 'node:fs/promises'
-import { describeError } from '@briarsaddle/common'
+import { readFileSync } from 'node:fs'
+import { describeError, errorCode } from '@briarsaddle/common'
 import { parse, TomlError } from 'smol-toml'
 import type { z } from 'zod'
 import { minimumTokenLength, settingsSchema, type Settings } from './schema.js'
@@ -31,18 +32,44 @@
 
 /** Parses and validates the text of a settings file. Throws `SettingsError` with all findings. */
 export function parseSettings (text: string, fileName: string): Settings {
-  const result = settingsSchema.safeParse(parseToml(text, fileName))
+  return parseWith(settingsSchema, text, fileName)
+}
+
+function parseWith<Schema extends z.ZodType> (schema: Schema, text: string, fileName: string): z.infer<Schema> {
+  if (text.trim() === '') throw new SettingsError(fileName, [{ path: '', code: 'empty', reason: 'the file is empty' }])
+  const result = schema.safeParse(parseToml(text, fileName))
   if (result.success) return result.data
   throw new SettingsError(fileName, result.error.issues.flatMap(findingsOf))
 }
 
+const readReasons: ReadonlyMap<string, string> = new Map([
+  ['ENOENT', 'the file does not exist'],
+  ['EISDIR', 'is a folder, not a file'],
+  ['EACCES', 'the file may not be read by this user']
+])
+
+function unreadable (path: string, error: unknown): SettingsError {
+  return new SettingsError(path, [{ path: '', code: 'unreadable', reason: readReasons.get(errorCode(error)) ?? describeError(error) }], 'settings_unreadable')
+}
+
+/** Reads, parses and validates a TOML file of any schema. Throws `SettingsError` with all findings, also when the file cannot be read. */
+export function loadFile<Schema extends z.ZodType> (schema: Schema, path: string): z.infer<Schema> {
+  let text: string
+  try {
+    text = readFileSync(path, 'utf8')
+  } catch (error) {
+    throw unreadable(path, error)
+  }
+  return parseWith(schema, text, path)
+}
+
 /** Reads, parses and validates a settings file. Throws `SettingsError`, also when the file cannot be read. */
 export async function loadSettings (path: string): Promise<Settings> {
   let text: string
   try {
     text = await readFile(path, 'utf8')
   } catch (error) {
-    throw new SettingsError(path, [{ path: '', code: 'unreadable', reason: describeError(error) }], 'settings_unreadable')
+    throw unreadable(path, error)
   }
   return parseSettings(text, path)
 }
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -8,11 +8,15 @@
 // The sources themselves, so that nothing has to be built before.
 const alias = Object.fromEntries(readdirSync('packages').map(name => [`@briarsaddle/${name}`, resolve('packages', name, 'src/index.ts')]))
 
+// The commit, which each VM states in its first log line, its metrics and its state; unknown in a copy without the history.
+const { stdout: commit } = spawnSync('git', ['rev-parse', '--short', 'HEAD'], { encoding: 'utf8' })
+
 await build({
   entryPoints: ['platform/src/start.ts'],
   outfile: 'target/program.cjs',
   bundle: true,
   alias,
+  define: { BRIARSADDLE_BUILD: JSON.stringify(commit?.trim() || 'unknown') },
   platform: 'node',
   target: 'node20',
   format: 'cjs',
