--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -169,6 +169,7 @@
   /** Starts all parts. Throws `listen_failed`. */
   async start (): Promise<void> {
     this.#followChanges()
+    this.#metrics.build(this.#build, featureLevel)
     this.#loopDelay.start(this.#lifeCycle, milliseconds => this.#metrics.loopDelay(milliseconds))
     await this.#inner.listen()
     this.#lifeCycle.own('inner server', async () => await this.#inner.stop(0))
@@ -185,7 +186,7 @@
     this.#lifeCycle.every('state metrics', reportMilliseconds, () => this.#reportState(), error => logger.error('state metrics failed', { error: String(error) }))
     this.#lifeCycle.every('load', loadMilliseconds, () => this.#reportLoad(), error => logger.error('load report failed', { error: String(error) }))
     await this.#listenWhenPrepared()
-    logger.info('started', { dataCentre: this.#self.dataCentre, inner: `${this.#self.host}:${this.#self.port}`, routingVersion: this.#router.version, ...this.#stateAges })
+    logger.info('started', { build: this.#build, featureLevel, dataCentre: this.#self.dataCentre, inner: `${this.#self.host}:${this.#self.port}`, routingVersion: this.#router.version, ...this.#stateAges })
   }
 
   /** Listens for callers once the routes, the key map and the directory are known; other VMs serve the requests until then. */
@@ -197,6 +198,8 @@
     this.#lifeCycle.own('entry', async () => await this.#entry.stop(0))
   }
 
+  get #build (): string { return this.#settings.build ?? 'unknown' }
+
   /** True while this VM assigns keys to endpoints. */
   get leading (): boolean { return this.#leader.leading }
 
@@ -384,6 +387,8 @@
     const gates = Object.fromEntries([...this.#dispatcher.gates].map(([endpoint, gate]) => [endpoint, gate.snapshot()]))
     const state = {
       vm: this.#self,
+      build: this.#build,
+      featureLevel,
       keyMap: this.#map.current,
       routing: this.#routing.current,
       directory: [...this.#endpoints.values()],
--- a/packages/router/src/router-metrics.ts
+++ b/packages/router/src/router-metrics.ts
@@ -67,6 +67,8 @@
 
   readonly #state = new Gauge({ name: 'briarsaddle_state', help: 'What the VM believes: leading, ready, routing version, key map position, endpoints', labelNames: ['what'], registers: [this.#registry] })
 
+  readonly #build = new Gauge({ name: 'briarsaddle_build_info', help: 'Build and feature level of the VM; always 1', labelNames: ['build', 'level'], registers: [this.#registry] })
+
   /** Records the result of a request of a caller. */
   request ({ pool, outcome, reason, milliseconds }: RequestMeasure): void {
     const named = pool === '' ? unknownPool : pool
@@ -134,6 +136,11 @@
     this.#lines[result]++
   }
 
+  /** States the build of the VM and its feature level. */
+  build (build: string, level: number): void {
+    this.#build.set({ build, level }, 1)
+  }
+
   /** Sets the gauges of the VM's state; the names become label values. */
   state (values: Readonly<Record<string, number>>): void {
     for (const [what, value] of Object.entries(values)) this.#state.set({ what }, value)
