Bound the wait for a turn in briarsaddled too (SHORT)

briarsaddled shares the entry server and its queue of turns, and its requests stated no limit: on a full VM they waited first come, first served until their deadline. They wait for an eighth of their deadline now, prompt ones first. The share has moved to common, where both programs find it. entry.test.ts: without the change there is no limit.

--- a/packages/daemon/src/entry/entry.test.ts
+++ b/packages/daemon/src/entry/entry.test.ts
@@ -200,6 +200,16 @@
     expect((await reply).status).to.equal(200)
   })
 
+  // Guards against a full VM that keeps requests until their deadline instead of refusing them (SHORT).
+  it('lets a request wait for its turn for a part of its deadline, less what has passed', () => {
+    const request = { method: 'GET', target: '/ponds/1', headers: {}, rawHeaders: [], remoteAddress: '127.0.0.1', arrivedAt: new MonotonicClock().now() - 20 }
+    const accepted = router.accept(request)
+    if ('status' in accepted) throw new Error('the request was refused')
+    const { urgency, longestWaitMilliseconds } = router.turnOf(accepted)
+    expect(urgency).to.equal(1)
+    expect(longestWaitMilliseconds).to.be.within(accepted.rule.deadlineMilliseconds / 8 - 25, accepted.rule.deadlineMilliseconds / 8 - 20)
+  })
+
   it('returns a final refusal with Retry-After at once, so that the caller does not wait until the deadline', async () => {
     peers.script = () => notRunAnswer('queue_full', { retryAfterMilliseconds: 4_000 })
     const begun = performance.now()
--- a/packages/daemon/src/entry/request-router.ts
+++ b/packages/daemon/src/entry/request-router.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto'
-import type { Clock, Random } from '@briarsaddle/common'
+import { longestTurnWait, type Clock, type Random, type TurnOptions } from '@briarsaddle/common'
 import { CallerRequestHandler, type CallerRequest } from '@briarsaddle/entry'
 import { bucketsPerPool, type KeyHasher } from '@briarsaddle/ownership'
 import { Outcome, ServiceClass, notRunAnswer, peerReasons, type Answer, type Forward } from '@briarsaddle/protocol'
@@ -50,6 +50,9 @@
   long: ServiceClass.SERVICE_CLASS_LONG
 }
 
+/** Order of the turns of requests on a VM that is short of processor time. */
+const urgencies: Readonly<Record<AcceptedRequest['rule']['serviceClass'], number>> = { prompt: 0, normal: 1, long: 2 }
+
 interface AttemptResult {
   readonly answer: Answer
   readonly answerClass: AnswerClass
@@ -105,6 +108,11 @@
     return { request, rule: match.rule, key: match.key, idempotencyKey, deadlineAt: request.arrivedAt + milliseconds }
   }
 
+  override turnOf ({ request, rule, deadlineAt }: AcceptedRequest): TurnOptions {
+    const waited = this.#clock.now() - request.arrivedAt
+    return { urgency: urgencies[rule.serviceClass], longestWaitMilliseconds: longestTurnWait(deadlineAt - request.arrivedAt) - waited }
+  }
+
   override async route (accepted: AcceptedRequest, body: Buffer, signal: AbortSignal, mayEndConnection: () => boolean): Promise<OutcomeAnswer> {
     const { request, rule, deadlineAt } = accepted
     const answer = await this.#run(this.#createTemplate(accepted, body), deadlineAt, signal)
--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -1,7 +1,7 @@
 import { Server, type IncomingMessage, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import polka from 'polka'
-import { BriarsaddleError, delay, processTurnQueue, Logger, describeError, errorCode, type Clock, type LoopDelay } from '@briarsaddle/common'
+import { BriarsaddleError, delay, overloadedReason, processTurnQueue, Logger, describeError, errorCode, type Clock, type LoopDelay } from '@briarsaddle/common'
 import type { Turn } from './answer-sequence.js'
 import { hasBody, readBody } from './body.js'
 import { CallerConnection } from './caller-connection.js'
@@ -303,7 +303,7 @@
     // The caller may have disconnected before the request was read; its disconnect is handled before the turn.
     if (exchange.isFirst) this.#backlog.observe(controller.signal.aborted)
     if (controller.signal.aborted) return undefined
-    if (!mayRun) return this.#handler.refusal('overloaded', accepted)
+    if (!mayRun) return this.#handler.refusal(overloadedReason, accepted)
     if (exchange.invalidReason !== undefined) return this.#handler.refusal(exchange.invalidReason)
     if (this.#refusing) return this.#handler.refusal('stopping', accepted)
     if (!hasBody(request)) return await this.#route(exchange, accepted, Buffer.alloc(0))
--- a/packages/router/src/request/dispatcher.ts
+++ b/packages/router/src/request/dispatcher.ts
@@ -1,4 +1,4 @@
-import { Logger, processTurnQueue, type Clock, type LoopDelay, type Random, type TurnOptions } from '@briarsaddle/common'
+import { Logger, longestTurnWait, overloadedReason, processTurnQueue, type Clock, type LoopDelay, type Random, type TurnOptions } from '@briarsaddle/common'
 import { notRunAnswer, Outcome, peerReasons, ServiceClass, type Answer, type Forward } from '@briarsaddle/protocol'
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
 import type { EndpointReach } from '../endpoint-reach.js'
@@ -9,7 +9,6 @@
 import type { Coordinators } from './coordinators.js'
 import { Detours } from './detours.js'
 import { EndpointGate, endpointUnreachable, leavingReason, outOfReachReason } from './endpoint-gate.js'
-import { longestTurnWait, overloadedReason } from './turn-limits.js'
 
 const logger = new Logger('dispatch')
 
