--- a/packages/router/src/request/dispatcher.ts
+++ b/packages/router/src/request/dispatcher.ts
@@ -1,4 +1,4 @@
-import { Logger, longestTurnWait, overloadedReason, processTurnQueue, type Clock, type LoopDelay, type Random, type TurnOptions } from '@briarsaddle/common'
+import { Logger, longestTurnWait, overloadedReason, processTurnQueue, type Clock, type LoopDelay, type Random, type TurnOptions, type TurnQueue } from '@briarsaddle/common'
 import { notRunAnswer, Outcome, peerReasons, ServiceClass, type Answer, type Forward } from '@briarsaddle/protocol'
 import type { Directory, EndpointEntry } from '../endpoint-entry.js'
 import type { EndpointReach } from '../endpoint-reach.js'
@@ -27,6 +27,8 @@
   readonly directory: () => Directory
   readonly clock: Clock
   readonly loopDelay: LoopDelay
+  /** Queue of the turns of forwarded requests. Default: the one that all handlers of the process share. */
+  readonly turns?: TurnQueue
   readonly random: Random
   readonly metrics: RouterMetrics
   readonly leaving: LeavingEndpoints
@@ -113,7 +115,7 @@
     const waited = this.#options.loopDelay.milliseconds
     // Lets a cancellation that arrived right after the request take effect first.
     const startedAt = this.#options.clock.now()
-    if (!await processTurnQueue.turn(turnOf(forward))) return refuseForwarded(forward, overloadedReason, waited)
+    if (!await (this.#options.turns ?? processTurnQueue).turn(turnOf(forward))) return refuseForwarded(forward, overloadedReason, waited)
     const endpoint = this.#options.directory().get(forward.endpoint)
     if (endpoint === undefined) return refuseForwarded(forward, 'endpoint_unknown', waited)
     const deadlineMilliseconds = forward.deadlineMilliseconds - waited - (this.#options.clock.now() - startedAt)
--- a/scripts/mixed-builds.mjs
+++ b/scripts/mixed-builds.mjs
@@ -108,6 +108,8 @@
 }
 
 const attempts = new Map()
+/** Refusals by reason since the last report. */
+const reasons = new Map()
 const results = { asked: 0, answered: 0, refused: 0, failed: 0, notWhole: 0 }
 const agent = new Agent({ keepAlive: true, maxSockets: 200 })
 let nextId = 1
@@ -120,6 +122,8 @@
       response.on('data', data => { text += data })
       response.on('end', () => {
         if (response.statusCode === 200 && !text.startsWith('done by ')) results.notWhole++
+        const reason = response.statusCode === 503 ? text.match(/"reason":"(\w+)"/)?.[1] : undefined
+        if (reason !== undefined) reasons.set(reason, (reasons.get(reason) ?? 0) + 1)
         resolve(response.statusCode)
       })
       response.on('error', () => resolve(0))
@@ -156,6 +160,12 @@
   }
 }
 
+/** What each VM says of its build; builds before feature levels say nothing. */
+async function builds () {
+  const pages = await Promise.all(vms.map(async ({ port }) => await get(port + 2, '/metrics')))
+  return pages.map(({ text }) => text.match(/^briarsaddle_build_info\{(.*)\} 1$/m)?.[1] ?? 'not stated').join('; ')
+}
+
 async function replace (index, next) {
   vms[index].child.kill('SIGTERM')
   await vms[index].ended
@@ -218,13 +228,15 @@
   const loaded = load()
   const report = (what, before) => {
     const change = Object.fromEntries(Object.entries(results).map(([name, value]) => [name, value - before[name]]))
-    process.stdout.write(`${from} to ${to}, seed ${seed}, ${what}: ${JSON.stringify(change)}\n`)
+    process.stdout.write(`${from} to ${to}, seed ${seed}, ${what}: ${JSON.stringify(change)}, refusals ${JSON.stringify(Object.fromEntries(reasons))}\n`)
+    reasons.clear()
   }
   const phase = async (what, run) => {
     const before = { ...results }
     await run()
     await delay(500)
     report(what, before)
+    process.stdout.write(`  builds: ${await builds()}\n`)
   }
   await phase('one build', async () => await delay(4_000))
   await phase('one VM replaced', async () => await replace(0, toBuild))
