Do not count a delay of the event loop against the wait for a turn

How long a request waited in the socket is known as an upper bound only. After one stall of more than 200 ms, a VM would have refused all requests with objectives of up to 1.6 s that it read next, whether they had waited or not.

--- a/packages/daemon/src/entry/request-router.ts
+++ b/packages/daemon/src/entry/request-router.ts
@@ -109,8 +109,7 @@
   }
 
   override turnOf ({ request, rule, deadlineAt }: AcceptedRequest): TurnOptions {
-    const waited = this.#clock.now() - request.arrivedAt
-    return { urgency: urgencies[rule.serviceClass], longestWaitMilliseconds: longestTurnWait(deadlineAt - request.arrivedAt) - waited }
+    return { urgency: urgencies[rule.serviceClass], longestWaitMilliseconds: longestTurnWait(deadlineAt - request.arrivedAt) }
   }
 
   override async route (accepted: AcceptedRequest, body: Buffer, signal: AbortSignal, mayEndConnection: () => boolean): Promise<OutcomeAnswer> {
--- a/packages/router/src/request/range-router.ts
+++ b/packages/router/src/request/range-router.ts
@@ -154,9 +154,8 @@
     return { request, fields, route, pool, deadlineAt: request.arrivedAt + timeLimitMilliseconds, objectiveMilliseconds }
   }
 
-  override turnOf ({ request, route, objectiveMilliseconds }: RoutedRequest): TurnOptions {
-    const waited = this.#clock.now() - request.arrivedAt
-    return { urgency: route.rank, longestWaitMilliseconds: longestTurnWait(objectiveMilliseconds) - waited }
+  override turnOf ({ route, objectiveMilliseconds }: RoutedRequest): TurnOptions {
+    return { urgency: route.rank, longestWaitMilliseconds: longestTurnWait(objectiveMilliseconds) }
   }
 
   override async route (routed: RoutedRequest, body: Buffer, signal: AbortSignal, mayEndConnection: () => boolean): Promise<CallerAnswer> {
