--- a/packages/router/src/range-node.ts
+++ b/packages/router/src/range-node.ts
@@ -3,7 +3,7 @@
 import { EntryServer } from '@briarsaddle/entry'
 import type { KeyMap, VmEntry } from '@briarsaddle/key-ranges'
 import { InnerServer, PeerPool, type Answer, type Forward } from '@briarsaddle/protocol'
-import { LoadMonitor, SmoothedLoad } from './load-monitor.js'
+import { LoadReporter } from './load-reporter.js'
 import { stateAges, type StateAges } from './control/state-ages.js'
 import { Candidacy } from './control/candidacy.js'
 import { ControlFeed } from './control/control-feed.js'
@@ -60,7 +60,6 @@
 const maximumHeaderBytes = 64 * 1024
 const maximumBodyBytes = 64 * 1024 * 1024
 const reportMilliseconds = 2_000
-const loadMilliseconds = 1_000
 // After this time a VM that cannot read the log accepts connections all the same, and refuses the requests with a reason.
 const longestPreparationMilliseconds = 2_000
 // Streams between VMs that fail are replaced before the usual deadline of a request passes.
@@ -85,9 +84,6 @@
   readonly #clock: Clock = new MonotonicClock()
   readonly #loopDelay = new LoopDelay(this.#clock)
   readonly #random = new Random(randomInt(2 ** 31))
-  readonly #load = new LoadMonitor(this.#clock, processTurnQueue)
-  readonly #smoothedLoad = new SmoothedLoad()
-  #requestsBefore = 0
   readonly #changes = new ChangeNotifier()
   readonly #leavingEndpoints = new LeavingEndpoints(this.#clock, () => ({ feed: this.#feed.source, leading: this.#leader.leading, directoryAgeMilliseconds: this.#stateAges.directoryAgeMilliseconds }))
   readonly #poison = new PoisonList(this.#clock)
@@ -114,6 +110,7 @@
   readonly #leader: KeyLeader
   readonly #inner: InnerServer
   readonly #entry: EntryServer<RoutedRequest>
+  readonly #load: LoadReporter
   #stopping: Promise<void> | undefined
   /** Result of the last readiness check. */
   #ready = false
@@ -160,10 +157,11 @@
     this.#feed = new ControlFeed({ self: this.#self, clock, peers: this.#peers, map: this.#map, routing: this.#routing, directory: this.#directory, poison: this.#poison, sources: () => this.#sources, onUpdate: () => this.#publisher.publishSoon() })
     this.#dispatcher = this.#createDispatcher()
     this.#router = this.#createRouter()
-    this.#control = new RangeControlHandler({ vm: settings.vm.id, dispatcher: this.#dispatcher, map: this.#map, routing: this.#routing, readPositions: this.#readPositions, publisher: this.#publisher, poison: this.#poison, reach: this.#transport, leaving: () => this.#stopping !== undefined, load: () => this.#smoothedLoad.current })
+    this.#control = new RangeControlHandler({ vm: settings.vm.id, dispatcher: this.#dispatcher, map: this.#map, routing: this.#routing, readPositions: this.#readPositions, publisher: this.#publisher, poison: this.#poison, reach: this.#transport, leaving: () => this.#stopping !== undefined, load: () => this.#load.current })
     this.#leader = this.#createLeader()
     this.#inner = new InnerServer({ ...listen.inner }, new RangeFrameHandler(this.#dispatcher), this.#control)
     this.#entry = new EntryServer({ ...listen.callers, ...settings.limits, maximumHeaderBytes, maximumBodyBytes, clock, loopDelay: this.#loopDelay }, this.#router)
+    this.#load = new LoadReporter({ clock, turns: processTurnQueue, entry: this.#entry, dispatcher: this.#dispatcher, metrics: this.#metrics })
   }
 
   /** Starts all parts. Throws `listen_failed`. */
@@ -184,7 +182,7 @@
     new PoisonArchive({ list: this.#poison, topic: this.#platform.poisonRequests, callMilliseconds: this.#settings.timing.logCallMilliseconds, isLeading: () => this.#leader.leading, era: () => eraOf(this.#map.current?.position ?? 0) }).start(this.#lifeCycle)
     new ControlRelay({ peers: this.#peers, map: this.#map, routing: this.#routing, random: this.#random, isFed: () => this.#feed.source !== undefined }).start(this.#lifeCycle)
     this.#lifeCycle.every('state metrics', reportMilliseconds, () => this.#reportState(), error => logger.error('state metrics failed', { error: String(error) }))
-    this.#lifeCycle.every('load', loadMilliseconds, () => this.#reportLoad(), error => logger.error('load report failed', { error: String(error) }))
+    this.#load.start(this.#lifeCycle)
     await this.#listenWhenPrepared()
     logger.info('started', { build: this.#build, featureLevel, dataCentre: this.#self.dataCentre, inner: `${this.#self.host}:${this.#self.port}`, routingVersion: this.#router.version, ...this.#stateAges })
   }
@@ -413,29 +411,6 @@
     return { status: 200, type: 'text/plain', text: 'lifted\n' }
   }
 
-  #reportLoad (): void {
-    const sample = this.#load.take()
-    this.#smoothedLoad.add(sample, this.#entry.requests - this.#requestsBefore)
-    this.#requestsBefore = this.#entry.requests
-    for (const gate of this.#dispatcher.gates.values()) gate.rate.endPeriod(sample.milliseconds)
-    const { milliseconds, busyShare, processorMilliseconds, longestTurnMilliseconds, heldMilliseconds } = sample
-    this.#metrics.state({ busyShare, longestTurnSeconds: longestTurnMilliseconds / 1000, heldSeconds: heldMilliseconds / 1000 })
-    logger.info('load', {
-      milliseconds: Math.round(milliseconds),
-      busyShare: Number(busyShare.toFixed(3)),
-      processorMilliseconds: Math.round(processorMilliseconds),
-      longestTurnMilliseconds: Math.round(longestTurnMilliseconds),
-      heldMilliseconds: Math.round(heldMilliseconds),
-      waitingRequests: processTurnQueue.length,
-      inFlight: this.#entry.inFlight,
-      requests: this.#entry.requests,
-      abandoned: this.#entry.abandonedRequests,
-      forwarded: this.#dispatcher.accepted,
-      coordinatedPerSecond: Math.round([...this.#dispatcher.gates.values()].reduce((sum, gate) => sum + gate.rate.perSecond, 0)),
-      acceptedConnections: this.#entry.acceptedConnections
-    })
-  }
-
   #reportState (): void {
     const { user, system } = process.cpuUsage()
     const { keyMapAgeMilliseconds, routingAgeMilliseconds, directoryAgeMilliseconds } = this.#stateAges
