End the tasks of a test that occupied the event loop of all tests behind it

Traced: the tasks of a test of the turn queue call each other for ever, since its queue has a clock that nobody advances, so that the process of all tests of the packages spun to its end (85 % of a core in ps). Together with that test it failed each time, now it passes. No check is changed.

--- a/packages/common/src/turn-queue.test.ts
+++ b/packages/common/src/turn-queue.test.ts
@@ -49,10 +49,11 @@
     const iterationMilliseconds = 10
     const iterations = 300
     let ran = 0
+    let ended = false
     const task = async (): Promise<void> => {
       await queue.turn()
       ran++
-      void task()
+      if (!ended) void task()
     }
     for (let index = 0; index < 10; index++) void task()
     for (let iteration = 0; iteration < iterations; iteration++) {
@@ -60,6 +61,8 @@
       await new Promise(resolve => setImmediate(resolve))
       clock.advance(iterationMilliseconds)
     }
+    // Otherwise the tasks would occupy the event loop of all tests behind this one.
+    ended = true
     // A pass of two tasks takes two iterations.
     expect(ran).to.be.at.least(iterations / 3 * 0.9)
   })
